Serve the whole path as separate processes

Cause: nothing existed; a request has to cross a running daemon to an upstream worker under a configuration that was submitted, checked as a set, kept in the platform's table service and picked up by the daemons.

Ruled out: http4k's own Undertow and OkHttp modules (not served in a matching version), so small adapters in transport stand in for them; ktoml's decoder for settings (it stops at the first error), so its parser's tree is checked against the serial descriptors and every problem is reported at once; silent resends by the HTTP client (turned off).

--- /dev/null
+++ b/core/src/main/kotlin/io/corianderrock/coordination/health/WorkerHealth.kt
@@ -0,0 +1,129 @@
+/*
+ * Passive health of one worker: consecutive failures eject it, a measured trial brings it back.
+ */
+package io.corianderrock.coordination.health
+
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/** Limits of ejection. Durations are in nanoseconds. */
+public data class HealthLimits(
+    val failuresToEject: Int = 3,
+    val baseEjectionNs: Long = 1_000_000_000,
+    val maxEjectionNs: Long = 30_000_000_000,
+    val maxEjectedShare: Double = 0.5,
+)
+
+/** Counts the ejected workers of one pool, so that a correlated failure cannot empty it. */
+public class EjectionBudget(
+    private val limits: HealthLimits,
+) {
+    private val ejected = AtomicInteger()
+    private val workers = AtomicInteger()
+
+    /** The number of workers that are ejected now. */
+    public val ejectedCount: Int get() = ejected.get()
+
+    /** Sets the number of workers of the pool. */
+    public fun resize(workerCount: Int) {
+        workers.set(workerCount)
+    }
+
+    internal fun tryEject(): Boolean {
+        while (true) {
+            val seen = ejected.get()
+            if (seen + 1 > workers.get() * limits.maxEjectedShare) return false
+            if (ejected.compareAndSet(seen, seen + 1)) return true
+        }
+    }
+
+    internal fun readmit() {
+        ejected.decrementAndGet()
+    }
+}
+
+/** The health of one worker. All methods are lock-free and may be called by many threads. */
+public class WorkerHealth(
+    private val limits: HealthLimits,
+    private val budget: EjectionBudget,
+) {
+    private val consecutiveFailures = AtomicInteger()
+    private val ejectedUntilNs = AtomicLong(NOT_EJECTED)
+    private val ejections = AtomicInteger()
+    private val trialStartedNs = AtomicLong(NO_TRIAL)
+
+    /** True while the worker is ejected, trials included. */
+    public val isEjected: Boolean get() = ejectedUntilNs.get() != NOT_EJECTED
+
+    /** The number of failures since the last success; routing treats it as extra load. */
+    public val failurePenalty: Int get() = consecutiveFailures.get()
+
+    /** True when the worker may receive a request at [nowNs]. For an ejected worker this claims its single trial. */
+    public fun tryAdmit(nowNs: Long): Boolean {
+        val until = ejectedUntilNs.get()
+        if (until == NOT_EJECTED) return true
+        if (nowNs < until) return false
+        return claimTrial(nowNs)
+    }
+
+    /** Records a whole answer that the worker gave. */
+    public fun onSuccess() {
+        consecutiveFailures.set(0)
+        if (ejectedUntilNs.getAndSet(NOT_EJECTED) == NOT_EJECTED) return
+        ejections.set(0)
+        trialStartedNs.set(NO_TRIAL)
+        budget.readmit()
+    }
+
+    /** Records a failure at [nowNs] and ejects the worker when failures follow one another. */
+    public fun onFailure(nowNs: Long) {
+        val failures = consecutiveFailures.incrementAndGet()
+        val until = ejectedUntilNs.get()
+        if (until != NOT_EJECTED) {
+            extendAfterTrial(until, nowNs)
+        } else if (failures >= limits.failuresToEject && budget.tryEject()) {
+            eject(nowNs)
+        }
+    }
+
+    /** Returns a claimed trial that was not used. */
+    public fun cancelTrial() {
+        trialStartedNs.set(NO_TRIAL)
+    }
+
+    /** Forgets the worker; a pool that loses it gets its share of ejections back. */
+    public fun dispose() {
+        if (ejectedUntilNs.getAndSet(NOT_EJECTED) != NOT_EJECTED) budget.readmit()
+    }
+
+    private fun claimTrial(nowNs: Long): Boolean {
+        val started = trialStartedNs.get()
+        val isFree = started == NO_TRIAL || nowNs - started > limits.maxEjectionNs
+        return isFree && trialStartedNs.compareAndSet(started, nowNs)
+    }
+
+    private fun eject(nowNs: Long) {
+        val isFirst = ejectedUntilNs.compareAndSet(NOT_EJECTED, nowNs + ejectionNs())
+        if (!isFirst) budget.readmit()
+    }
+
+    private fun extendAfterTrial(
+        until: Long,
+        nowNs: Long,
+    ) {
+        if (nowNs < until) return
+        ejections.incrementAndGet()
+        if (ejectedUntilNs.compareAndSet(until, nowNs + ejectionNs())) trialStartedNs.set(NO_TRIAL)
+    }
+
+    private fun ejectionNs(): Long {
+        val doublings = ejections.get().coerceAtMost(MAX_DOUBLINGS)
+        return (limits.baseEjectionNs shl doublings).coerceAtMost(limits.maxEjectionNs)
+    }
+
+    private companion object {
+        const val NOT_EJECTED = Long.MIN_VALUE
+        const val NO_TRIAL = Long.MIN_VALUE
+        const val MAX_DOUBLINGS = 10
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/io/corianderrock/coordination/request/RequestPipeline.kt
@@ -0,0 +1,316 @@
+/*
+ * The path of a request through an entry: route, quota, claim, admission, dispatch, retry, outcome.
+ */
+package io.corianderrock.coordination.request
+
+import io.corianderrock.coordination.Clock
+import io.corianderrock.coordination.NS_PER_MS
+import io.corianderrock.coordination.admission.Admission
+import io.corianderrock.coordination.admission.AdmissionResult
+import io.corianderrock.coordination.admission.Slot
+import io.corianderrock.coordination.claim.ClaimResult
+import io.corianderrock.coordination.claim.KeyClaims
+import io.corianderrock.state.ServiceSpec
+import io.corianderrock.state.startsWithSegment
+
+/** Limits of the retry policy. */
+public data class RetryLimits(
+    val maxAttempts: Int = 3,
+    val minTimeLeftMs: Long = 5,
+)
+
+/** An entry of another data centre, to which work may overflow. */
+public interface Overflow {
+    /** Sends [request] to an entry of another data centre, or returns null when none is known. */
+    public fun send(
+        request: EntryRequest,
+        timeoutMs: Long,
+        maxAnswerBytes: Int,
+    ): AttemptResult?
+
+    public companion object {
+        /** No other data centre. */
+        public val NONE: Overflow =
+            object : Overflow {
+                override fun send(
+                    request: EntryRequest,
+                    timeoutMs: Long,
+                    maxAnswerBytes: Int,
+                ): AttemptResult? = null
+            }
+    }
+}
+
+/** Handles requests of every service. Thread-safe; the calling thread waits for the result. */
+public class RequestPipeline(
+    private val clock: Clock,
+    private val services: ServiceDirectory,
+    private val upstream: UpstreamClient,
+    private val claims: KeyClaims,
+    private val overflow: Overflow = Overflow.NONE,
+    private val retryLimits: RetryLimits = RetryLimits(),
+    private val observer: RequestObserver = RequestObserver.NONE,
+) {
+    /** Serves [request] and returns what is known of it. */
+    public fun handle(request: EntryRequest): EntryResult {
+        val service = services.serviceFor(request.path) ?: return refuseCautiously(request, noService(request))
+        val startedNs = clock.monotonicNs()
+        val result = serve(service, request)
+        observer.onFinished(service.spec, request, result, clock.monotonicNs() - startedNs)
+        return result
+    }
+
+    private fun noService(request: EntryRequest): EntryResult.NotRun {
+        val reason = if (services.isReady) Reason.NO_SERVICE else Reason.NOT_READY
+        return EntryResult.NotRun(reason, retryAfterMs = NOT_READY_RETRY_MS, step = "route", peer = request.path)
+    }
+
+    private fun serve(
+        service: ServiceRuntime,
+        request: EntryRequest,
+    ): EntryResult {
+        val call = CallContext(service, request, deadlineOf(service.spec, request), isIdempotent(service.spec, request))
+        val key = request.idempotencyKey
+        val needsClaim = key != null && !call.isIdempotent && request.hops == 0
+        val refusal = refusalBeforeClaim(call)
+        return when {
+            refusal != null -> if (needsClaim) refuseCautiously(request, refusal) else refusal
+            needsClaim -> runClaimed(call, key)
+            else -> runUnclaimed(call)
+        }
+    }
+
+    private fun refusalBeforeClaim(call: CallContext): EntryResult.NotRun? {
+        if (call.request.body.size > call.service.spec.maxBodyBytes) return notRun(Reason.BODY_TOO_LARGE, step = "receive")
+        val quotaWaitNs = call.service.takeQuota(call.request.team, clock.monotonicNs())
+        if (quotaWaitNs <= 0) return null
+        return notRun(Reason.QUOTA_EXCEEDED, step = "quota", retryAfterMs = quotaWaitNs / NS_PER_MS + 1)
+    }
+
+    /**
+     * Returns [refusal], or "unknown" for a keyed request that may be a resend: without its claim nobody knows whether
+     * an earlier send of it ran.
+     */
+    public fun refuseCautiously(
+        request: EntryRequest,
+        refusal: EntryResult.NotRun,
+    ): EntryResult {
+        val mayBeResend = request.idempotencyKey != null && !request.isFirstSend
+        return if (mayBeResend) EntryResult.Unknown(refusal.reason, refusal.step, refusal.peer) else refusal
+    }
+
+    private fun runClaimed(
+        call: CallContext,
+        key: String,
+    ): EntryResult {
+        val claim = claims.claim(key, call.request.id, firstSentMs = keyTimestampMs(key))
+        return when (claim) {
+            is ClaimResult.Granted -> finishClaim(key, call)
+            is ClaimResult.Completed -> EntryResult.Ran(claim.answer, attempts = 0)
+            is ClaimResult.Taken -> EntryResult.Unknown(claim.reason, step = "claim", peer = claim.peer)
+            is ClaimResult.Unavailable -> refuseCautiously(call.request, unavailable(claim))
+        }
+    }
+
+    private fun unavailable(claim: ClaimResult.Unavailable): EntryResult.NotRun =
+        EntryResult.NotRun(claim.reason, claim.retryAfterMs, step = "claim", peer = claim.peer)
+
+    private fun finishClaim(
+        key: String,
+        call: CallContext,
+    ): EntryResult {
+        val result = runUnclaimed(call)
+        when (result) {
+            is EntryResult.Ran -> claims.complete(key, call.request.id, result.answer)
+            is EntryResult.NotRun -> claims.release(key, call.request.id)
+            is EntryResult.Unknown -> Unit
+        }
+        return result
+    }
+
+    private fun runUnclaimed(call: CallContext): EntryResult {
+        while (true) {
+            val slot =
+                when (val admitted = admit(call)) {
+                    is AdmissionResult.Granted -> admitted.slot
+                    is AdmissionResult.Refused -> return afterRefusal(call, admitted)
+                }
+            call.attempts += 1
+            val attempt = dispatch(call, slot)
+            if (attempt is AttemptResult.Answered && !isRetriableAnswer(call, attempt)) return ran(call, attempt)
+            call.last = attempt
+            call.failedWorkers += slot.worker.route.id
+            if (!mayRetry(call, attempt)) return lastOutcome(call)
+        }
+    }
+
+    private fun admit(call: CallContext): AdmissionResult =
+        call.service.scheduler.acquire(
+            Admission(
+                team = call.request.team,
+                route = call.route,
+                deadlineNs = call.deadlineNs,
+                caller = call.request.caller,
+                excluded = call.failedWorkers,
+            ),
+        )
+
+    private fun afterRefusal(
+        call: CallContext,
+        refused: AdmissionResult.Refused,
+    ): EntryResult {
+        if (call.attempts > 0) return lastOutcome(call)
+        if (refused.reason != Reason.CALLER_GONE) overflowed(call)?.let { return it }
+        return EntryResult.NotRun(refused.reason, refused.retryAfterMs, step = "admit", peer = call.service.spec.name)
+    }
+
+    private fun overflowed(call: CallContext): EntryResult? {
+        val timeLeftMs = timeLeftMs(call)
+        if (call.request.hops > 0 || timeLeftMs < retryLimits.minTimeLeftMs) return null
+        val attempt = overflow.send(call.request, timeLeftMs, call.service.spec.maxBodyBytes) ?: return null
+        return when (attempt) {
+            is AttemptResult.Answered -> EntryResult.Ran(attempt.answer, attempts = 1)
+            is AttemptResult.NotStarted -> null
+            is AttemptResult.Indeterminate -> EntryResult.Unknown(attempt.reason, attempt.step, attempt.peer)
+        }
+    }
+
+    private fun dispatch(
+        call: CallContext,
+        slot: Slot,
+    ): AttemptResult {
+        val worker = slot.worker
+        val startedNs = clock.monotonicNs()
+        val attempt =
+            upstream.send(worker.route.host, worker.route.port, call.request, attemptTimeoutMs(call), call.service.spec.maxBodyBytes)
+        val finishedNs = clock.monotonicNs()
+        val isFailure = attempt !is AttemptResult.Answered || isServerFailure(attempt)
+        if (isFailure) worker.health.onFailure(finishedNs) else worker.health.onSuccess()
+        if (isFailure) {
+            call.service.releaseAfterFailure(slot, finishedNs - startedNs)
+        } else {
+            call.service.classifier.observe(call.route, finishedNs - startedNs)
+            slot.release()
+        }
+        return attempt
+    }
+
+    private fun ran(
+        call: CallContext,
+        attempt: AttemptResult.Answered,
+    ): EntryResult {
+        call.service.retryBudget.onSuccess()
+        return EntryResult.Ran(attempt.answer, call.attempts)
+    }
+
+    private fun mayRetry(
+        call: CallContext,
+        attempt: AttemptResult,
+    ): Boolean {
+        val isSafe = attempt is AttemptResult.NotStarted || call.isIdempotent
+        val hasRoom = call.attempts < retryLimits.maxAttempts && timeLeftMs(call) >= retryLimits.minTimeLeftMs
+        return isSafe && hasRoom && !call.request.caller.isGone() && call.service.retryBudget.tryRetry()
+    }
+
+    private fun lastOutcome(call: CallContext): EntryResult =
+        when (val last = call.last) {
+            is AttemptResult.Answered -> EntryResult.Ran(last.answer, call.attempts)
+            is AttemptResult.Indeterminate -> EntryResult.Unknown(last.reason, last.step, last.peer)
+            is AttemptResult.NotStarted -> notStarted(call, last)
+            null -> notRun(Reason.NO_WORKER, step = "dispatch")
+        }
+
+    /** An earlier attempt of an idempotent request may have run even if the last one was refused. */
+    private fun notStarted(
+        call: CallContext,
+        last: AttemptResult.NotStarted,
+    ): EntryResult =
+        if (call.mayHaveRun) {
+            EntryResult.Unknown(last.reason, last.step, last.peer)
+        } else {
+            EntryResult.NotRun(last.reason, DEFAULT_RETRY_AFTER_MS, last.step, last.peer)
+        }
+
+    private fun isRetriableAnswer(
+        call: CallContext,
+        attempt: AttemptResult.Answered,
+    ): Boolean = call.isIdempotent && isServerFailure(attempt)
+
+    private fun isServerFailure(attempt: AttemptResult): Boolean =
+        attempt is AttemptResult.Answered && attempt.answer.status >= SERVER_ERROR_STATUS
+
+    private fun timeLeftMs(call: CallContext): Long = (call.deadlineNs - clock.monotonicNs()) / NS_PER_MS
+
+    /** The first attempt of an idempotent request leaves half of the time for another worker. */
+    private fun attemptTimeoutMs(call: CallContext): Long {
+        val leftMs = timeLeftMs(call).coerceAtLeast(1)
+        val isLast = !call.isIdempotent || call.attempts >= 2
+        val expectedMs = call.service.classifier.expectedNs(call.route) / NS_PER_MS
+        val isTight = expectedMs * EXPECTED_TIME_FACTOR > leftMs / 2
+        return if (isLast || isTight) leftMs else leftMs / 2
+    }
+
+    private fun deadlineOf(
+        spec: ServiceSpec,
+        request: EntryRequest,
+    ): Long {
+        val timeoutMs = (request.requestedTimeoutMs ?: spec.requestTimeoutMs).coerceAtMost(spec.requestTimeoutMs)
+        return request.receivedNs + timeoutMs * NS_PER_MS
+    }
+
+    private fun isIdempotent(
+        spec: ServiceSpec,
+        request: EntryRequest,
+    ): Boolean {
+        val declared = spec.routes.filter { request.path.startsWithSegment(it.pathPrefix) }.maxByOrNull { it.pathPrefix.length }
+        return declared?.idempotent ?: isIdempotentMethod(request.method)
+    }
+
+    private fun notRun(
+        reason: Reason,
+        step: String,
+        retryAfterMs: Long = DEFAULT_RETRY_AFTER_MS,
+    ): EntryResult.NotRun = EntryResult.NotRun(reason, retryAfterMs, step)
+
+    private class CallContext(
+        val service: ServiceRuntime,
+        val request: EntryRequest,
+        val deadlineNs: Long,
+        val isIdempotent: Boolean,
+    ) {
+        val route: String = routeKey(request)
+        var attempts = 0
+        var failedWorkers: Set<String> = emptySet()
+        var mayHaveRun = false
+        var last: AttemptResult? = null
+            set(value) {
+                field = value
+                mayHaveRun = mayHaveRun || value !is AttemptResult.NotStarted
+            }
+    }
+
+    private companion object {
+        const val NOT_READY_RETRY_MS = 1_000L
+        const val DEFAULT_RETRY_AFTER_MS = 100L
+        const val SERVER_ERROR_STATUS = 500
+        const val EXPECTED_TIME_FACTOR = 2
+    }
+}
+
+/** The key under which run times are learnt: the method and the path without its query, to two segments. */
+internal fun routeKey(request: EntryRequest): String {
+    val path = request.path.substringBefore('?')
+    val second = path.indexOf('/', startIndex = 1)
+    val third = if (second < 0) -1 else path.indexOf('/', startIndex = second + 1)
+    return request.method + ' ' + if (third < 0) path else path.substring(0, third)
+}
+
+/** Reads the creation time, in milliseconds since the epoch, from a version 7 UUID; null for other keys. */
+public fun keyTimestampMs(key: String): Long? {
+    val isVersion7 = key.length == UUID_LENGTH && key[UUID_VERSION_INDEX] == '7'
+    if (!isVersion7) return null
+    return (key.substring(0, 8) + key.substring(9, 13)).toLongOrNull(radix = 16)
+}
+
+private const val UUID_LENGTH = 36
+private const val UUID_VERSION_INDEX = 14
--- /dev/null
+++ b/core/src/test/kotlin/io/corianderrock/protocol/DeclarationFilesTest.kt
@@ -0,0 +1,81 @@
+package io.corianderrock.protocol
+
+import io.corianderrock.protocol.toml.Checked
+import io.corianderrock.protocol.toml.Problem
+import io.corianderrock.state.Declarations
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import java.io.File
+
+private val POOL =
+    """
+    [[pool]]
+    name = "tally"
+    workersPerDataCentre = 8
+    """.trimIndent()
+
+private val SERVICE =
+    """
+    [[service]]
+    name = "tally"
+    pool = "tally"
+    pathPrefix = "/tally"
+    """.trimIndent()
+
+private fun load(vararg texts: String): Checked<Declarations> =
+    loadDeclarations(texts.mapIndexed { index, text -> DeclarationFile("file$index.toml", text) })
+
+private fun problems(vararg texts: String): List<Problem> = load(*texts).shouldBeInstanceOf<Checked.Invalid>().problems
+
+class DeclarationFilesTest :
+    DescribeSpec({
+        describe("a valid set over two files") {
+            it("is merged") {
+                val value = load(POOL, SERVICE).shouldBeInstanceOf<Checked.Valid<Declarations>>().value
+                value.pools.map { it.name } shouldBe listOf("tally")
+                value.services.map { it.name } shouldBe listOf("tally")
+            }
+        }
+
+        describe("an invalid set") {
+            it("reports unknown keys, wrong types and missing keys at once, with their lines") {
+                val found = problems("[[pool]]\nname = 7\nworkersPerDatacentre = 8\n")
+                found.map { it.key to it.line } shouldBe
+                    listOf("pool[0].name" to 2, "pool[0].workersPerDatacentre" to 3, "pool[0]" to 1)
+            }
+
+            it("reports an unknown reference with the names that exist") {
+                val found = problems(POOL, SERVICE.replace("pool = \"tally\"", "pool = \"taly\""))
+                found.single().toString() shouldBe
+                    "file1.toml:1: service \"tally\" pool: found \"taly\", which no pool is called; name one of tally"
+            }
+
+            it("reports every rule that is broken") {
+                val budget = "[[budget]]\nname = \"b\"\npool = \"tally\"\nmaxUnavailable = 8\nmaxUnavailablePerDataCentre = 8\n"
+                val wave = "[[wave]]\nname = \"w\"\npools = [\"nowhere\"]\n"
+                val keys = problems(POOL, SERVICE, SERVICE, budget, wave).map { it.key }
+                keys shouldContain "service \"tally\" name"
+                keys shouldContain "service \"tally\" pathPrefix"
+                keys shouldContain "budget \"b\" maxUnavailablePerDataCentre"
+                keys shouldContain "wave \"w\" pools"
+            }
+
+            it("reports a syntax error") {
+                problems("[[pool]\nname = ").single().key shouldBe "(syntax)"
+            }
+        }
+
+        describe("the shipped examples") {
+            for (user in listOf("qurum", "nilebright")) {
+                it("$user is valid") {
+                    val files = checkNotNull(File("../examples/$user/declarations").listFiles()).sorted()
+                    val loaded = loadDeclarations(files.map { DeclarationFile(it.name, it.readText()) })
+                    val value = loaded.shouldBeInstanceOf<Checked.Valid<Declarations>>().value
+                    value.services.size shouldBe 5
+                    value.pools.sumOf { it.workersPerDataCentre } shouldBe 40
+                }
+            }
+        }
+    })
--- /dev/null
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/DaemonMetrics.kt
@@ -0,0 +1,131 @@
+/*
+ * The metrics of one daemon, in the Prometheus client's registry.
+ */
+package io.corianderrock.daemon
+
+import io.corianderrock.coordination.request.EntryRequest
+import io.corianderrock.coordination.request.EntryResult
+import io.corianderrock.coordination.request.RequestObserver
+import io.corianderrock.coordination.request.ServiceDirectory
+import io.corianderrock.coordination.request.ServiceRuntime
+import io.corianderrock.protocol.contract.OutcomeWord
+import io.corianderrock.state.ServiceSpec
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+/** Counts requests by outcome and reads gauges from the daemon's parts when scraped. */
+public class DaemonMetrics : RequestObserver {
+    private val registry = PrometheusRegistry()
+    private val writer = PrometheusTextFormatWriter.create()
+
+    private val requests =
+        Counter
+            .builder()
+            .name("corianderrock_requests_total")
+            .help("Requests finished, by service, outcome and reason.")
+            .labelNames("service", "outcome", "reason")
+            .register(registry)
+
+    private val durations =
+        Histogram
+            .builder()
+            .name("corianderrock_request_duration_seconds")
+            .help("Time from the receipt of a request to its result.")
+            .labelNames("service")
+            .classicUpperBounds(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+            .classicOnly()
+            .register(registry)
+
+    private val platformFailures =
+        Counter
+            .builder()
+            .name("corianderrock_platform_failures_total")
+            .help("Failed calls to the platform, by step.")
+            .labelNames("step")
+            .register(registry)
+
+    override fun onFinished(
+        service: ServiceSpec,
+        request: EntryRequest,
+        result: EntryResult,
+        elapsedNs: Long,
+    ) {
+        requests.labelValues(service.name, outcomeOf(result).wireName, reasonOf(result)).inc()
+        durations.labelValues(service.name).observe(elapsedNs / NS_PER_SECOND)
+    }
+
+    /** Counts a failed call to the platform at [step]. */
+    public fun onPlatformFailure(step: String): Unit = platformFailures.labelValues(step).inc()
+
+    /** Registers the gauges of [directory]. */
+    public fun watch(directory: ServiceDirectory) {
+        gauge(
+            "corianderrock_configuration_version",
+            "Version of the configuration in force.",
+        ) { it(directory.configurationVersion.toDouble()) }
+        serviceGauge("corianderrock_requests_waiting", "Requests that wait for a slot.", directory) { it.scheduler.waitingCount }
+        serviceGauge("corianderrock_requests_in_flight", "Slots held by requests.", directory) { it.scheduler.inFlightCount }
+        gauge("corianderrock_workers_ejected", "Workers that receive no work because they failed.") { report ->
+            report(directory.workerStates.count { it.health.isEjected }.toDouble())
+        }
+    }
+
+    /** Registers a gauge without labels whose value is read at each scrape. */
+    public fun gauge(
+        name: String,
+        help: String,
+        read: ((Double) -> Unit) -> Unit,
+    ) {
+        GaugeWithCallback
+            .builder()
+            .name(name)
+            .help(help)
+            .callback { callback -> read { callback.call(it) } }
+            .register(registry)
+    }
+
+    /** Renders all metrics in the Prometheus text format. */
+    public fun render(): String {
+        val out = ByteArrayOutputStream()
+        writer.write(out, registry.scrape())
+        return out.toString(Charsets.UTF_8)
+    }
+
+    private fun serviceGauge(
+        name: String,
+        help: String,
+        directory: ServiceDirectory,
+        read: (ServiceRuntime) -> Int,
+    ) {
+        GaugeWithCallback
+            .builder()
+            .name(name)
+            .help(help)
+            .labelNames("service")
+            .callback { callback -> directory.all.forEach { callback.call(read(it).toDouble(), it.spec.name) } }
+            .register(registry)
+    }
+
+    private fun reasonOf(result: EntryResult): String =
+        when (result) {
+            is EntryResult.Ran -> ""
+            is EntryResult.NotRun -> result.reason.wireName
+            is EntryResult.Unknown -> result.reason.wireName
+        }
+
+    private companion object {
+        const val NS_PER_SECOND = 1e9
+    }
+}
+
+/** Returns the word of the callers' contract for [result]. */
+internal fun outcomeOf(result: EntryResult): OutcomeWord =
+    when (result) {
+        is EntryResult.Ran -> OutcomeWord.RAN
+        is EntryResult.NotRun -> OutcomeWord.NOT_RUN
+        is EntryResult.Unknown -> OutcomeWord.UNKNOWN
+    }
--- /dev/null
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/OperatorHandler.kt
@@ -0,0 +1,141 @@
+/*
+ * The operators' interface: health, metrics, status and changes. All but health and metrics need a token.
+ */
+package io.corianderrock.daemon
+
+import io.corianderrock.coordination.Clock
+import io.corianderrock.coordination.configuration.ConfigurationStore
+import io.corianderrock.coordination.configuration.Submission
+import io.corianderrock.coordination.configuration.SubmitResult
+import io.corianderrock.protocol.ApplyAnswer
+import io.corianderrock.protocol.ApplyOutcome
+import io.corianderrock.protocol.ApplyRequest
+import io.corianderrock.protocol.ConfigurationAnswer
+import io.corianderrock.protocol.OperatorError
+import io.corianderrock.protocol.OperatorPaths
+import io.corianderrock.protocol.StatusAnswer
+import io.corianderrock.protocol.checkDeclarations
+import io.corianderrock.transport.EventLog
+import io.corianderrock.transport.eq
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.routes
+
+/** What the operators' interface reads of the daemon. */
+public interface DaemonView {
+    /** True when callers may be sent to this entry. */
+    public val isReady: Boolean
+
+    /** The state of this entry. */
+    public fun status(): StatusAnswer
+}
+
+/** Builds the operators' interface. */
+public class OperatorHandler(
+    private val view: DaemonView,
+    private val sync: FleetSync,
+    private val store: ConfigurationStore,
+    private val metrics: DaemonMetrics,
+    private val clock: Clock,
+    private val operators: List<OperatorSettings>,
+) {
+    private val log = EventLog("operators")
+
+    /** Returns the handler of all paths. */
+    public fun handler(): HttpHandler =
+        routes(
+            OperatorPaths.HEALTH bind Method.GET to { Response(Status.OK).body("ok\n") },
+            OperatorPaths.READY bind Method.GET to { readiness() },
+            OperatorPaths.METRICS bind Method.GET to { metricsPage() },
+            OperatorPaths.STATUS bind Method.GET to authorized { _, _ -> ok(StatusAnswer.serializer(), view.status()) },
+            OperatorPaths.CONFIGURATION bind Method.GET to authorized { _, _ -> configuration() },
+            OperatorPaths.APPLY bind Method.POST to authorized(::apply),
+        )
+
+    private fun readiness(): Response =
+        if (view.isReady) Response(Status.OK).body("ready\n") else Response(Status.SERVICE_UNAVAILABLE).body("not ready\n")
+
+    private fun metricsPage(): Response =
+        Response(Status.OK).header("Content-Type", "text/plain; version=0.0.4; charset=utf-8").body(metrics.render())
+
+    private fun configuration(): Response {
+        sync.poll()
+        return ok(ConfigurationAnswer.serializer(), ConfigurationAnswer(sync.configuration.takeIf { it.version > 0 }))
+    }
+
+    private fun apply(
+        request: Request,
+        operator: String,
+    ): Response {
+        val submitted = decode(ApplyRequest.serializer(), request) ?: return malformed()
+        val problems = checkDeclarations(submitted.declarations)
+        if (problems.isNotEmpty()) {
+            return ok(ApplyAnswer.serializer(), ApplyAnswer(ApplyOutcome.INVALID, problems = problems))
+        }
+        val submission = Submission(submitted.changeId, operator, submitted.baseVersion, submitted.declarations, clock.wallMs())
+        val answer = answerTo(store.submit(submission))
+        log.info("configuration-submitted", "operator" eq operator, "change" eq submitted.changeId, "outcome" eq answer.outcome)
+        sync.poll()
+        return ok(ApplyAnswer.serializer(), answer)
+    }
+
+    private fun answerTo(result: SubmitResult): ApplyAnswer =
+        when (result) {
+            is SubmitResult.Accepted -> ApplyAnswer(ApplyOutcome.ACCEPTED, result.pointer)
+            is SubmitResult.Unchanged -> ApplyAnswer(ApplyOutcome.UNCHANGED, result.pointer)
+            is SubmitResult.Superseded -> ApplyAnswer(ApplyOutcome.SUPERSEDED, result.winner)
+            is SubmitResult.Failed ->
+                ApplyAnswer(
+                    outcome = ApplyOutcome.FAILED,
+                    error = OperatorError(result.failure.step, result.failure.peer, result.failure.reason),
+                    mayHaveApplied = result.failure.mayHaveApplied,
+                )
+        }
+
+    private fun authorized(action: (Request, String) -> Response): HttpHandler =
+        { request ->
+            val token = request.header("Authorization")?.removePrefix("Bearer ")
+            val operator = operators.firstOrNull { it.token.matches(token) }
+            if (operator ==
+                null
+            ) {
+                error(Status.UNAUTHORIZED, "authorize", "a known operator's token is needed")
+            } else {
+                action(request, operator.name)
+            }
+        }
+
+    private fun malformed(): Response = error(Status.BAD_REQUEST, "decode", "the body is not a valid message of this path")
+
+    private fun <T> decode(
+        strategy: DeserializationStrategy<T>,
+        request: Request,
+    ): T? =
+        try {
+            Json.decodeFromString(strategy, request.bodyString())
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private fun error(
+        status: Status,
+        step: String,
+        message: String,
+    ): Response =
+        Response(status)
+            .header("Content-Type", "application/json")
+            .body(Json.encodeToString(OperatorError.serializer(), OperatorError(step, "daemon", message)))
+
+    private fun <T> ok(
+        serializer: KSerializer<T>,
+        value: T,
+    ): Response = Response(Status.OK).header("Content-Type", "application/json").body(Json.encodeToString(serializer, value))
+}
--- /dev/null
+++ b/load/src/main/kotlin/io/corianderrock/Placeholder.kt
@@ -0,0 +1,3 @@
+package io.corianderrock
+
+internal object Placeholder
--- /dev/null
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpServer.kt
@@ -0,0 +1,248 @@
+/*
+ * Serves http4k handlers on Undertow. Bodies, concurrent requests and idle times are bounded.
+ */
+package io.corianderrock.transport
+
+import io.corianderrock.coordination.request.CallerConnection
+import io.undertow.Undertow
+import io.undertow.UndertowOptions
+import io.undertow.server.HttpServerExchange
+import io.undertow.server.protocol.http.HttpServerConnection
+import io.undertow.util.HttpString
+import org.http4k.core.Body
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.xnio.Options
+import java.io.IOException
+import java.net.BindException
+import java.net.InetSocketAddress
+import java.nio.ByteBuffer
+import java.util.concurrent.atomic.AtomicInteger
+
+/** An address to listen on: an IP number and a port; port 0 takes a free one. */
+public data class ListenAddress(
+    val host: String,
+    val port: Int,
+) {
+    override fun toString(): String = "$host:$port"
+}
+
+/** Limits of a server. */
+public data class ServerLimits(
+    val maxBodyBytes: Long = 1_048_576,
+    val maxHeaderBytes: Int = 16_384,
+    val maxConcurrentRequests: Int = 256,
+    val ioThreads: Int = 2,
+    val readTimeoutMs: Int = 10_000,
+    val idleTimeoutMs: Int = 60_000,
+)
+
+/** Handles a request with the connection of its caller at hand. */
+public fun interface ExchangeHandler {
+    /** Answers [request]; [caller] tells whether anybody still waits for it. */
+    public fun handle(
+        request: Request,
+        caller: CallerConnection,
+    ): Response
+}
+
+/** Reads a header of a request that was refused; null when it is absent. */
+public fun interface HeaderLookup {
+    /** Returns the first value of the header called [name]. */
+    public fun get(name: String): String?
+}
+
+/** Answers given without calling the handler. */
+public data class ServerRefusals(
+    val overloaded: (HeaderLookup) -> Response = { Response(Status.SERVICE_UNAVAILABLE) },
+    val bodyTooLarge: (HeaderLookup) -> Response = { Response(Status.REQUEST_ENTITY_TOO_LARGE) },
+    val malformed: (HeaderLookup) -> Response = { Response(Status.BAD_REQUEST) },
+)
+
+/** Thrown when a server cannot listen on its address. */
+public class ListenException(
+    address: ListenAddress,
+    cause: Throwable,
+) : Exception("cannot listen on $address: ${cause.message}; free the port or set another one", cause)
+
+/** A running HTTP server. */
+public class HttpServer private constructor(
+    private val undertow: Undertow,
+    private val inFlight: AtomicInteger,
+) : AutoCloseable {
+    /** The port in use. */
+    public val port: Int get() = (undertow.listenerInfo.single().address as InetSocketAddress).port
+
+    /** The number of requests that are being handled. */
+    public val inFlightCount: Int get() = inFlight.get()
+
+    override fun close() {
+        undertow.stop()
+    }
+
+    public companion object {
+        /** Starts a server for an http4k [handler]. Throws [ListenException] when the address is taken. */
+        public fun start(
+            address: ListenAddress,
+            limits: ServerLimits = ServerLimits(),
+            handler: HttpHandler,
+        ): HttpServer = start(address, limits, ServerRefusals()) { request, _ -> handler(request) }
+
+        /** Starts a server for [handler]. Throws [ListenException] when the address is taken. */
+        public fun start(
+            address: ListenAddress,
+            limits: ServerLimits,
+            refusals: ServerRefusals,
+            handler: ExchangeHandler,
+        ): HttpServer {
+            val inFlight = AtomicInteger()
+            val adapter = ExchangeAdapter(handler, limits, refusals, inFlight)
+            val undertow = build(address, limits, adapter)
+            try {
+                undertow.start()
+            } catch (e: RuntimeException) {
+                if (e.cause !is BindException) throw e
+                throw ListenException(address, checkNotNull(e.cause))
+            }
+            return HttpServer(undertow, inFlight)
+        }
+
+        private fun build(
+            address: ListenAddress,
+            limits: ServerLimits,
+            adapter: ExchangeAdapter,
+        ): Undertow =
+            Undertow
+                .builder()
+                .addHttpListener(address.port, address.host)
+                .setIoThreads(limits.ioThreads)
+                .setWorkerThreads(limits.maxConcurrentRequests)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMs)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.readTimeoutMs)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setSocketOption(Options.READ_TIMEOUT, limits.idleTimeoutMs)
+                .setSocketOption(Options.TCP_NODELAY, true)
+                .setHandler(adapter::onExchange)
+                .build()
+    }
+}
+
+private class ExchangeAdapter(
+    private val handler: ExchangeHandler,
+    private val limits: ServerLimits,
+    private val refusals: ServerRefusals,
+    private val inFlight: AtomicInteger,
+) {
+    fun onExchange(exchange: HttpServerExchange) {
+        exchange.requestReceiver.setMaxBufferSize(limits.maxBodyBytes.toInt())
+        exchange.requestReceiver.receiveFullBytes(
+            { received, body -> onBody(received, body) },
+            { received, _ -> respond(received, refusals.bodyTooLarge(headersOf(received)).header("Connection", "close")) },
+        )
+    }
+
+    private fun onBody(
+        exchange: HttpServerExchange,
+        body: ByteArray,
+    ) {
+        val method = methodOf(exchange)
+        if (method == null) {
+            respond(exchange, refusals.malformed(headersOf(exchange)))
+            return
+        }
+        if (inFlight.incrementAndGet() > limits.maxConcurrentRequests) {
+            inFlight.decrementAndGet()
+            respond(exchange, refusals.overloaded(headersOf(exchange)))
+            return
+        }
+        exchange.dispatch(Runnable { handle(exchange, method, body) })
+    }
+
+    private fun handle(
+        exchange: HttpServerExchange,
+        method: Method,
+        body: ByteArray,
+    ) {
+        try {
+            val response = handler.handle(requestOf(exchange, method, body), UndertowCaller(exchange))
+            respond(exchange, response)
+        } finally {
+            inFlight.decrementAndGet()
+        }
+    }
+
+    private fun headersOf(exchange: HttpServerExchange): HeaderLookup = HeaderLookup { exchange.requestHeaders.getFirst(it) }
+
+    private fun methodOf(exchange: HttpServerExchange): Method? =
+        Method.entries.firstOrNull { it.name == exchange.requestMethod.toString() }
+
+    private fun requestOf(
+        exchange: HttpServerExchange,
+        method: Method,
+        body: ByteArray,
+    ): Request {
+        val query = exchange.queryString
+        val target = if (query.isEmpty()) exchange.requestURI else exchange.requestURI + "?" + query
+        val headers = ArrayList<Pair<String, String?>>()
+        for (values in exchange.requestHeaders) {
+            values.forEach { headers.add(values.headerName.toString() to it) }
+        }
+        return Request(method, target).headers(headers).body(Body(ByteBuffer.wrap(body)))
+    }
+
+    private fun respond(
+        exchange: HttpServerExchange,
+        response: Response,
+    ) {
+        exchange.statusCode = response.status.code
+        for ((name, value) in response.headers) {
+            if (value != null) exchange.responseHeaders.add(HttpString(name), value)
+        }
+        exchange.responseSender.send(response.body.payload.duplicate())
+    }
+}
+
+/** Detects a closed connection by reading from it, which is allowed once the request has been read. */
+private class UndertowCaller(
+    private val exchange: HttpServerExchange,
+) : CallerConnection {
+    private val peek = ByteBuffer.allocate(1)
+
+    @Volatile
+    private var isClosed = false
+
+    override fun isGone(): Boolean {
+        if (isClosed) return true
+        if (!exchange.connection.isOpen) return true
+        isClosed = readsEndOfStream()
+        return isClosed
+    }
+
+    private fun readsEndOfStream(): Boolean {
+        val connection = exchange.connection as? HttpServerConnection ?: return false
+        if (connection.extraBytes != null) return false
+        peek.clear()
+        return try {
+            when (connection.originalSourceConduit.read(peek)) {
+                -1 -> true
+                0 -> false
+                else -> keepByte(connection)
+            }
+        } catch (_: IOException) {
+            true
+        }
+    }
+
+    private fun keepByte(connection: HttpServerConnection): Boolean {
+        val pooled = connection.byteBufferPool.allocate()
+        peek.flip()
+        pooled.buffer.put(peek).flip()
+        connection.ungetRequestBytes(pooled)
+        return false
+    }
+}
