Claim idempotency keys at one owner, share slots by seats, and check promises under faults

Cause: a resend of one key through another entry could run twice, and each entry counted a worker's slots alone.

Ruled out: (a) a claim row per request before dispatch, which refuses all keyed work while the platform is down; timed leases on key ranges, which lapse for owners that are only cut off; dividing slots by a figure in each entry's own settings, on which entries could disagree.

Change: 64 key ranges, each with one owner until it gives the range back or the platform proves its instance gone; claims are group-committed, and granted from memory once the platform has been silent for 5 s; a later owner derives from the last beat whether claims may be missing. Seats decide each entry's share of slots. Peers talk gRPC. Overflow goes to an entry of another data centre once.

Takeover of ranges, memory mode and the gap rule are not tested yet.

--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/EveryKeyGranted.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/EveryKeyGranted.kt
@@ -7,11 +7,7 @@
 
 /** Grants every claim. A resent key runs again; use it as a baseline only. */
 public object EveryKeyGranted : KeyClaims {
-    override fun claim(
-        key: String,
-        attempt: String,
-        firstSentMs: Long?,
-    ): ClaimResult = ClaimResult.Granted
+    override fun claim(call: ClaimCall): ClaimResult = ClaimResult.Granted
 
     override fun release(
         key: String,
--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/KeyClaims.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/KeyClaims.kt
@@ -32,12 +32,8 @@
 
 /** Grants claims. [attempt] names the one request that asks, so that a repeated call is granted once. */
 public interface KeyClaims {
-    /** Claims [key] for [attempt] before its dispatch. */
-    public fun claim(
-        key: String,
-        attempt: String,
-        firstSentMs: Long?,
-    ): ClaimResult
+    /** Claims the key of [call] for its attempt, before its dispatch. */
+    public fun claim(call: ClaimCall): ClaimResult
 
     /** Gives the claim back after [attempt] was certainly not dispatched. */
     public fun release(
--- a/core/src/main/kotlin/io/corianderrock/coordination/request/RequestPipeline.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/request/RequestPipeline.kt
@@ -8,6 +8,7 @@
 import io.corianderrock.coordination.admission.Admission
 import io.corianderrock.coordination.admission.AdmissionResult
 import io.corianderrock.coordination.admission.Slot
+import io.corianderrock.coordination.claim.ClaimCall
 import io.corianderrock.coordination.claim.ClaimResult
 import io.corianderrock.coordination.claim.KeyClaims
 import io.corianderrock.state.ServiceSpec
@@ -103,8 +104,8 @@
         call: CallContext,
         key: String,
     ): EntryResult {
-        val claim = claims.claim(key, call.request.id, firstSentMs = keyTimestampMs(key))
-        return when (claim) {
+        val claimCall = ClaimCall(key, call.request.id, call.request.isFirstSend, firstSentMs = keyTimestampMs(key))
+        return when (val claim = claims.claim(claimCall)) {
             is ClaimResult.Granted -> finishClaim(key, call)
             is ClaimResult.Completed -> EntryResult.Ran(claim.answer, attempts = 0)
             is ClaimResult.Taken -> EntryResult.Unknown(claim.reason, step = "claim", peer = claim.peer)
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
@@ -5,26 +5,29 @@
 
 import io.corianderrock.coordination.Clock
 import io.corianderrock.coordination.NS_PER_MS
-import io.corianderrock.coordination.PlatformResult
-import io.corianderrock.coordination.Transaction
+import io.corianderrock.coordination.claim.ClaimOwner
 import io.corianderrock.coordination.claim.EveryKeyGranted
+import io.corianderrock.coordination.claim.RoutedClaims
 import io.corianderrock.coordination.configuration.ConfigurationStore
 import io.corianderrock.coordination.fleet.EntryRow
-import io.corianderrock.coordination.fleet.asWrite
+import io.corianderrock.coordination.fleet.SeatRegistry
 import io.corianderrock.coordination.lease.ControllerLease
 import io.corianderrock.coordination.record.AuditRecord
 import io.corianderrock.coordination.request.DelayedAction
+import io.corianderrock.coordination.request.Header
 import io.corianderrock.coordination.request.RequestPipeline
 import io.corianderrock.coordination.request.ServiceDirectory
-import io.corianderrock.coordination.transactSettled
 import io.corianderrock.protocol.ServiceStatus
 import io.corianderrock.protocol.StatusAnswer
 import io.corianderrock.protocol.WorkerStatus
+import io.corianderrock.protocol.contract.ContractHeaders
 import io.corianderrock.transport.ClientLimits
 import io.corianderrock.transport.EventLog
 import io.corianderrock.transport.HttpServer
 import io.corianderrock.transport.ListenAddress
 import io.corianderrock.transport.OkHttpUpstreamClient
+import io.corianderrock.transport.PeerClient
+import io.corianderrock.transport.PeerServer
 import io.corianderrock.transport.PlatformClient
 import io.corianderrock.transport.ServerLimits
 import io.corianderrock.transport.eq
@@ -38,56 +41,63 @@
 public class Daemon(
     private val settings: DaemonSettings,
     private val clock: Clock = Clock.SYSTEM,
+    policies: DaemonPolicies = DaemonPolicies(clock),
 ) : AutoCloseable,
     DaemonView {
     private val log = EventLog("daemon")
-    private val timers: ScheduledExecutorService = Executors.newScheduledThreadPool(TIMER_THREADS, ::timerThread)
+    private val self = settings.instanceId
+    private val timers: ScheduledExecutorService = Executors.newScheduledThreadPool(TIMER_THREADS, ::daemonThread)
+    private val background = Executors.newFixedThreadPool(BACKGROUND_THREADS, ::daemonThread)
     private val httpClient = newHttpClient(ClientLimits(connectTimeoutMs = settings.limits.connectTimeoutMs))
     private val platform = PlatformClient(httpClient, settings.platform.url, settings.platform.callTimeoutMs)
     private val metrics = DaemonMetrics()
+    private val record = AuditRecord(platform)
+    private val store = ConfigurationStore(platform, record)
+    private val seats: SeatHolder = newSeatHolder()
     private val directory =
         ServiceDirectory(
             clock = clock,
+            policy = policies.scheduling,
+            healthLimits = policies.health,
             timer = DelayedAction { delayNs, action -> timers.schedule(action, delayNs, TimeUnit.NANOSECONDS) },
-            slotLimit = { (it.slots / settings.limits.entriesPerDataCentre).coerceAtLeast(1) },
-        )
-    private val record = AuditRecord(platform)
-    private val store = ConfigurationStore(platform, record)
-    private val sync = FleetSync(platform, store, directory, clock, settings.dataCentre, metrics::onPlatformFailure)
-    private val control =
-        ControlLoop(
-            platform = platform,
-            lease = ControllerLease(platform, clock, settings.instanceId, newId = ::newId),
-            record = record,
-            clock = clock,
-            self = settings.instanceId,
-            declarations = { sync.configuration.takeIf { it.version > 0 }?.declarations },
-            newId = ::newId,
+            slotLimit = seats::shareOf,
         )
+    private val sync: FleetSync =
+        FleetSync(platform, store, directory, clock, settings.dataCentre, metrics::onPlatformFailure) { network.spread(it) }
+    private val claimOwner =
+        ClaimOwner(platform, clock, self + "/" + UUID.randomUUID(), self, policies.claims, { sync.endedAtMs(it) }, ::newId)
+    private val claimWork = ClaimWork(claimOwner) { sync.entries.size }
+    private val peerClient = PeerClient({ id -> sync.entries.firstOrNull { it.id == id }?.peersAddress }, settings.peerToken)
+    private val peerServer = PeerServer.start(listen(settings.peers), settings.peerToken, PeerHandler(claimOwner, sync, directory))
+    private val network: PeerNetwork = newPeerNetwork()
+    private val control = newControlLoop()
+    private val pipeline = newPipeline(policies)
 
     @Volatile
     private var isStopping = false
 
-    @Volatile
-    private var isRegistered = false
-
-    private val pipeline = RequestPipeline(clock, directory, OkHttpUpstreamClient(httpClient), EveryKeyGranted, observer = metrics)
     private val callers = startCallers()
     private val operators = startOperators()
 
-    override val isReady: Boolean get() = !isStopping && directory.isReady
+    override val isReady: Boolean get() = !isStopping && directory.isReady && seats.isSeated
+
+    /** The ports in use, for callers of the constructor that asked for free ones. */
+    public val ports: DaemonPorts get() = DaemonPorts(callers.port, operators.port, peerServer.port)
 
     init {
         metrics.watch(directory)
+        metrics.watch(claimOwner)
         every(settings.platform.pollIntervalMs) { pollPlatform() }
         every(CONTROL_INTERVAL_MS) { control.tick() }
+        every(CLAIM_INTERVAL_MS) { claimWork.tick() }
         every(SWEEP_INTERVAL_MS) { directory.sweep() }
-        log.info("started", "instance" eq settings.instanceId, "callers" eq callers.port, "operators" eq operators.port)
+        claimWork.start()
+        log.info("started", "instance" eq self, "callers" eq callers.port, "operators" eq operators.port, "peers" eq peerServer.port)
     }
 
     override fun status(): StatusAnswer =
         StatusAnswer(
-            entry = settings.instanceId,
+            entry = self,
             dataCentre = settings.dataCentre,
             isReady = isReady,
             isController = control.isController,
@@ -106,7 +116,7 @@
             workers = workerStatuses(),
         )
 
-    /** Stops gracefully: refuses new requests, finishes those in flight, hands the lease back. */
+    /** Stops gracefully: refuses new requests, finishes those in flight, hands lease and claims back. */
     override fun close() {
         isStopping = true
         log.info("stopping", "inFlight" eq callers.inFlightCount)
@@ -114,9 +124,14 @@
         timers.shutdown()
         timers.awaitTermination(settings.platform.callTimeoutMs, TimeUnit.MILLISECONDS)
         control.release()
+        claimWork.close()
+        val unfinished = callers.inFlightCount
         callers.close()
         operators.close()
-        log.info("stopped", "unfinished" eq callers.inFlightCount)
+        peerServer.close()
+        peerClient.close()
+        background.shutdown()
+        log.info("stopped", "unfinished" eq unfinished)
     }
 
     private fun awaitIdle() {
@@ -126,48 +141,77 @@
         }
     }
 
-    private fun startCallers(): HttpServer =
-        HttpServer.start(
-            ListenAddress(settings.callers.host, settings.callers.port),
+    private fun pollPlatform() {
+        sync.poll()
+        if (seats.takeIfNeeded(::entryRow)) sync.route()
+        if (!directory.isReady) network.learnConfiguration()?.let(sync::offer)
+    }
+
+    private fun entryRow(): EntryRow =
+        EntryRow(
+            id = self,
+            dataCentre = settings.dataCentre,
+            callersAddress = "${settings.callers.host}:${callers.port}",
+            peersAddress = "${settings.peers.host}:${peerServer.port}",
+            seat = 0,
+        )
+
+    private fun newSeatHolder(): SeatHolder {
+        val seatCount = settings.limits.entriesPerDataCentre
+        return SeatHolder(SeatRegistry(platform, settings.dataCentre, seatCount, { sync.endedAtMs(it) != null }, ::newId), seatCount)
+    }
+
+    private fun newPeerNetwork(): PeerNetwork =
+        PeerNetwork(
+            selfInstance = self,
+            dataCentre = settings.dataCentre,
+            entries = { sync.entries },
+            client = peerClient,
+            upstream = OkHttpUpstreamClient(httpClient, extraHeaders = hopHeaders()),
+            clock = clock,
+            background = background,
+        )
+
+    private fun newControlLoop(): ControlLoop =
+        ControlLoop(
+            platform = platform,
+            lease = ControllerLease(platform, clock, self, newId = ::newId),
+            record = record,
+            clock = clock,
+            self = self,
+            declarations = { sync.configuration.takeIf { it.version > 0 }?.declarations },
+            newId = ::newId,
+        )
+
+    private fun newPipeline(policies: DaemonPolicies): RequestPipeline =
+        RequestPipeline(
+            clock = clock,
+            services = directory,
+            upstream = OkHttpUpstreamClient(httpClient, onLeaving = LeavingWatch(sync, clock, self) { network.spread(it) }),
+            claims = if (policies.claimsKeys) RoutedClaims(claimOwner, self, peerClient, background) else EveryKeyGranted,
+            overflow = network,
+            retryLimits = policies.retries,
+            observer = metrics,
+        )
+
+    private fun hopHeaders(): List<Header> =
+        listOf(Header(ContractHeaders.HOPS, "1"), Header(ContractHeaders.PEER_TOKEN, settings.peerToken.reveal()))
+
+    private fun startCallers(): HttpServer {
+        val limits =
             ServerLimits(
                 maxBodyBytes = settings.limits.maxBodyBytes,
                 maxConcurrentRequests = settings.limits.maxConcurrentRequests,
                 ioThreads = settings.limits.ioThreads,
-            ),
-            callerRefusals(),
-            EntryHandler(pipeline, clock, settings.instanceId, settings.peerToken) { isStopping },
-        )
+            )
+        val handler = EntryHandler(pipeline, clock, self, settings.peerToken) { isStopping }
+        return HttpServer.start(listen(settings.callers), limits, callerRefusals(), handler)
+    }
 
     private fun startOperators(): HttpServer {
         val handler = OperatorHandler(this, sync, store, metrics, clock, settings.operatorTokens)
         val limits = ServerLimits(maxBodyBytes = OPERATOR_BODY_BYTES, maxConcurrentRequests = OPERATOR_CONCURRENCY, ioThreads = 1)
-        return HttpServer.start(ListenAddress(settings.operators.host, settings.operators.port), limits, handler = handler.handler())
-    }
-
-    private fun pollPlatform() {
-        if (!isRegistered) isRegistered = register()
-        sync.poll()
-    }
-
-    private fun register(): Boolean {
-        val row =
-            EntryRow(
-                id = settings.instanceId,
-                dataCentre = settings.dataCentre,
-                callersAddress = "${settings.callers.host}:${callers.port}",
-                peersAddress = "${settings.peers.host}:${settings.peers.port}",
-                seat = 0,
-            )
-        val result = platform.transactSettled(Transaction(newId(), preconditions = emptyList(), writes = listOf(row.asWrite())))
-        if (result is PlatformResult.Failed) {
-            log.warn(
-                "register-failed",
-                "step" eq result.step,
-                "peer" eq result.peer,
-                "reason" eq result.reason,
-            )
-        }
-        return result is PlatformResult.Ok
+        return HttpServer.start(listen(settings.operators), limits, handler = handler.handler())
     }
 
     private fun workerStatuses(): List<WorkerStatus> {
@@ -198,16 +242,27 @@
         }
     }
 
-    private fun newId(): String = settings.instanceId + "-" + UUID.randomUUID()
+    private fun newId(): String = self + "-" + UUID.randomUUID()
 
     private companion object {
-        const val TIMER_THREADS = 3
+        const val TIMER_THREADS = 4
+        const val BACKGROUND_THREADS = 4
         const val CONTROL_INTERVAL_MS = 500L
+        const val CLAIM_INTERVAL_MS = 1_000L
         const val SWEEP_INTERVAL_MS = 10L
         const val IDLE_POLL_MS = 10L
         const val OPERATOR_BODY_BYTES = 16L * 1024 * 1024
         const val OPERATOR_CONCURRENCY = 16
 
-        fun timerThread(task: Runnable): Thread = Thread(task, "timer").apply { isDaemon = true }
+        fun daemonThread(task: Runnable): Thread = Thread(task, "background").apply { isDaemon = true }
+
+        fun listen(settings: ListenSettings): ListenAddress = ListenAddress(settings.host, settings.port)
     }
 }
+
+/** The ports that a daemon listens on. */
+public data class DaemonPorts(
+    val callers: Int,
+    val operators: Int,
+    val peers: Int,
+)
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/DaemonMetrics.kt
@@ -3,6 +3,7 @@
  */
 package io.corianderrock.daemon
 
+import io.corianderrock.coordination.claim.ClaimOwner
 import io.corianderrock.coordination.request.EntryRequest
 import io.corianderrock.coordination.request.EntryResult
 import io.corianderrock.coordination.request.RequestObserver
@@ -74,6 +75,17 @@
         }
     }
 
+    /** Registers the gauges of claim ownership. */
+    public fun watch(owner: ClaimOwner) {
+        gauge("corianderrock_claim_ranges_owned", "Ranges of the key space owned by this entry.") { it(owner.ownedRanges.size.toDouble()) }
+        gauge("corianderrock_claims_held", "Claims held in memory.") { it(owner.claimCount.toDouble()) }
+        gauge("corianderrock_claims_unlogged", "Claims not yet in the platform's table.") { it(owner.log.pendingCount.toDouble()) }
+        gauge("corianderrock_claim_commits", "Commits of the claim log since the start.") { it(owner.log.commitCount.toDouble()) }
+        gauge("corianderrock_claims_from_memory", "1 while claims are granted without the platform.") { report ->
+            report(if (owner.isMemoryMode) 1.0 else 0.0)
+        }
+    }
+
     /** Registers a gauge without labels whose value is read at each scrape. */
     public fun gauge(
         name: String,
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/FleetSync.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/FleetSync.kt
@@ -34,6 +34,7 @@
     private val clock: Clock,
     private val dataCentre: String,
     private val onPlatformFailure: (String) -> Unit,
+    private val onNewConfiguration: (Configuration) -> Unit = {},
 ) {
     private val log = EventLog("sync")
     private val configurationReference = VersionedReference(NO_CONFIGURATION) { it.version }
@@ -60,6 +61,13 @@
     public val platformAgeMs: Long
         get() = if (lastContactMs == Long.MIN_VALUE) Long.MAX_VALUE else clock.monotonicMs() - lastContactMs
 
+    /** Returns when the platform says that [instance] ended, as wall-clock time, or null while it may be alive. */
+    public fun endedAtMs(instance: String): Long? {
+        val listed = fleet.listed[instance] ?: return null
+        if (listed.state != ListedState.GONE) return null
+        return if (listed.goneAtMs > 0) listed.goneAtMs else clock.wallMs()
+    }
+
     /** Reads everything that changed since the last call. Returns false when the platform did not answer. */
     @Synchronized
     public fun poll(): Boolean {
@@ -75,6 +83,7 @@
         if (isNewer) {
             log.info("configuration-in-force", "version" eq configuration.version, "change" eq configuration.changeId)
             route()
+            onNewConfiguration(configuration)
         }
         return isNewer
     }
--- /dev/null
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/PeerHandler.kt
@@ -0,0 +1,72 @@
+/*
+ * Answers the calls of peers.
+ */
+package io.corianderrock.daemon
+
+import io.corianderrock.coordination.claim.ClaimOwner
+import io.corianderrock.coordination.request.ServiceDirectory
+import io.corianderrock.protocol.ClaimMessage
+import io.corianderrock.protocol.ClaimReply
+import io.corianderrock.protocol.ConfigurationMessage
+import io.corianderrock.protocol.DrainQuestion
+import io.corianderrock.protocol.DrainReply
+import io.corianderrock.protocol.ObservationsMessage
+import io.corianderrock.protocol.SettleMessage
+import io.corianderrock.protocol.SnapshotMessage
+import io.corianderrock.protocol.SnapshotRequest
+import io.corianderrock.protocol.asAnswer
+import io.corianderrock.protocol.asCall
+import io.corianderrock.protocol.asReply
+import io.corianderrock.state.Configuration
+import io.corianderrock.state.Declarations
+import io.corianderrock.transport.PeerService
+import kotlinx.serialization.json.Json
+
+/** Serves peers from the state of this entry. */
+public class PeerHandler(
+    private val claims: ClaimOwner,
+    private val sync: FleetSync,
+    private val directory: ServiceDirectory,
+) : PeerService {
+    override fun claim(message: ClaimMessage): ClaimReply = claims.claim(message.asCall()).asReply()
+
+    override fun settle(message: SettleMessage) {
+        val answer = message.answer
+        if (answer ==
+            null
+        ) {
+            claims.release(message.key, message.attempt)
+        } else {
+            claims.complete(message.key, message.attempt, answer.asAnswer())
+        }
+    }
+
+    override fun configure(message: ConfigurationMessage) {
+        sync.offer(message.asConfiguration())
+    }
+
+    override fun snapshot(request: SnapshotRequest): SnapshotMessage {
+        val configuration = sync.configuration
+        if (configuration.version == 0L) return SnapshotMessage()
+        return SnapshotMessage(Json.encodeToString(Configuration.serializer(), configuration))
+    }
+
+    override fun observe(message: ObservationsMessage) {
+        message.observations.forEach { sync.observe(it) }
+    }
+
+    override fun drain(question: DrainQuestion): DrainReply {
+        val seen = sync.fleet.rows[question.instance]?.epoch ?: 0
+        if (seen < question.epoch) sync.poll()
+        val hasSeenEpoch = (sync.fleet.rows[question.instance]?.epoch ?: 0) >= question.epoch
+        return DrainReply(hasSeenEpoch, directory.usedSlots(question.instance))
+    }
+}
+
+/** Converts this configuration to the message that peers exchange. */
+internal fun Configuration.asMessage(): ConfigurationMessage =
+    ConfigurationMessage(version, blob, changeId, author, Json.encodeToString(Declarations.serializer(), declarations))
+
+/** Converts this message to a configuration. */
+internal fun ConfigurationMessage.asConfiguration(): Configuration =
+    Configuration(version, blob, changeId, author, Json.decodeFromString(Declarations.serializer(), declarationsJson))
--- /dev/null
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/SeatHolder.kt
@@ -0,0 +1,54 @@
+/*
+ * The seat of this entry.
+ */
+package io.corianderrock.daemon
+
+import io.corianderrock.coordination.fleet.EntryRow
+import io.corianderrock.coordination.fleet.SeatRegistry
+import io.corianderrock.coordination.fleet.SeatResult
+import io.corianderrock.coordination.fleet.seatShare
+import io.corianderrock.state.WorkerRoute
+import io.corianderrock.transport.EventLog
+import io.corianderrock.transport.eq
+
+/** Takes a seat once and derives this entry's share of slots from it. Without a seat the share is 0. */
+public class SeatHolder(
+    private val registry: SeatRegistry,
+    private val seats: Int,
+) {
+    private val log = EventLog("seat")
+
+    @Volatile
+    private var seat = NO_SEAT
+
+    /** True once the entry holds a seat. */
+    public val isSeated: Boolean get() = seat != NO_SEAT
+
+    /** Returns the number of slots of [worker] that this entry may use. */
+    public fun shareOf(worker: WorkerRoute): Int {
+        val held = seat
+        return if (held == NO_SEAT) 0 else seatShare(worker.slots, held, seats)
+    }
+
+    /** Asks for a seat unless one is held. Returns true when one was taken by this call. */
+    public fun takeIfNeeded(entry: () -> EntryRow): Boolean {
+        if (isSeated) return false
+        when (val result = registry.take(entry())) {
+            is SeatResult.Seated -> return onSeated(result.seat)
+            is SeatResult.Full -> log.warn("seat-refused", "reason" eq "every seat belongs to a live instance")
+            is SeatResult.Disagreement -> log.warn("seat-refused", "reason" eq "other entries are set up for ${result.seats} seats")
+            is SeatResult.Failed -> log.warn("seat-failed", "step" eq result.failure.step, "peer" eq result.failure.peer)
+        }
+        return false
+    }
+
+    private fun onSeated(taken: Int): Boolean {
+        seat = taken
+        log.info("seated", "seat" eq taken, "of" eq seats)
+        return true
+    }
+
+    private companion object {
+        const val NO_SEAT = -1
+    }
+}
--- a/load/src/main/kotlin/io/corianderrock/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.corianderrock
-
-internal object Placeholder
--- /dev/null
+++ b/load/src/main/kotlin/io/corianderrock/load/LocalFleet.kt
@@ -0,0 +1,171 @@
+/*
+ * A whole deployment in one process: platform stand-in, upstream stand-ins and daemons on loopback ports.
+ */
+package io.corianderrock.load
+
+import io.corianderrock.coordination.configuration.ConfigurationStore
+import io.corianderrock.coordination.configuration.Submission
+import io.corianderrock.coordination.configuration.SubmitResult
+import io.corianderrock.coordination.record.AuditRecord
+import io.corianderrock.daemon.Daemon
+import io.corianderrock.daemon.DaemonPolicies
+import io.corianderrock.daemon.DaemonSettings
+import io.corianderrock.daemon.LimitSettings
+import io.corianderrock.daemon.ListenSettings
+import io.corianderrock.daemon.OperatorSettings
+import io.corianderrock.daemon.PlatformSettings
+import io.corianderrock.protocol.Secret
+import io.corianderrock.standins.platform.PlatformStandin
+import io.corianderrock.standins.upstream.UpstreamBehaviour
+import io.corianderrock.standins.upstream.UpstreamStandin
+import io.corianderrock.state.Declarations
+import io.corianderrock.state.InstanceRole
+import io.corianderrock.state.ListedInstance
+import io.corianderrock.state.ListedState
+import io.corianderrock.transport.ListenAddress
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
+
+/** The shape of a local fleet. */
+public data class LocalFleetShape(
+    val dataCentres: Int = 1,
+    val entriesPerDataCentre: Int = 2,
+    val workersPerDataCentre: Int = 8,
+    val slotsPerWorker: Int = 8,
+    val listLagMs: Long = 100,
+    val pollIntervalMs: Long = 200,
+    val platformTimeoutMs: Long = 500,
+    val maxConcurrentRequests: Int = 1_024,
+    val rebootMs: Long = 300,
+)
+
+/** Starts everything on construction and stops it on [close]. */
+public class LocalFleet(
+    private val shape: LocalFleetShape,
+    private val declarations: Declarations,
+    private val policies: DaemonPolicies = DaemonPolicies(),
+) : AutoCloseable {
+    private val workerPorts = freePorts(shape.dataCentres * shape.workersPerDataCentre)
+    private val workers = listWorkers()
+
+    /** The upstream workers. */
+    public val upstreams: UpstreamStandin =
+        UpstreamStandin(workers, UpstreamBehaviour(slotsPerWorker = shape.slotsPerWorker, rebootMs = shape.rebootMs))
+
+    /** The platform. */
+    public val platform: PlatformStandin =
+        PlatformStandin(ListenAddress(LOOPBACK, 0), shape.listLagMs) { upstreams.reboot(it.id) }
+
+    private val running = ArrayList<Daemon>()
+
+    /** The daemons that run, in the order of their start. */
+    public val daemons: List<Daemon> get() = running
+
+    init {
+        platform.fleetState.install(workers)
+        repeat(shape.dataCentres) { dataCentre -> repeat(shape.entriesPerDataCentre) { startEntry(dataCentre, it) } }
+        submit(declarations, baseVersion = 0)
+        awaitUntil("every entry is ready") { daemons.all { it.isReady && it.status().workers.size == shape.workersPerDataCentre } }
+    }
+
+    /** The ids of all workers. */
+    public val workerIds: List<String> get() = workers.map { it.id }
+
+    /** Starts one more daemon as entry [number] of a data centre. */
+    public fun startEntry(
+        dataCentre: Int,
+        number: Int,
+    ): Daemon {
+        val id = "entry-$dataCentre-$number"
+        val entry = ListedInstance(id, InstanceRole.ENTRY, nameOf(dataCentre), "entries", LOOPBACK, 0, ListedState.LIVE)
+        platform.fleetState.install(listOf(entry))
+        return Daemon(settingsOf(id, dataCentre), policies = policies).also { running += it }
+    }
+
+    /** Publishes [next] straight through the platform. */
+    public fun submit(
+        next: Declarations,
+        baseVersion: Long,
+    ): SubmitResult {
+        val services = platform.services
+        val submission = Submission("change-${baseVersion + 1}", "experiment", baseVersion, next, System.currentTimeMillis())
+        return ConfigurationStore(services, AuditRecord(services)).submit(submission)
+    }
+
+    override fun close() {
+        daemons.forEach { it.close() }
+        platform.close()
+        upstreams.close()
+    }
+
+    private fun listWorkers(): List<ListedInstance> =
+        workerPorts.mapIndexed { index, port ->
+            val dataCentre = index / shape.workersPerDataCentre
+            val number = index % shape.workersPerDataCentre
+            ListedInstance(
+                id = "worker-$dataCentre-$number",
+                role = InstanceRole.WORKER,
+                dataCentre = nameOf(dataCentre),
+                rack = "rack-$dataCentre-${number / WORKERS_PER_RACK}",
+                host = LOOPBACK,
+                port = port,
+                state = ListedState.LIVE,
+            )
+        }
+
+    private fun settingsOf(
+        id: String,
+        dataCentre: Int,
+    ): DaemonSettings =
+        DaemonSettings(
+            instanceId = id,
+            dataCentre = nameOf(dataCentre),
+            callers = ListenSettings(LOOPBACK, 0),
+            operators = ListenSettings(LOOPBACK, 0),
+            peers = ListenSettings(LOOPBACK, 0),
+            platform = PlatformSettings("http://$LOOPBACK:${platform.port}", shape.platformTimeoutMs, shape.pollIntervalMs),
+            limits =
+                LimitSettings(
+                    entriesPerDataCentre = shape.entriesPerDataCentre,
+                    maxConcurrentRequests = shape.maxConcurrentRequests,
+                    stopTimeoutMs = STOP_TIMEOUT_MS,
+                ),
+            peerToken = Secret("local-fleet-peer-token"),
+            operatorTokens = listOf(OperatorSettings("experiment", Secret(OPERATOR_TOKEN))),
+        )
+
+    public companion object {
+        /** The operators' token of every daemon of a local fleet. */
+        public const val OPERATOR_TOKEN: String = "local-fleet-operator"
+
+        private const val LOOPBACK = "127.0.0.1"
+        private const val WORKERS_PER_RACK = 4
+        private const val STOP_TIMEOUT_MS = 5_000L
+
+        private fun nameOf(dataCentre: Int): String = "dc-$dataCentre"
+    }
+}
+
+/** Waits until [condition] holds. Throws [IllegalStateException] naming [what] after [timeoutMs]. */
+public fun awaitUntil(
+    what: String,
+    timeoutMs: Long = 30_000,
+    condition: () -> Boolean,
+) {
+    val deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
+    while (!condition()) {
+        check(System.nanoTime() < deadlineNs) { "not within $timeoutMs ms: $what" }
+        TimeUnit.MILLISECONDS.sleep(POLL_MS)
+    }
+}
+
+/** Returns [count] ports that are free on the loopback address. */
+public fun freePorts(count: Int): List<Int> {
+    val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
+    val ports = sockets.map { it.localPort }
+    sockets.forEach { it.close() }
+    return ports
+}
+
+private const val POLL_MS = 10L
--- a/standins/src/main/kotlin/io/corianderrock/standins/upstream/UpstreamStandin.kt
+++ b/standins/src/main/kotlin/io/corianderrock/standins/upstream/UpstreamStandin.kt
@@ -66,6 +66,14 @@
             .forEach { it.fault = fault }
     }
 
+    /** Reboots the worker called [id]; it answers nothing until it is back. */
+    public fun reboot(id: String) {
+        workers.firstOrNull { it.instance.id == id }?.let(::reboot)
+    }
+
+    /** The requests that run now on the worker called [id]. */
+    public fun usedSlots(id: String): Int = workers.firstOrNull { it.instance.id == id }?.usedSlots ?: 0
+
     override fun close() {
         server.stop()
     }
