Keep beats honest: a beat may only be written while nothing granted from memory is unlogged

Two faults: a beat that was written although its answer was lost, or written while memory grants were still unlogged, made a later owner believe that the log was whole; and a range whose give-back had an unknown outcome was granted on again.

Ruled out: the re-grant to the same attempt (an attempt is dispatched by one entry, once); the read of the log after a takeover (it follows the fenced commit).

Change: the heartbeat has its own state: the mode is reckoned from the newest beat that may have been written, an unanswered beat is settled under its own id before another, and leaving memory mode first waits for the log. A range given back with unknown outcome stays unowned until a scan shows whose it is.

--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimOwner.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimOwner.kt
@@ -8,13 +8,11 @@
 import io.corianderrock.coordination.Precondition
 import io.corianderrock.coordination.TableService
 import io.corianderrock.coordination.Transaction
-import io.corianderrock.coordination.Write
-import io.corianderrock.coordination.monotonicMs
 import io.corianderrock.coordination.request.Answer
 import io.corianderrock.coordination.transactSettled
 import kotlinx.serialization.json.Json
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.ExecutionException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 
@@ -57,6 +55,27 @@
     public fun endedAtMs(instance: String): Long?
 }
 
+/** Waits for a line of the log to be committed. */
+public fun interface CommitWait {
+    /** Returns true once [committed] is true, or false after [timeoutMs] or when ownership was lost. */
+    public fun await(
+        committed: CompletableFuture<Boolean>,
+        timeoutMs: Long,
+    ): Boolean
+
+    public companion object {
+        /** Blocks the calling thread. */
+        public val BLOCKING: CommitWait =
+            CommitWait { committed, timeoutMs ->
+                try {
+                    committed.get(timeoutMs, TimeUnit.MILLISECONDS)
+                } catch (_: TimeoutException) {
+                    false
+                }
+            }
+    }
+}
+
 /**
  * Owns ranges of the key space. Claims are granted by many threads; [beat], [rebalance] and the commits of [log] run on
  * one background thread each.
@@ -73,6 +92,7 @@
     private val limits: ClaimLimits,
     private val ended: EndedInstances,
     private val newId: () -> String,
+    private val commitWait: CommitWait = CommitWait.BLOCKING,
 ) {
     private class OwnedRange(
         val row: ClaimRangeRow,
@@ -83,8 +103,7 @@
     private val owned = ConcurrentHashMap<Int, OwnedRange>()
     private val claims = ClaimTable(limits)
 
-    @Volatile
-    private var lastBeatMs = Long.MIN_VALUE
+    private val heartbeat = ClaimHeartbeat(table, clock, self, limits, newId)
 
     /** The log behind the claims. */
     public val log: ClaimLog = ClaimLog(table, { owned[it]?.fence }, ::lose, clock::wallMs, newId)
@@ -96,8 +115,7 @@
     public val claimCount: Int get() = claims.size
 
     /** True while claims are granted from memory because the platform has been silent. */
-    public val isMemoryMode: Boolean
-        get() = lastBeatMs != Long.MIN_VALUE && clock.monotonicMs() - lastBeatMs >= limits.memoryModeAfterMs
+    public val isMemoryMode: Boolean get() = heartbeat.isMemoryMode
 
     /** The process that owned each range when the platform was last read. */
     @Volatile
@@ -132,17 +150,13 @@
 
     /** Writes the heartbeat. Call every [ClaimLimits.beatIntervalMs]. */
     public fun beat() {
-        val startedMs = clock.monotonicMs()
-        val beat = ClaimBeat(self, clock.wallMs())
-        val write = Write(beatKey(self), json.encodeToString(ClaimBeat.serializer(), beat))
-        val result = table.transactSettled(Transaction(newId(), emptyList(), listOf(write)), attempts = 1)
-        if (result is PlatformResult.Ok) lastBeatMs = startedMs
+        heartbeat.beat(hasUnlogged = { log.pendingCount > 0 })
         claims.dropExpired(clock.wallMs())
     }
 
     /** Takes free ranges up to [fairShare], and gives back those above it. */
     public fun rebalance(fairShare: Int) {
-        if (lastBeatMs == Long.MIN_VALUE || isMemoryMode) return
+        if (!heartbeat.hasBeaten || isMemoryMode) return
         val rows = (table.scan(RANGE_PREFIX) as? PlatformResult.Ok ?: return).value
         val known = rows.associate { row -> decodeRange(row).let { it.range to RangeState(it, row.revision) } }
         knownRanges = known.mapValues { it.value.row }
@@ -191,16 +205,8 @@
     ): OwnerAnswer {
         val isFromMemory = isMemoryMode
         val logged = log.append(range, ClaimLogLine(call.key, call.attempt))
-        if (isFromMemory) return grantedFromMemory(range, call)
-        val isLogged =
-            try {
-                logged.get(limits.claimTimeoutMs, TimeUnit.MILLISECONDS)
-            } catch (_: TimeoutException) {
-                false
-            } catch (_: ExecutionException) {
-                false
-            }
-        if (isLogged) return OwnerAnswer.Granted
+        if (isFromMemory && isMemoryMode) return grantedFromMemory(range, call)
+        if (commitWait.await(logged, limits.claimTimeoutMs)) return OwnerAnswer.Granted
         release(call.key, call.attempt)
         return if (owned.containsKey(range)) OwnerAnswer.NotDurable else OwnerAnswer.NotOwner
     }
@@ -266,7 +272,10 @@
             .forEach(::giveBack)
     }
 
-    /** Stops granting first, so that no claim is granted after the row is free. */
+    /**
+     * Stops granting first, so that no claim is granted after the row is free. When the row may or may not be free, the
+     * range stays unowned until a scan shows whose it is.
+     */
     private fun giveBack(range: OwnedRange) {
         owned.remove(range.row.range)
         if (log.pendingCount > 0) {
@@ -275,7 +284,8 @@
         }
         val freed = range.row.copy(owner = "", ownerInstance = "", epoch = range.row.epoch + 1)
         val result = table.transactSettled(Transaction(newId(), listOf(range.fence), listOf(freed.asWrite())))
-        if (result is PlatformResult.Failed) owned[range.row.range] = range else claims.dropRange(range.row.range)
+        val isUntouched = result is PlatformResult.Failed && !result.mayHaveApplied
+        if (isUntouched) owned[range.row.range] = range else claims.dropRange(range.row.range)
     }
 
     private fun lose(range: Int) {
--- /dev/null
+++ b/core/src/test/kotlin/io/corianderrock/coordination/admission/ServiceSchedulerTest.kt
@@ -0,0 +1,187 @@
+package io.corianderrock.coordination.admission
+
+import io.corianderrock.coordination.Clock
+import io.corianderrock.coordination.NS_PER_MS
+import io.corianderrock.coordination.health.EjectionBudget
+import io.corianderrock.coordination.health.HealthLimits
+import io.corianderrock.coordination.health.WorkerHealth
+import io.corianderrock.coordination.request.Reason
+import io.corianderrock.state.WorkerRoute
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+
+private const val SECOND_NS = 1_000 * NS_PER_MS
+
+private class SchedulerFixture(
+    workers: Int = 2,
+    slots: Int = 2,
+    queueLimit: Int = 4,
+) {
+    val classifier = RunTimeClassifier(shortRunTimeNs = 100 * NS_PER_MS)
+    private val limits = HealthLimits()
+    val states =
+        List(workers) { index ->
+            val route = WorkerRoute("w$index", "dc", "rack", "127.0.0.1", index, "pool", slots, 64, epoch = 1)
+            WorkerState(route, WorkerHealth(limits, EjectionBudget(limits))) { slots }
+        }
+    val scheduler =
+        ServiceScheduler(Clock.SYSTEM, AdmissionPolicy(queueLimit, longShare = 0.5), LeastLoadedOfTwo(Clock.SYSTEM), classifier).also {
+            it.updateWorkers(WorkerSet(states, emptyList()))
+        }
+
+    fun admission(
+        route: String = "GET /x",
+        deadlineMs: Long = 5_000,
+        team: String = "t",
+        isGone: () -> Boolean = { false },
+    ) = Admission(team, route, System.nanoTime() + deadlineMs * NS_PER_MS, caller = { isGone() })
+
+    fun take(route: String = "GET /x"): Slot = (scheduler.acquire(admission(route)) as AdmissionResult.Granted).slot
+
+    fun later(admission: Admission): CompletableFuture<AdmissionResult> = CompletableFuture.supplyAsync { scheduler.acquire(admission) }
+
+    fun awaitWaiting(count: Int) {
+        val deadline = System.nanoTime() + 10 * SECOND_NS
+        while (scheduler.waitingCount < count) check(System.nanoTime() < deadline) { "never $count waiting" }
+    }
+}
+
+class ServiceSchedulerTest :
+    DescribeSpec({
+        describe("slots") {
+            it("are granted at once while free, and handed to a waiter when released") {
+                val fixture = SchedulerFixture()
+                val held = List(4) { fixture.take() }
+                val waiter = fixture.later(fixture.admission())
+                fixture.awaitWaiting(1)
+                held.first().release()
+                waiter.get(10, TimeUnit.SECONDS).shouldBeInstanceOf<AdmissionResult.Granted>()
+                fixture.states.sumOf { it.usedSlots } shouldBe 4
+            }
+
+            it("survive a double release") {
+                val fixture = SchedulerFixture()
+                val slot = fixture.take()
+                slot.release()
+                slot.release()
+                fixture.states.sumOf { it.usedSlots } shouldBe 0
+            }
+        }
+
+        describe("long work") {
+            it("never takes more than its share of slots") {
+                val fixture = SchedulerFixture()
+                repeat(50) { fixture.classifier.observe("POST /long", SECOND_NS) }
+                repeat(2) { fixture.take("POST /long") }
+                val third = fixture.later(fixture.admission("POST /long", deadlineMs = 100_000))
+                fixture.awaitWaiting(1)
+                repeat(2) { fixture.take("GET /short") }
+                third.isDone shouldBe false
+            }
+
+            it("includes short work that has outrun its limit") {
+                val fixture = SchedulerFixture()
+                repeat(50) { fixture.classifier.observe("POST /long", SECOND_NS) }
+                val stragglers = List(2) { fixture.take("GET /short") }
+                fixture.scheduler.markOverdue(limitNs = 0)
+                val long = fixture.later(fixture.admission("POST /long", deadlineMs = 100_000))
+                fixture.awaitWaiting(1)
+                long.isDone shouldBe false
+                stragglers.first().release()
+                long.get(10, TimeUnit.SECONDS).shouldBeInstanceOf<AdmissionResult.Granted>()
+            }
+        }
+
+        describe("refusals") {
+            it("come at once when the queue is full") {
+                val fixture = SchedulerFixture(queueLimit = 2)
+                repeat(4) { fixture.take() }
+                repeat(2) { fixture.later(fixture.admission(deadlineMs = 100_000)) }
+                fixture.awaitWaiting(2)
+                val refused = fixture.scheduler.acquire(fixture.admission()).shouldBeInstanceOf<AdmissionResult.Refused>()
+                refused.reason shouldBe Reason.QUEUE_FULL
+            }
+
+            it("come at once when the wait would outlast the deadline") {
+                val fixture = SchedulerFixture(queueLimit = 100)
+                repeat(100) { fixture.classifier.observe("GET /x", 90 * NS_PER_MS) }
+                repeat(4) { fixture.take() }
+                fixture.later(fixture.admission(deadlineMs = 100_000))
+                fixture.awaitWaiting(1)
+                val refused = fixture.scheduler.acquire(fixture.admission(deadlineMs = 60)).shouldBeInstanceOf<AdmissionResult.Refused>()
+                refused.reason shouldBe Reason.DEADLINE_TOO_SHORT
+            }
+
+            it("come when the deadline passes, and free the place in the queue") {
+                val fixture = SchedulerFixture()
+                repeat(4) { fixture.take() }
+                val refused = fixture.scheduler.acquire(fixture.admission(deadlineMs = 50)).shouldBeInstanceOf<AdmissionResult.Refused>()
+                refused.reason shouldBe Reason.DEADLINE_PASSED
+                fixture.scheduler.waitingCount shouldBe 0
+            }
+
+            it("come when the caller has gone") {
+                val fixture = SchedulerFixture()
+                repeat(4) { fixture.take() }
+                val isGone = AtomicBoolean()
+                val waiter = fixture.later(fixture.admission(deadlineMs = 100_000, isGone = isGone::get))
+                fixture.awaitWaiting(1)
+                isGone.set(true)
+                val refused = waiter.get(10, TimeUnit.SECONDS).shouldBeInstanceOf<AdmissionResult.Refused>()
+                refused.reason shouldBe Reason.CALLER_GONE
+                fixture.scheduler.waitingCount shouldBe 0
+            }
+        }
+
+        describe("many threads") {
+            it("neither exceed the limits nor leave a slot or a waiter behind") {
+                val fixture = SchedulerFixture(workers = 3, slots = 3, queueLimit = 1_000)
+                val inUse = AtomicInteger()
+                val maxInUse = AtomicInteger()
+                val pool = Executors.newFixedThreadPool(32)
+                val tasks =
+                    List(32) {
+                        pool.submit {
+                            repeat(500) {
+                                val result = fixture.scheduler.acquire(fixture.admission(deadlineMs = 60_000))
+                                val slot = result.shouldBeInstanceOf<AdmissionResult.Granted>().slot
+                                maxInUse.accumulateAndGet(inUse.incrementAndGet(), ::maxOf)
+                                inUse.decrementAndGet()
+                                slot.release()
+                            }
+                        }
+                    }
+                tasks.forEach { it.get(60, TimeUnit.SECONDS) }
+                pool.shutdown()
+                maxInUse.get() shouldBeLessThanOrEqual 9
+                fixture.states.sumOf { it.usedSlots } shouldBe 0
+                fixture.scheduler.waitingCount shouldBe 0
+            }
+        }
+
+        describe("teams in the queue") {
+            it("are served by weight") {
+                val queue = FairQueue(limit = 1_000) { if (it == "heavy") 3 else 1 }
+                repeat(400) {
+                    queue.offer(WaitingRequest("heavy", WorkClass.SHORT))
+                    queue.offer(WaitingRequest("light", WorkClass.SHORT))
+                }
+                val served = List(400) { checkNotNull(queue.poll()).team }
+                served.count { it == "heavy" } shouldBe 300
+            }
+
+            it("cannot be starved by one that sends more") {
+                val queue = FairQueue(limit = 1_000)
+                repeat(500) { queue.offer(WaitingRequest("greedy", WorkClass.SHORT)) }
+                repeat(5) { queue.offer(WaitingRequest("modest", WorkClass.SHORT)) }
+                List(10) { checkNotNull(queue.poll()).team }.count { it == "modest" } shouldBe 5
+            }
+        }
+    })
