--- a/cli/src/main/kotlin/io/corianderrock/cli/CliMain.kt
+++ b/cli/src/main/kotlin/io/corianderrock/cli/CliMain.kt
@@ -21,6 +21,11 @@
         CommandEntry("diff", "show what an apply would change", ::DiffCommand),
         CommandEntry("apply", "submit declarations", ::ApplyCommand),
         CommandEntry("status", "show an entry's view of the fleet", ::StatusCommand),
+        CommandEntry("explain", "explain the state of an instance", ::ExplainCommand),
+        CommandEntry("drain", "take an instance out of service, or return it", ::DrainCommand),
+        CommandEntry("wave", "start, pause, resume, abort or show maintenance waves", ::WaveCommand),
+        CommandEntry("burn", "show how fast services spend their error budgets", ::BurnCommand),
+        CommandEntry("audit", "verify or export the record", ::AuditCommand),
     )
 
 /** Runs the command line with [args] and returns its exit code. */
--- a/core/src/main/kotlin/io/corianderrock/coordination/admission/ServiceScheduler.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/admission/ServiceScheduler.kt
@@ -16,6 +16,8 @@
 public data class AdmissionPolicy(
     val queueLimit: Int,
     val longShare: Double,
+    val shortReserveShare: Double = 0.25,
+    val longMinimumShare: Double = 0.1,
     val separatesClasses: Boolean = true,
 )
 
@@ -44,7 +46,8 @@
 
 /**
  * Schedules the requests of one service. Short work and long work wait in queues of their own; long work, and short
- * work that has outrun its limit, may hold at most the policy's share of the slots.
+ * work that has outrun its limit, may hold at most the policy's share of the slots, and long work starts only while a
+ * reserve of slots stays free for short work.
  *
  * No lock is taken: a waiter publishes itself and then drains, a releaser returns its slot and then drains, so that
  * one of the two always sees the other.
@@ -129,7 +132,7 @@
         val remainingNs = admission.deadlineNs - clock.monotonicNs()
         if (remainingNs <= 0) return refused(Reason.DEADLINE_PASSED, workClass)
         if (queue.size == 0) return null
-        val neededNs = expectedWaitNs(workClass) + classifier.expectedNs(admission.route)
+        val neededNs = expectedWaitNs(workClass) + runMarginNs(admission.route)
         return if (neededNs > remainingNs) refused(Reason.DEADLINE_TOO_SHORT, workClass) else null
     }
 
@@ -138,7 +141,7 @@
         admission: Admission,
         queue: FairQueue,
     ): AdmissionResult {
-        val latestStartNs = admission.deadlineNs - classifier.expectedNs(admission.route).coerceAtMost(MAX_START_MARGIN_NS)
+        val latestStartNs = admission.deadlineNs - runMarginNs(admission.route)
         while (true) {
             waiting.granted()?.let { return AdmissionResult.Granted(it) }
             val leftNs = latestStartNs - clock.monotonicNs()
@@ -171,10 +174,13 @@
     }
 
     private fun expectedWaitNs(workClass: WorkClass): Long {
-        val slots = if (workClass == WorkClass.LONG) longLimit() else workers.primarySlots
+        val slots = if (workClass == WorkClass.LONG) longLimit() else workers.healthySlots
         return (queueOf(workClass).size + 1L) * classifier.meanNs() / slots.coerceAtLeast(1)
     }
 
+    /** The time within which nearly all requests of [route] finish once they have started. */
+    private fun runMarginNs(route: String): Long = (classifier.expectedNs(route) * RUN_MARGIN_FACTOR).coerceAtMost(MAX_START_MARGIN_NS)
+
     private fun longLimit(): Int = (workers.primarySlots * policy.longShare).toInt().coerceAtLeast(1)
 
     private fun firstClass(): WorkClass = if (grants.get() % LONG_TURN == 0L) WorkClass.LONG else WorkClass.SHORT
@@ -214,15 +220,24 @@
         return slot
     }
 
+    /** Long work starts only while it leaves free slots for short work, but never waits below its own minimum. */
     private fun tryCountLong(): Boolean {
         val limit = longLimit()
+        val minimum = (workers.primarySlots * policy.longMinimumShare).toInt().coerceAtLeast(1)
         while (true) {
             val seen = longInFlight.get()
             if (seen >= limit) return false
+            if (seen >= minimum && !leavesReserve()) return false
             if (longInFlight.compareAndSet(seen, seen + 1)) return true
         }
     }
 
+    private fun leavesReserve(): Boolean {
+        val slots = workers.primarySlots
+        val reserve = (slots * policy.shortReserveShare).toInt().coerceAtLeast(1)
+        return inFlight.size + reserve < slots
+    }
+
     private fun onRelease(slot: Slot) {
         if (!giveBack(slot)) return
         onSlotReleased(slot)
@@ -241,7 +256,8 @@
     private companion object {
         const val LONG_TURN = 8L
         const val CALLER_POLL_NS = 20 * NS_PER_MS
-        const val MAX_START_MARGIN_NS = 100 * NS_PER_MS
+        const val RUN_MARGIN_FACTOR = 6
+        const val MAX_START_MARGIN_NS = 250 * NS_PER_MS
         const val MIN_RETRY_AFTER_MS = 10L
         const val MAX_RETRY_AFTER_MS = 5_000L
         const val LONG_QUEUE_DIVISOR = 4
--- a/core/src/main/kotlin/io/corianderrock/coordination/admission/WorkerSelector.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/admission/WorkerSelector.kt
@@ -14,6 +14,9 @@
     /** The slots of the primary pool that this entry may use. */
     public val primarySlots: Int get() = primary.sumOf { it.limit }
 
+    /** The slots of those workers of the primary pool that are not ejected. */
+    public val healthySlots: Int get() = primary.sumOf { if (it.health.isEjected) 0 else it.limit }
+
     public companion object {
         /** A set without workers. */
         public val EMPTY: WorkerSet = WorkerSet(emptyList(), emptyList())
--- a/core/src/main/kotlin/io/corianderrock/coordination/admission/WorkerState.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/admission/WorkerState.kt
@@ -30,13 +30,30 @@
     /** The load that routing compares: slots in use, with failures counted as load. */
     public val load: Int get() = used.get() + health.failurePenalty
 
-    /** Takes a slot if fewer than [cap] are in use. */
+    /** False once the routing table has no place for the worker; no slot is taken from then on. */
+    @Volatile
+    public var isOpen: Boolean = true
+        internal set
+
+    /**
+     * Takes a slot if fewer than [cap] are in use and the worker is open. The count rises before the check, so that
+     * whoever closes the worker and then reads the count sees every request that may still be sent.
+     */
     public fun tryTake(cap: Int): Boolean {
         while (true) {
             val seen = used.get()
             if (seen >= cap) return false
-            if (used.compareAndSet(seen, seen + 1)) return true
+            if (used.compareAndSet(seen, seen + 1)) break
         }
+        if (isOpen) return true
+        used.decrementAndGet()
+        return false
+    }
+
+    /** Opens the worker under [next]. */
+    internal fun open(next: WorkerRoute) {
+        route = next
+        isOpen = true
     }
 
     /** Returns a slot. */
--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimLog.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimLog.kt
@@ -4,11 +4,13 @@
  */
 package io.corianderrock.coordination.claim
 
+import io.corianderrock.coordination.Clock
 import io.corianderrock.coordination.PlatformResult
 import io.corianderrock.coordination.Precondition
 import io.corianderrock.coordination.TableService
 import io.corianderrock.coordination.Transaction
 import io.corianderrock.coordination.Write
+import io.corianderrock.coordination.admission.TeamQuota
 import io.corianderrock.coordination.transactSettled
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
@@ -36,6 +38,34 @@
 /** The result of one commit. */
 public enum class CommitResult { NOTHING, COMMITTED, FENCED, FAILED }
 
+/** Bounds the rate of commits: the first few follow at once, then lines gather until the next turn. */
+public class CommitPace(
+    private val limits: ClaimLimits,
+    private val clock: Clock,
+    private val sleepNs: (Long) -> Unit = { TimeUnit.NANOSECONDS.sleep(it) },
+) {
+    private var owners = 1
+
+    @Volatile
+    private var quota = TeamQuota(limits.commitsPerSecond, limits.commitBurst)
+
+    /** Divides the commits of [ClaimLimits.commitsPerSecond] among [owners] processes. */
+    public fun shareAmong(owners: Int) {
+        if (owners == this.owners) return
+        this.owners = owners
+        quota = TeamQuota(limits.commitsPerSecond / owners, limits.commitBurst)
+    }
+
+    /** Returns once the next commit may start. */
+    public fun awaitTurn() {
+        while (true) {
+            val waitNs = quota.tryTake(clock.monotonicNs())
+            if (waitNs <= 0) return
+            sleepNs(waitNs)
+        }
+    }
+}
+
 /** Collects lines from many threads; one thread calls [commitPending]. */
 public class ClaimLog(
     private val table: TableService,
@@ -43,6 +73,7 @@
     private val onFenced: (Int) -> Unit,
     private val wallMs: () -> Long,
     private val newId: () -> String,
+    private val pace: CommitPace,
 ) {
     private class Pending(
         val range: Int,
@@ -97,6 +128,7 @@
 
     private fun nextBatch(waitMs: Long): Batch? {
         val first = pending.poll(waitMs, TimeUnit.MILLISECONDS) ?: return null
+        pace.awaitTurn()
         val lines = arrayListOf(first)
         pending.drainTo(lines, MAX_LINES - 1)
         return Batch(newId(), lines)
--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimOwner.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimOwner.kt
@@ -87,12 +87,13 @@
 public class ClaimOwner(
     private val table: TableService,
     private val clock: Clock,
-    private val self: String,
+    public val process: String,
     private val selfInstance: String,
     private val limits: ClaimLimits,
     private val ended: EndedInstances,
     private val newId: () -> String,
     private val commitWait: CommitWait = CommitWait.BLOCKING,
+    public val pace: CommitPace = CommitPace(limits, clock),
 ) {
     private class OwnedRange(
         val row: ClaimRangeRow,
@@ -103,10 +104,10 @@
     private val owned = ConcurrentHashMap<Int, OwnedRange>()
     private val claims = ClaimTable(limits)
 
-    private val heartbeat = ClaimHeartbeat(table, clock, self, limits, newId)
+    private val heartbeat = ClaimHeartbeat(table, clock, process, limits, newId)
 
     /** The log behind the claims. */
-    public val log: ClaimLog = ClaimLog(table, { owned[it]?.fence }, ::lose, clock::wallMs, newId)
+    public val log: ClaimLog = ClaimLog(table, { owned[it]?.fence }, ::lose, clock::wallMs, newId, pace)
 
     /** The ranges owned now. */
     public val ownedRanges: Set<Int> get() = owned.keys
@@ -167,7 +168,7 @@
             val state = known[range]
             when {
                 owned.containsKey(range) -> Unit
-                state?.row?.owner == self -> adopt(state)
+                state?.row?.owner == process -> adopt(state)
                 isFree(state) -> take(range, state)
             }
         }
@@ -223,7 +224,7 @@
 
     private fun isFree(state: RangeState?): Boolean {
         if (state == null || state.row.owner.isEmpty()) return true
-        if (state.row.owner == self) return false
+        if (state.row.owner == process) return false
         return state.row.ownerInstance == selfInstance || ended.endedAtMs(state.row.ownerInstance) != null
     }
 
@@ -232,7 +233,7 @@
         state: RangeState?,
     ) {
         val gapUntilMs = gapBehind(state) ?: return
-        val row = ClaimRangeRow(range, self, selfInstance, (state?.row?.epoch ?: 0) + 1, gapUntilMs)
+        val row = ClaimRangeRow(range, process, selfInstance, (state?.row?.epoch ?: 0) + 1, gapUntilMs)
         val transaction = Transaction(newId(), listOf(Precondition(rangeKey(range), state?.revision ?: 0)), listOf(row.asWrite()))
         val committed = table.transactSettled(transaction) as? PlatformResult.Ok ?: return
         adopt(RangeState(row, committed.value))
@@ -260,7 +261,7 @@
 
     private fun dropLost(known: Map<Int, RangeState>) {
         owned.values
-            .filter { known[it.row.range]?.row?.owner != self }
+            .filter { known[it.row.range]?.row?.owner != process }
             .forEach { lose(it.row.range) }
     }
 
--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimRange.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimRange.kt
@@ -38,9 +38,11 @@
 /** Limits of claim ownership, in milliseconds. */
 public data class ClaimLimits(
     val beatIntervalMs: Long = 1_000,
-    val memoryModeAfterMs: Long = 5_000,
+    val memoryModeAfterMs: Long = 3_000,
     val maxClockSkewMs: Long = 1_000,
     val claimTimeoutMs: Long = 400,
+    val commitsPerSecond: Double = 80.0,
+    val commitBurst: Int = 4,
     val retentionMs: Long = 7_200_000,
     val maxAnswerBytes: Int = 16_384,
     val maxAnswers: Int = 4_096,
--- a/core/src/main/kotlin/io/corianderrock/coordination/health/WorkerHealth.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/health/WorkerHealth.kt
@@ -9,6 +9,7 @@
 /** Limits of ejection. Durations are in nanoseconds. */
 public data class HealthLimits(
     val failuresToEject: Int = 3,
+    val timeoutsToEject: Int = 5,
     val baseEjectionNs: Long = 1_000_000_000,
     val maxEjectionNs: Long = 30_000_000_000,
     val maxEjectedShare: Double = 0.5,
@@ -42,12 +43,16 @@
     }
 }
 
+/** How a dispatch failed. A timeout says less about a worker than an error does. */
+public enum class FailureKind { ERROR, TIMEOUT }
+
 /** The health of one worker. All methods are lock-free and may be called by many threads. */
 public class WorkerHealth(
     private val limits: HealthLimits,
     private val budget: EjectionBudget,
 ) {
-    private val consecutiveFailures = AtomicInteger()
+    private val consecutiveWeight = AtomicInteger()
+    private val weightToEject = limits.failuresToEject * limits.timeoutsToEject
     private val ejectedUntilNs = AtomicLong(NOT_EJECTED)
     private val ejections = AtomicInteger()
     private val trialStartedNs = AtomicLong(NO_TRIAL)
@@ -56,7 +61,7 @@
     public val isEjected: Boolean get() = ejectedUntilNs.get() != NOT_EJECTED
 
     /** The number of failures since the last success; routing treats it as extra load. */
-    public val failurePenalty: Int get() = consecutiveFailures.get()
+    public val failurePenalty: Int get() = consecutiveWeight.get() / limits.timeoutsToEject
 
     /** True when the worker may receive a request at [nowNs]. For an ejected worker this claims its single trial. */
     public fun tryAdmit(nowNs: Long): Boolean {
@@ -68,7 +73,7 @@
 
     /** Records a whole answer that the worker gave. */
     public fun onSuccess() {
-        consecutiveFailures.set(0)
+        consecutiveWeight.set(0)
         if (ejectedUntilNs.getAndSet(NOT_EJECTED) == NOT_EJECTED) return
         ejections.set(0)
         trialStartedNs.set(NO_TRIAL)
@@ -76,12 +81,15 @@
     }
 
     /** Records a failure at [nowNs] and ejects the worker when failures follow one another. */
-    public fun onFailure(nowNs: Long) {
-        val failures = consecutiveFailures.incrementAndGet()
+    public fun onFailure(
+        nowNs: Long,
+        kind: FailureKind = FailureKind.ERROR,
+    ) {
+        val weight = consecutiveWeight.addAndGet(weightOf(kind))
         val until = ejectedUntilNs.get()
         if (until != NOT_EJECTED) {
             extendAfterTrial(until, nowNs)
-        } else if (failures >= limits.failuresToEject && budget.tryEject()) {
+        } else if (weight >= weightToEject && budget.tryEject()) {
             eject(nowNs)
         }
     }
@@ -96,6 +104,13 @@
         if (ejectedUntilNs.getAndSet(NOT_EJECTED) != NOT_EJECTED) budget.readmit()
     }
 
+    /** The weights let [HealthLimits.failuresToEject] errors or [HealthLimits.timeoutsToEject] timeouts reach the limit. */
+    private fun weightOf(kind: FailureKind): Int =
+        when (kind) {
+            FailureKind.ERROR -> limits.timeoutsToEject
+            FailureKind.TIMEOUT -> limits.failuresToEject
+        }
+
     private fun claimTrial(nowNs: Long): Boolean {
         val started = trialStartedNs.get()
         val isFree = started == NO_TRIAL || nowNs - started > limits.maxEjectionNs
--- /dev/null
+++ b/core/src/main/kotlin/io/corianderrock/coordination/maintenance/Assigner.kt
@@ -0,0 +1,52 @@
+/*
+ * Commits the rows of instances that join a pool for the first time.
+ */
+package io.corianderrock.coordination.maintenance
+
+import io.corianderrock.coordination.Platform
+import io.corianderrock.coordination.PlatformResult
+import io.corianderrock.coordination.Precondition
+import io.corianderrock.coordination.Transaction
+import io.corianderrock.coordination.fleet.asWrite
+import io.corianderrock.coordination.fleet.instanceKey
+import io.corianderrock.coordination.lease.HeldLease
+import io.corianderrock.coordination.record.AuditRecord
+import io.corianderrock.coordination.record.RecordedEvent
+import io.corianderrock.coordination.transactSettled
+import io.corianderrock.state.InstanceRow
+
+internal class Assigner(
+    private val platform: Platform,
+    private val record: AuditRecord,
+    private val self: String,
+    private val newId: () -> String,
+) {
+    fun assign(
+        planned: List<InstanceRow>,
+        lease: HeldLease,
+        nowMs: Long,
+    ) {
+        planned.chunked(MAX_ROWS_PER_TRANSACTION).forEach { commit(it, lease, nowMs) }
+    }
+
+    private fun commit(
+        batch: List<InstanceRow>,
+        lease: HeldLease,
+        nowMs: Long,
+    ) {
+        val events = batch.map { RecordedEvent("instance-assigned", it.id, self, "pool ${it.pool} below its size", it.epoch, nowMs) }
+        val extension = (record.extension(events) as? PlatformResult.Ok ?: return).value
+        val absent = batch.map { Precondition(instanceKey(it.dataCentre, it.id), revision = 0) }
+        val transaction =
+            Transaction(
+                id = newId(),
+                preconditions = extension.preconditions + lease.fence + absent,
+                writes = extension.writes + batch.map { it.asWrite() },
+            )
+        platform.transactSettled(transaction)
+    }
+
+    private companion object {
+        const val MAX_ROWS_PER_TRANSACTION = 100
+    }
+}
--- a/core/src/main/kotlin/io/corianderrock/coordination/request/RequestPipeline.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/request/RequestPipeline.kt
@@ -11,6 +11,7 @@
 import io.corianderrock.coordination.claim.ClaimCall
 import io.corianderrock.coordination.claim.ClaimResult
 import io.corianderrock.coordination.claim.KeyClaims
+import io.corianderrock.coordination.health.FailureKind
 import io.corianderrock.state.ServiceSpec
 import io.corianderrock.state.startsWithSegment
 
@@ -141,7 +142,7 @@
             if (attempt is AttemptResult.Answered && !isRetriableAnswer(call, attempt)) return ran(call, attempt)
             call.last = attempt
             call.failedWorkers += slot.worker.route.id
-            if (!mayRetry(call, attempt)) return lastOutcome(call)
+            if (!mayRetry(call, attempt)) return afterLastAttempt(call)
         }
     }
 
@@ -160,11 +161,18 @@
         call: CallContext,
         refused: AdmissionResult.Refused,
     ): EntryResult {
-        if (call.attempts > 0) return lastOutcome(call)
+        if (call.attempts > 0) return afterLastAttempt(call)
         if (refused.reason != Reason.CALLER_GONE) overflowed(call)?.let { return it }
         return EntryResult.NotRun(refused.reason, refused.retryAfterMs, step = "admit", peer = call.service.spec.name)
     }
 
+    /** A request that certainly did not start here may still run in another data centre. */
+    private fun afterLastAttempt(call: CallContext): EntryResult {
+        val outcome = lastOutcome(call)
+        val mayOverflow = outcome is EntryResult.NotRun && !call.request.caller.isGone()
+        return if (mayOverflow) overflowed(call) ?: outcome else outcome
+    }
+
     private fun overflowed(call: CallContext): EntryResult? {
         val timeLeftMs = timeLeftMs(call)
         if (call.request.hops > 0 || timeLeftMs < retryLimits.minTimeLeftMs) return null
@@ -182,20 +190,52 @@
     ): AttemptResult {
         val worker = slot.worker
         val startedNs = clock.monotonicNs()
-        val attempt =
-            upstream.send(worker.route.host, worker.route.port, call.request, attemptTimeoutMs(call), call.service.spec.maxBodyBytes)
-        val finishedNs = clock.monotonicNs()
-        val isFailure = attempt !is AttemptResult.Answered || isServerFailure(attempt)
-        if (isFailure) worker.health.onFailure(finishedNs) else worker.health.onSuccess()
-        if (isFailure) {
-            call.service.releaseAfterFailure(slot, finishedNs - startedNs)
-        } else {
-            call.service.classifier.observe(call.route, finishedNs - startedNs)
-            slot.release()
+        val timeoutMs = attemptTimeoutMs(call)
+        val attempt = upstream.send(worker.route.host, worker.route.port, call.request, timeoutMs, call.service.spec.maxBodyBytes)
+        val ranNs = clock.monotonicNs() - startedNs
+        when {
+            isTimeout(attempt) -> onTimeout(call, slot, timeoutMs, ranNs)
+            attempt !is AttemptResult.Answered || isServerFailure(attempt) -> onFailure(call, slot, ranNs)
+            else -> onSuccess(call, slot, ranNs)
         }
         return attempt
     }
 
+    private fun onSuccess(
+        call: CallContext,
+        slot: Slot,
+        ranNs: Long,
+    ) {
+        slot.worker.health.onSuccess()
+        call.service.classifier.observe(call.route, ranNs)
+        slot.release()
+    }
+
+    private fun onFailure(
+        call: CallContext,
+        slot: Slot,
+        ranNs: Long,
+    ) {
+        slot.worker.health.onFailure(clock.monotonicNs())
+        call.service.releaseAfterFailure(slot, ranNs)
+    }
+
+    /** A worker is to blame only when it had several times the usual run time. It may still be busy with the request. */
+    private fun onTimeout(
+        call: CallContext,
+        slot: Slot,
+        timeoutMs: Long,
+        ranNs: Long,
+    ) {
+        val usualNs = call.service.classifier.meanNs()
+        if (timeoutMs * NS_PER_MS >= usualNs * BLAME_FACTOR) slot.worker.health.onFailure(clock.monotonicNs(), FailureKind.TIMEOUT)
+        call.service.classifier.observe(call.route, ranNs)
+        call.service.releaseAfterTimeout(slot)
+    }
+
+    private fun isTimeout(attempt: AttemptResult): Boolean =
+        attempt is AttemptResult.Indeterminate && attempt.reason == Reason.DEADLINE_PASSED
+
     private fun ran(
         call: CallContext,
         attempt: AttemptResult.Answered,
@@ -242,7 +282,7 @@
 
     private fun timeLeftMs(call: CallContext): Long = (call.deadlineNs - clock.monotonicNs()) / NS_PER_MS
 
-    /** The first attempt of an idempotent request leaves half of the time for another worker. */
+    /** The first attempt of an idempotent request leaves half of the time for another worker, if half is plenty. */
     private fun attemptTimeoutMs(call: CallContext): Long {
         val leftMs = timeLeftMs(call).coerceAtLeast(1)
         val isLast = !call.isIdempotent || call.attempts >= 2
@@ -294,7 +334,8 @@
         const val NOT_READY_RETRY_MS = 1_000L
         const val DEFAULT_RETRY_AFTER_MS = 100L
         const val SERVER_ERROR_STATUS = 500
-        const val EXPECTED_TIME_FACTOR = 2
+        const val EXPECTED_TIME_FACTOR = 6
+        const val BLAME_FACTOR = 4
     }
 }
 
--- a/core/src/main/kotlin/io/corianderrock/coordination/request/ServiceDirectory.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/request/ServiceDirectory.kt
@@ -60,6 +60,8 @@
         ranNs: Long,
     ) = failureHold.release(slot, ranNs, classifier.meanNs())
 
+    internal fun releaseAfterTimeout(slot: Slot) = failureHold.release(slot, ranNs = 0, classifier.meanNs())
+
     internal fun with(spec: ServiceSpec): ServiceRuntime = ServiceRuntime(spec, scheduler, classifier, retryBudget, quotas, failureHold)
 }
 
@@ -170,10 +172,14 @@
     /** The number of requests of this entry that run on worker [workerId]. */
     public fun usedSlots(workerId: String): Int = workers[workerId]?.usedSlots ?: 0
 
+    /** True when this entry can send no more work to worker [workerId] under the table in force. */
+    public fun isClosed(workerId: String): Boolean = workers[workerId]?.isOpen != true
+
     private fun retainWorkers(table: RoutingTable) {
         val routes = table.services.flatMap { it.primary + it.spare }.associateBy { it.id }
         routes.values.groupBy { it.pool }.forEach { (pool, members) -> budgetOf(pool).resize(members.size) }
-        routes.values.forEach { route -> stateOf(route).route = route }
+        routes.values.forEach { route -> stateOf(route).open(route) }
+        workers.values.filter { it.route.id !in routes }.forEach { it.isOpen = false }
         workers.values
             .filter { it.route.id !in routes && it.usedSlots == 0 }
             .forEach { gone -> workers.remove(gone.route.id)?.health?.dispose() }
@@ -203,7 +209,7 @@
         val scheduler =
             ServiceScheduler(
                 clock = clock,
-                policy = AdmissionPolicy(spec.queueLimit, spec.longShare, policy.separatesClasses),
+                policy = AdmissionPolicy(spec.queueLimit, spec.longShare, separatesClasses = policy.separatesClasses),
                 selector = policy.selector,
                 classifier = classifier,
                 weightOf = quotas::weightOf,
--- a/core/src/main/kotlin/io/corianderrock/protocol/DeclarationCheck.kt
+++ b/core/src/main/kotlin/io/corianderrock/protocol/DeclarationCheck.kt
@@ -103,6 +103,7 @@
             budget.maxUnavailablePerDataCentre,
             1..budget.maxUnavailable.coerceAtLeast(1),
         )
+        within("budget", budget.name, "failureReserve", budget.failureReserve, 0..(budget.maxUnavailablePerDataCentre - 1).coerceAtLeast(0))
         val sameName = declarations.budgets.filter { it.pool == budget.pool }
         if (sameName.size > 1 && sameName.first() !== budget) {
             report("budget", budget.name, "pool", "a second budget of pool \"${budget.pool}\"", "keep one budget for each pool")
--- a/core/src/main/kotlin/io/corianderrock/protocol/OperatorMessages.kt
+++ b/core/src/main/kotlin/io/corianderrock/protocol/OperatorMessages.kt
@@ -3,6 +3,10 @@
  */
 package io.corianderrock.protocol
 
+import io.corianderrock.coordination.maintenance.WaveAction
+import io.corianderrock.coordination.maintenance.WaveRow
+import io.corianderrock.coordination.record.RecordEntry
+import io.corianderrock.coordination.record.RecordHead
 import io.corianderrock.protocol.toml.Problem
 import io.corianderrock.state.Configuration
 import io.corianderrock.state.ConfigurationPointer
@@ -79,6 +83,55 @@
     val inFlight: Int,
 )
 
+/** Asks for a change of the wave called [wave]. */
+@Serializable
+public data class WaveRequest(
+    val wave: String,
+    val action: WaveAction,
+)
+
+/** Asks to take [instance] out of service, or to return it. */
+@Serializable
+public data class DrainRequest(
+    val instance: String,
+    val isReturn: Boolean = false,
+)
+
+/** The result of an operator's change. */
+@Serializable
+public data class DoneAnswer(
+    val summary: String,
+)
+
+/** The waves that were ever started, with the progress of each. */
+@Serializable
+public data class WavesAnswer(
+    val waves: List<WaveProgress>,
+)
+
+/** A run of a wave: [done] of [total] instances are maintained, [out] are out of service for it. */
+@Serializable
+public data class WaveProgress(
+    val row: WaveRow,
+    val done: Int,
+    val total: Int,
+    val out: List<String>,
+)
+
+/** Why an instance is in its state, one reason a line. */
+@Serializable
+public data class ExplainAnswer(
+    val subject: String,
+    val reasons: List<String>,
+)
+
+/** The whole record. */
+@Serializable
+public data class RecordAnswer(
+    val entries: List<RecordEntry>,
+    val head: RecordHead,
+)
+
 /** An entry's view of itself and the fleet. */
 @Serializable
 public data class StatusAnswer(
--- a/core/src/main/kotlin/io/corianderrock/state/Declarations.kt
+++ b/core/src/main/kotlin/io/corianderrock/state/Declarations.kt
@@ -66,13 +66,17 @@
     val burstRequests: Int = 1_000,
 )
 
-/** An availability budget: how many instances of [pool] may be out of service at once, planned and unplanned together. */
+/**
+ * An availability budget: how many instances of [pool] may be out of service at once, planned and unplanned together.
+ * Planned work leaves [failureReserve] of it to failures.
+ */
 @Serializable
 public data class BudgetSpec(
     val name: String,
     val pool: String,
     val maxUnavailable: Int,
     val maxUnavailablePerDataCentre: Int,
+    val failureReserve: Int = 0,
 )
 
 /** A maintenance wave over whole pools. It drains, reboots, verifies and returns each instance once. */
@@ -84,4 +88,5 @@
     val stopAfterFailures: Int = 2,
     val drainTimeoutMs: Long = 60_000,
     val verifyTimeoutMs: Long = 120_000,
+    val verifyPath: String = "/",
 )
--- a/core/src/main/kotlin/io/corianderrock/state/Fleet.kt
+++ b/core/src/main/kotlin/io/corianderrock/state/Fleet.kt
@@ -27,22 +27,24 @@
     val goneAtMs: Long = 0,
 )
 
-/** The phase of an instance within its pool. Only [ASSIGNED] instances receive new work. */
+/** The phase of an instance within its pool. Only [ASSIGNED] instances receive new work; [RETIRED] ones are gone. */
 @Serializable
 public enum class InstancePhase {
     ASSIGNED,
     DRAINING,
     REBOOTING,
     VERIFYING,
+    RETIRED,
     ;
 
     /** True when the instance counts against its pool's availability budget. */
-    public val isUnavailable: Boolean get() = this != ASSIGNED
+    public val isUnavailable: Boolean get() = this != ASSIGNED && this != RETIRED
 }
 
 /**
  * Binds one instance to exactly one pool. [epoch] rises with every change of the row. [nextPool] is set while the
- * instance drains in order to move; [wave] while it drains for maintenance.
+ * instance drains in order to move, [wave] names the run of a wave while it is maintained, [drainedBy] the operator who
+ * keeps it out of service. [maintainedBy] is the run that last maintained it.
  */
 @Serializable
 public data class InstanceRow(
@@ -56,6 +58,9 @@
     val wave: String? = null,
     val bootCountBefore: Int = 0,
     val phaseSinceMs: Long = 0,
+    val assignedSinceMs: Long = 0,
+    val maintainedBy: String? = null,
+    val drainedBy: String? = null,
 )
 
 /** An observation of a worker by an entry. A higher [version] from the same observer replaces a lower one. */
@@ -73,4 +78,11 @@
     val listed: Map<String, ListedInstance> = emptyMap(),
     val rows: Map<String, InstanceRow> = emptyMap(),
     val observations: Map<String, WorkerObservation> = emptyMap(),
-)
+) {
+    /** The workers that an observation in force at [nowMs] calls leaving. */
+    public fun leavingWorkers(nowMs: Long): Set<String> =
+        observations.values
+            .filter { it.isLeaving && it.expiresAtMs > nowMs }
+            .map { it.worker }
+            .toSet()
+}
--- a/core/src/main/kotlin/io/corianderrock/state/RoutingTable.kt
+++ b/core/src/main/kotlin/io/corianderrock/state/RoutingTable.kt
@@ -70,11 +70,7 @@
     dataCentre: String,
     nowMs: Long,
 ): List<WorkerRoute> {
-    val leaving =
-        fleet.observations.values
-            .filter { it.isLeaving && it.expiresAtMs > nowMs }
-            .map { it.worker }
-            .toSet()
+    val leaving = fleet.leavingWorkers(nowMs)
     return fleet.rows.values
         .filter { it.dataCentre == dataCentre && it.phase == InstancePhase.ASSIGNED && it.id !in leaving }
         .sortedBy { it.id }
--- a/core/src/test/kotlin/io/corianderrock/coordination/claim/ClaimHistory.kt
+++ b/core/src/test/kotlin/io/corianderrock/coordination/claim/ClaimHistory.kt
@@ -140,12 +140,13 @@
             ClaimOwner(
                 table = platform,
                 clock = skewed,
-                self = "process-${ids++}",
+                process = "process-${ids++}",
                 selfInstance = instance,
                 limits = limits,
                 ended = { ended[it] },
                 newId = { "id-${ids++}" },
                 commitWait = ::pumpUntil,
+                pace = CommitPace(limits, skewed, sleepNs = { clock.advanceMs(1) }),
             )
 
         val claims = RoutedClaims(owner, instance, Peers(), background = { it.run() })
--- a/core/src/test/kotlin/io/corianderrock/coordination/claim/ClaimOwnerTest.kt
+++ b/core/src/test/kotlin/io/corianderrock/coordination/claim/ClaimOwnerTest.kt
@@ -26,7 +26,10 @@
                 owner.log.commitPending(waitMs = 0)
                 committed.getNow(false)
             }
-        owner = ClaimOwner(platform, clock, "process-${ids++}", instance, ClaimLimits(), { ended[it] }, { "id-${ids++}" }, wait)
+        owner =
+            ClaimOwner(platform, clock, "process-${ids++}", instance, ClaimLimits(), {
+                ended[it]
+            }, { "id-${ids++}" }, wait, CommitPace(ClaimLimits(), clock) { clock.advanceMs(1) })
         return owner
     }
 
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/ClaimWork.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/ClaimWork.kt
@@ -6,12 +6,36 @@
 import io.corianderrock.coordination.claim.CLAIM_RANGES
 import io.corianderrock.coordination.claim.ClaimOwner
 import io.corianderrock.coordination.claim.CommitResult
+import io.corianderrock.coordination.fleet.EntryRow
 import java.util.concurrent.TimeUnit
 
+/** Which entries own ranges: [count] of them, and whether this one [isOwner]. */
+public data class ClaimOwners(
+    val count: Int,
+    val isOwner: Boolean,
+) {
+    /** The number of ranges that this entry should own. */
+    public fun fairShare(): Int = if (isOwner) (CLAIM_RANGES + count - 1) / count else 0
+
+    public companion object {
+        /**
+         * Chooses the entry with the lowest seat of each data centre. Few owners gather more claims into each commit, and
+         * the number of writes follows the number of owners.
+         */
+        public fun choose(
+            entries: Collection<EntryRow>,
+            self: String,
+        ): ClaimOwners {
+            val owners = entries.groupBy { it.dataCentre }.values.map { local -> local.minBy { it.seat }.id }
+            return ClaimOwners(owners.size.coerceAtLeast(1), self in owners)
+        }
+    }
+}
+
 /** Beats and rebalances on the caller's timer, and commits claims on a thread of its own. */
 public class ClaimWork(
     private val owner: ClaimOwner,
-    private val liveEntries: () -> Int,
+    private val owners: () -> ClaimOwners,
 ) : AutoCloseable {
     private val committer = Thread(::commitUntilInterrupted, "claim-log").apply { isDaemon = true }
 
@@ -21,8 +45,9 @@
     /** Does one round of ownership work. */
     public fun tick() {
         owner.beat()
-        val entries = liveEntries().coerceAtLeast(1)
-        owner.rebalance(fairShare = (CLAIM_RANGES + entries - 1) / entries)
+        val current = owners()
+        owner.pace.shareAmong(current.count)
+        owner.rebalance(current.fairShare())
     }
 
     /** Gives every range back and stops committing. */
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
@@ -5,6 +5,8 @@
 
 import io.corianderrock.coordination.Clock
 import io.corianderrock.coordination.NS_PER_MS
+import io.corianderrock.coordination.burn.BurnCounters
+import io.corianderrock.coordination.burn.BurnStore
 import io.corianderrock.coordination.claim.ClaimOwner
 import io.corianderrock.coordination.claim.EveryKeyGranted
 import io.corianderrock.coordination.claim.RoutedClaims
@@ -12,11 +14,14 @@
 import io.corianderrock.coordination.fleet.EntryRow
 import io.corianderrock.coordination.fleet.SeatRegistry
 import io.corianderrock.coordination.lease.ControllerLease
+import io.corianderrock.coordination.maintenance.Controller
+import io.corianderrock.coordination.maintenance.OperatorDesk
 import io.corianderrock.coordination.record.AuditRecord
 import io.corianderrock.coordination.request.DelayedAction
 import io.corianderrock.coordination.request.Header
 import io.corianderrock.coordination.request.RequestPipeline
 import io.corianderrock.coordination.request.ServiceDirectory
+import io.corianderrock.coordination.request.plus
 import io.corianderrock.protocol.ServiceStatus
 import io.corianderrock.protocol.StatusAnswer
 import io.corianderrock.protocol.WorkerStatus
@@ -66,11 +71,13 @@
         FleetSync(platform, store, directory, clock, settings.dataCentre, metrics::onPlatformFailure) { network.spread(it) }
     private val claimOwner =
         ClaimOwner(platform, clock, self + "/" + UUID.randomUUID(), self, policies.claims, { sync.endedAtMs(it) }, ::newId)
-    private val claimWork = ClaimWork(claimOwner) { sync.entries.size }
+    private val claimWork = ClaimWork(claimOwner) { ClaimOwners.choose(sync.entries, self) }
     private val peerClient = PeerClient({ id -> sync.entries.firstOrNull { it.id == id }?.peersAddress }, settings.peerToken)
     private val peerServer = PeerServer.start(listen(settings.peers), settings.peerToken, PeerHandler(claimOwner, sync, directory))
     private val network: PeerNetwork = newPeerNetwork()
     private val control = newControlLoop()
+    private val burnCounters = BurnCounters(clock)
+    private val burnWork = BurnWork(burnCounters, BurnStore(platform, claimOwner.process, ::newId), clock) { sync.configuration }
     private val pipeline = newPipeline(policies)
 
     @Volatile
@@ -79,6 +86,18 @@
     private val callers = startCallers()
     private val operators = startOperators()
 
+    /** True while claims on idempotency keys are granted without the platform. */
+    public val grantsFromMemory: Boolean get() = claimOwner.isMemoryMode
+
+    /** The number of claims that are not yet in the platform's table. */
+    public val unloggedClaims: Int get() = claimOwner.log.pendingCount
+
+    /** The number of ranges of the key space whose owner this entry knows. */
+    public val routableClaimRanges: Int get() = claimOwner.knownRanges.values.count { it.owner.isNotEmpty() }
+
+    /** The id of this entry. */
+    public val instanceId: String get() = self
+
     override val isReady: Boolean get() = !isStopping && directory.isReady && seats.isSeated
 
     /** The ports in use, for callers of the constructor that asked for free ones. */
@@ -87,14 +106,19 @@
     init {
         metrics.watch(directory)
         metrics.watch(claimOwner)
+        metrics.watch(burnWork)
         every(settings.platform.pollIntervalMs) { pollPlatform() }
         every(CONTROL_INTERVAL_MS) { control.tick() }
         every(CLAIM_INTERVAL_MS) { claimWork.tick() }
         every(SWEEP_INTERVAL_MS) { directory.sweep() }
+        every(BURN_INTERVAL_MS) { saveBurn() }
         claimWork.start()
         log.info("started", "instance" eq self, "callers" eq callers.port, "operators" eq operators.port, "peers" eq peerServer.port)
     }
 
+    /** True while this entry may send new work to [worker]. */
+    public fun sendsTo(worker: String): Boolean = !directory.isClosed(worker)
+
     override fun status(): StatusAnswer =
         StatusAnswer(
             entry = self,
@@ -124,6 +148,7 @@
         timers.shutdown()
         timers.awaitTermination(settings.platform.callTimeoutMs, TimeUnit.MILLISECONDS)
         control.release()
+        burnWork.save()
         claimWork.close()
         val unfinished = callers.inFlightCount
         callers.close()
@@ -134,6 +159,11 @@
         log.info("stopped", "unfinished" eq unfinished)
     }
 
+    private fun saveBurn() {
+        burnWork.save()
+        if (control.isController) burnWork.deleteExpired()
+    }
+
     private fun awaitIdle() {
         val deadlineNs = clock.monotonicNs() + settings.limits.stopTimeoutMs * NS_PER_MS
         while (callers.inFlightCount > 0 && clock.monotonicNs() < deadlineNs) {
@@ -143,7 +173,7 @@
 
     private fun pollPlatform() {
         sync.poll()
-        if (seats.takeIfNeeded(::entryRow)) sync.route()
+        if (seats.takeIfNeeded(::entryRow, sync::poll)) sync.route()
         if (!directory.isReady) network.learnConfiguration()?.let(sync::offer)
     }
 
@@ -172,16 +202,27 @@
             background = background,
         )
 
-    private fun newControlLoop(): ControlLoop =
-        ControlLoop(
-            platform = platform,
-            lease = ControllerLease(platform, clock, self, newId = ::newId),
-            record = record,
-            clock = clock,
-            self = self,
-            declarations = { sync.configuration.takeIf { it.version > 0 }?.declarations },
-            newId = ::newId,
-        )
+    private fun newControlLoop(): ControlLoop {
+        val controller =
+            Controller(
+                platform = platform,
+                clock = clock,
+                self = self,
+                drainProbe = PeerDrainProbe(peerClient),
+                instanceProbe = HttpInstanceProbe(OkHttpUpstreamClient(httpClient), clock, ::newId),
+                unhealthy = ::unhealthyWorkers,
+                newId = ::newId,
+                listener = StepLog,
+            )
+        val lease = ControllerLease(platform, clock, self, newId = ::newId)
+        return ControlLoop(lease, controller) { sync.configuration.takeIf { it.version > 0 }?.declarations }
+    }
+
+    /** The workers of this data centre that this entry has ejected or knows to leave. */
+    private fun unhealthyWorkers(): Set<String> {
+        val ejected = directory.workerStates.filter { it.health.isEjected }.map { it.route.id }
+        return ejected.toSet() + sync.leavingWorkers()
+    }
 
     private fun newPipeline(policies: DaemonPolicies): RequestPipeline =
         RequestPipeline(
@@ -191,7 +232,7 @@
             claims = if (policies.claimsKeys) RoutedClaims(claimOwner, self, peerClient, background) else EveryKeyGranted,
             overflow = network,
             retryLimits = policies.retries,
-            observer = metrics,
+            observer = metrics + burnCounters,
         )
 
     private fun hopHeaders(): List<Header> =
@@ -209,7 +250,10 @@
     }
 
     private fun startOperators(): HttpServer {
-        val handler = OperatorHandler(this, sync, store, metrics, clock, settings.operatorTokens)
+        val desk = OperatorDesk(platform, clock, ::unhealthyWorkers, ::newId)
+        val explainer = Explainer({ sync.entries }, peerClient::drain)
+        val fleetDesk = FleetDesk(desk, explainer, burnWork, record) { sync.configuration.declarations }
+        val handler = OperatorHandler(this, sync, store, metrics, clock, settings.operatorTokens, fleetDesk)
         val limits = ServerLimits(maxBodyBytes = OPERATOR_BODY_BYTES, maxConcurrentRequests = OPERATOR_CONCURRENCY, ioThreads = 1)
         return HttpServer.start(listen(settings.operators), limits, handler = handler.handler())
     }
@@ -250,6 +294,7 @@
         const val CONTROL_INTERVAL_MS = 500L
         const val CLAIM_INTERVAL_MS = 1_000L
         const val SWEEP_INTERVAL_MS = 10L
+        const val BURN_INTERVAL_MS = 60_000L
         const val IDLE_POLL_MS = 10L
         const val OPERATOR_BODY_BYTES = 16L * 1024 * 1024
         const val OPERATOR_CONCURRENCY = 16
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/DaemonMetrics.kt
@@ -86,6 +86,20 @@
         }
     }
 
+    /** Registers the burn of this entry's own requests. */
+    public fun watch(burn: BurnWork) {
+        GaugeWithCallback
+            .builder()
+            .name("corianderrock_slo_burn_rate")
+            .help("Burn of the error budget by this entry's requests; 1 spends it exactly over the objective's period.")
+            .labelNames("service", "window")
+            .callback { callback ->
+                for (service in burn.ownReport().services) {
+                    service.windows.forEach { callback.call(it.burnRate, service.service, it.window.label) }
+                }
+            }.register(registry)
+    }
+
     /** Registers a gauge without labels whose value is read at each scrape. */
     public fun gauge(
         name: String,
--- /dev/null
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/Explainer.kt
@@ -0,0 +1,104 @@
+/*
+ * Explains the state of an instance in words.
+ */
+package io.corianderrock.daemon
+
+import io.corianderrock.coordination.fleet.EntryRow
+import io.corianderrock.coordination.maintenance.BudgetAccount
+import io.corianderrock.coordination.maintenance.FleetPicture
+import io.corianderrock.coordination.maintenance.WaveStatus
+import io.corianderrock.protocol.DrainQuestion
+import io.corianderrock.protocol.DrainReply
+import io.corianderrock.state.InstancePhase
+import io.corianderrock.state.InstanceRow
+import io.corianderrock.state.ListedState
+
+/** Collects the reasons behind an instance's state from the fleet and the entries. */
+public class Explainer(
+    private val entries: () -> Collection<EntryRow>,
+    private val drain: (String, DrainQuestion) -> DrainReply?,
+) {
+    /** Returns the reasons for the state of [instance] in [picture], the most important first. */
+    public fun explain(
+        instance: String,
+        picture: FleetPicture,
+    ): List<String> {
+        val row = picture.rows[instance]?.value ?: return listOf(unassigned(instance, picture))
+        val listed = picture.listed[instance]?.state
+        val head = "pool ${row.pool}, phase ${row.phase}, epoch ${row.epoch}, listed ${listed ?: "nowhere"}"
+        return listOf(head) + causeOf(row) + phaseReasons(row, picture) + healthReasons(row, listed, picture)
+    }
+
+    private fun unassigned(
+        instance: String,
+        picture: FleetPicture,
+    ): String {
+        val listed = picture.listed[instance] ?: return "the platform does not list $instance"
+        if (listed.state != ListedState.LIVE) return "it belongs to no pool and is listed ${listed.state}"
+        return "it belongs to no pool: every pool has its declared size in ${listed.dataCentre}, or no entry is the controller"
+    }
+
+    private fun causeOf(row: InstanceRow): List<String> =
+        listOfNotNull(
+            row.wave?.let { "taken out by wave $it" },
+            row.drainedBy?.let { "taken out by operator $it; drain --return puts it back" },
+            row.nextPool?.let { "moving to pool $it" },
+        )
+
+    private fun phaseReasons(
+        row: InstanceRow,
+        picture: FleetPicture,
+    ): List<String> =
+        when (row.phase) {
+            InstancePhase.ASSIGNED -> waitingReasons(row, picture)
+            InstancePhase.DRAINING ->
+                entries()
+                    .filter {
+                        it.dataCentre == row.dataCentre
+                    }.mapNotNull { drainReason(it, row) }
+                    .ifEmpty { listOf("drained") }
+            InstancePhase.REBOOTING ->
+                listOf(
+                    "waits until the platform lists boot ${row.bootCountBefore + 1}; it lists ${picture.listed[row.id]?.bootCount}",
+                )
+            InstancePhase.VERIFYING -> listOf("waits for a whole answer from the instance")
+            InstancePhase.RETIRED -> listOf("gone for good")
+        }
+
+    private fun drainReason(
+        entry: EntryRow,
+        row: InstanceRow,
+    ): String? {
+        val reply = drain(entry.id, DrainQuestion(row.id, row.epoch))
+        return when {
+            reply == null -> "not drained: entry ${entry.id} does not answer and is not listed as gone"
+            !reply.hasSeenEpoch -> "not drained: entry ${entry.id} has not seen epoch ${row.epoch}"
+            reply.inFlight > 0 -> "not drained: entry ${entry.id} has ${reply.inFlight} requests in flight there"
+            else -> null
+        }
+    }
+
+    private fun waitingReasons(
+        row: InstanceRow,
+        picture: FleetPicture,
+    ): List<String> {
+        val running =
+            picture.waves.values
+                .map { it.value }
+                .filter { it.status == WaveStatus.RUNNING && row.maintainedBy != it.runId }
+        if (running.isEmpty()) return emptyList()
+        val account = BudgetAccount(picture, row.pool)
+        if (account.allows(row)) return listOf("next in wave ${running.first().runId}")
+        return listOf("waits for the budget of pool ${row.pool}: out of service are ${account.unavailable.sorted().joinToString()}")
+    }
+
+    private fun healthReasons(
+        row: InstanceRow,
+        listed: ListedState?,
+        picture: FleetPicture,
+    ): List<String> =
+        listOfNotNull(
+            "receives no work: the platform lists it as ${listed ?: "unknown"}".takeIf { listed != ListedState.LIVE },
+            "receives little or no work: ejected after failures, or leaving".takeIf { row.id in picture.unhealthy },
+        )
+}
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/FleetSync.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/FleetSync.kt
@@ -61,6 +61,9 @@
     public val platformAgeMs: Long
         get() = if (lastContactMs == Long.MIN_VALUE) Long.MAX_VALUE else clock.monotonicMs() - lastContactMs
 
+    /** The workers that an observation in force calls leaving. */
+    public fun leavingWorkers(): Set<String> = fleet.leavingWorkers(clock.wallMs())
+
     /** Returns when the platform says that [instance] ended, as wall-clock time, or null while it may be alive. */
     public fun endedAtMs(instance: String): Long? {
         val listed = fleet.listed[instance] ?: return null
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/OperatorHandler.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/OperatorHandler.kt
@@ -4,16 +4,25 @@
 package io.corianderrock.daemon
 
 import io.corianderrock.coordination.Clock
+import io.corianderrock.coordination.PlatformResult
+import io.corianderrock.coordination.burn.BurnReport
 import io.corianderrock.coordination.configuration.ConfigurationStore
 import io.corianderrock.coordination.configuration.Submission
 import io.corianderrock.coordination.configuration.SubmitResult
+import io.corianderrock.coordination.maintenance.DeskResult
 import io.corianderrock.protocol.ApplyAnswer
 import io.corianderrock.protocol.ApplyOutcome
 import io.corianderrock.protocol.ApplyRequest
 import io.corianderrock.protocol.ConfigurationAnswer
+import io.corianderrock.protocol.DoneAnswer
+import io.corianderrock.protocol.DrainRequest
+import io.corianderrock.protocol.ExplainAnswer
 import io.corianderrock.protocol.OperatorError
 import io.corianderrock.protocol.OperatorPaths
+import io.corianderrock.protocol.RecordAnswer
 import io.corianderrock.protocol.StatusAnswer
+import io.corianderrock.protocol.WaveRequest
+import io.corianderrock.protocol.WavesAnswer
 import io.corianderrock.protocol.checkDeclarations
 import io.corianderrock.transport.EventLog
 import io.corianderrock.transport.eq
@@ -46,6 +55,7 @@
     private val metrics: DaemonMetrics,
     private val clock: Clock,
     private val operators: List<OperatorSettings>,
+    private val fleetDesk: FleetDesk,
 ) {
     private val log = EventLog("operators")
 
@@ -58,6 +68,12 @@
             OperatorPaths.STATUS bind Method.GET to authorized { _, _ -> ok(StatusAnswer.serializer(), view.status()) },
             OperatorPaths.CONFIGURATION bind Method.GET to authorized { _, _ -> configuration() },
             OperatorPaths.APPLY bind Method.POST to authorized(::apply),
+            OperatorPaths.WAVE bind Method.GET to authorized { _, _ -> respond(WavesAnswer.serializer(), fleetDesk.waves()) },
+            OperatorPaths.WAVE bind Method.POST to authorized(::wave),
+            OperatorPaths.DRAIN bind Method.POST to authorized(::drain),
+            OperatorPaths.EXPLAIN bind Method.GET to authorized { request, _ -> explain(request) },
+            OperatorPaths.BURN bind Method.GET to authorized { _, _ -> ok(BurnReport.serializer(), fleetDesk.burn()) },
+            OperatorPaths.RECORD bind Method.GET to authorized { _, _ -> respond(RecordAnswer.serializer(), fleetDesk.record()) },
         )
 
     private fun readiness(): Response =
@@ -87,6 +103,49 @@
         return ok(ApplyAnswer.serializer(), answer)
     }
 
+    private fun wave(
+        request: Request,
+        operator: String,
+    ): Response {
+        val asked = decode(WaveRequest.serializer(), request) ?: return malformed()
+        return done(fleetDesk.changeWave(asked.wave, asked.action, operator))
+    }
+
+    private fun drain(
+        request: Request,
+        operator: String,
+    ): Response {
+        val asked = decode(DrainRequest.serializer(), request) ?: return malformed()
+        return done(fleetDesk.drain(asked.instance, asked.isReturn, operator))
+    }
+
+    private fun explain(request: Request): Response {
+        val instance = request.query("instance") ?: return malformed()
+        return respond(ExplainAnswer.serializer(), fleetDesk.explain(instance))
+    }
+
+    private fun done(result: DeskResult): Response =
+        when (result) {
+            is DeskResult.Done -> ok(DoneAnswer.serializer(), DoneAnswer(result.summary))
+            is DeskResult.Refused -> error(Status.CONFLICT, "decide", result.reason)
+            is DeskResult.Failed -> failed(result.failure)
+        }
+
+    private fun <T> respond(
+        serializer: KSerializer<T>,
+        result: PlatformResult<T>,
+    ): Response =
+        when (result) {
+            is PlatformResult.Ok -> ok(serializer, result.value)
+            is PlatformResult.Conflict -> error(Status.CONFLICT, "read", "row ${result.key} changed meanwhile; try again")
+            is PlatformResult.Failed -> failed(result)
+        }
+
+    private fun failed(failure: PlatformResult.Failed): Response {
+        val body = OperatorError(failure.step, failure.peer, failure.reason)
+        return Response(Status.BAD_GATEWAY).body(Json.encodeToString(OperatorError.serializer(), body))
+    }
+
     private fun answerTo(result: SubmitResult): ApplyAnswer =
         when (result) {
             is SubmitResult.Accepted -> ApplyAnswer(ApplyOutcome.ACCEPTED, result.pointer)
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/PeerHandler.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/PeerHandler.kt
@@ -58,8 +58,10 @@
     override fun drain(question: DrainQuestion): DrainReply {
         val seen = sync.fleet.rows[question.instance]?.epoch ?: 0
         if (seen < question.epoch) sync.poll()
+        sync.route()
         val hasSeenEpoch = (sync.fleet.rows[question.instance]?.epoch ?: 0) >= question.epoch
-        return DrainReply(hasSeenEpoch, directory.usedSlots(question.instance))
+        val isClosed = directory.isClosed(question.instance)
+        return DrainReply(hasSeenEpoch && isClosed, directory.usedSlots(question.instance))
     }
 }
 
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/SeatHolder.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/SeatHolder.kt
@@ -30,11 +30,18 @@
         return if (held == NO_SEAT) 0 else seatShare(worker.slots, held, seats)
     }
 
-    /** Asks for a seat unless one is held. Returns true when one was taken by this call. */
-    public fun takeIfNeeded(entry: () -> EntryRow): Boolean {
+    /**
+     * Asks for a seat unless one is held. The seat counts once [readFleet] has read the fleet after it was taken: until an
+     * entry is known, nobody waits for its confirmation before an instance moves, so it may not use an older view.
+     * Returns true when the entry is seated by this call.
+     */
+    public fun takeIfNeeded(
+        entry: () -> EntryRow,
+        readFleet: () -> Boolean,
+    ): Boolean {
         if (isSeated) return false
         when (val result = registry.take(entry())) {
-            is SeatResult.Seated -> return onSeated(result.seat)
+            is SeatResult.Seated -> return readFleet() && onSeated(result.seat)
             is SeatResult.Full -> log.warn("seat-refused", "reason" eq "every seat belongs to a live instance")
             is SeatResult.Disagreement -> log.warn("seat-refused", "reason" eq "other entries are set up for ${result.seats} seats")
             is SeatResult.Failed -> log.warn("seat-failed", "step" eq result.failure.step, "peer" eq result.failure.peer)
--- a/load/src/main/kotlin/io/corianderrock/load/LoadGenerator.kt
+++ b/load/src/main/kotlin/io/corianderrock/load/LoadGenerator.kt
@@ -14,8 +14,10 @@
 import okhttp3.Response
 import java.io.IOException
 import java.util.concurrent.ExecutorService
-import java.util.concurrent.Executors
 import java.util.concurrent.Future
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.ThreadFactory
+import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.LockSupport
 
@@ -38,9 +40,7 @@
 ) : AutoCloseable {
     private val client: OkHttpClient = newHttpClient(ClientLimits(maxIdleConnections = threads))
     private val executor: ExecutorService =
-        Executors.newFixedThreadPool(
-            threads,
-        ) { task -> Thread(task, "caller").apply { isDaemon = true } }
+        startedPool(threads) { task -> Thread(null, task, "caller", CALLER_STACK_BYTES).apply { isDaemon = true } }
 
     /** Sends [items] at their times and returns what their callers saw. */
     public fun run(items: List<WorkItem>): List<CallResult> {
@@ -91,6 +91,7 @@
                 .header(WorkHeaders.RUN_MS, item.runMs.toString())
         val ownKey = key ?: item.work.takeIf { profile.isKeyed }
         if (ownKey != null) builder.header(ContractHeaders.IDEMPOTENCY_KEY, ownKey)
+        if (ownKey != null && key == null) builder.header(ContractHeaders.REQUEST_ATTEMPT, "1")
         return if (profile.method == "GET") builder.get().build() else builder.method(profile.method, item.work.toRequestBody()).build()
     }
 
@@ -121,7 +122,17 @@
         }
     }
 
+    private fun startedPool(
+        threads: Int,
+        factory: ThreadFactory,
+    ): ExecutorService {
+        val pool = ThreadPoolExecutor(threads, threads, 0, TimeUnit.MILLISECONDS, LinkedBlockingQueue(), factory)
+        pool.prestartAllCoreThreads()
+        return pool
+    }
+
     private companion object {
+        const val CALLER_STACK_BYTES = 262_144L
         const val START_DELAY_NS = 50_000_000L
         const val CALLER_PATIENCE_MS = 2_000L
     }
--- a/load/src/main/kotlin/io/corianderrock/load/LocalFleet.kt
+++ b/load/src/main/kotlin/io/corianderrock/load/LocalFleet.kt
@@ -3,6 +3,7 @@
  */
 package io.corianderrock.load
 
+import io.corianderrock.coordination.claim.CLAIM_RANGES
 import io.corianderrock.coordination.configuration.ConfigurationStore
 import io.corianderrock.coordination.configuration.Submission
 import io.corianderrock.coordination.configuration.SubmitResult
@@ -66,6 +67,7 @@
         platform.fleetState.install(workers)
         repeat(shape.dataCentres) { dataCentre -> repeat(shape.entriesPerDataCentre) { startEntry(dataCentre, it) } }
         submit(declarations, baseVersion = 0)
+        awaitUntil("every entry knows the owner of every range of keys") { daemons.all { it.routableClaimRanges == CLAIM_RANGES } }
         awaitUntil("every entry is ready") { daemons.all { it.isReady && it.status().workers.size == shape.workersPerDataCentre } }
     }
 
@@ -83,6 +85,13 @@
         return Daemon(settingsOf(id, dataCentre), policies = policies).also { running += it }
     }
 
+    /** Tells the platform that the instance of [daemon] is gone for good. */
+    public fun markGone(daemon: Daemon) {
+        val instance = checkNotNull(platform.fleetState.actual(daemon.instanceId)) { "${daemon.instanceId} was never listed" }
+        platform.fleetState.set(instance.copy(state = ListedState.GONE, goneAtMs = System.currentTimeMillis()))
+        running -= daemon
+    }
+
     /** Publishes [next] straight through the platform. */
     public fun submit(
         next: Declarations,
--- a/standins/src/main/kotlin/io/corianderrock/standins/upstream/UpstreamStandin.kt
+++ b/standins/src/main/kotlin/io/corianderrock/standins/upstream/UpstreamStandin.kt
@@ -59,6 +59,9 @@
     /** How many requests the workers refused because they were full. */
     public val refusals: Long get() = workers.sumOf { it.refusals }
 
+    /** How many requests the worker called [id] turned away under a fault. */
+    public fun turnedAway(id: String): Long = workers.firstOrNull { it.instance.id == id }?.turnedAway ?: 0
+
     /** Puts [fault] in force and ends the one before on the workers that it names. */
     public fun set(fault: UpstreamFault) {
         workers
@@ -106,12 +109,21 @@
         val fault = worker.fault
         when {
             worker.isRebooting(System.nanoTime()) -> closeConnection(exchange)
-            fault.kind == FaultKind.REFUSE || fault.kind == FaultKind.LEAVE -> answers.refuse(exchange, fault)
+            fault.kind == FaultKind.REFUSE || fault.kind == FaultKind.LEAVE -> turnAway(exchange, worker, fault)
             !worker.tryStart() -> answers.refuse(exchange, fault)
             else -> run(exchange, worker, body, fault)
         }
     }
 
+    private fun turnAway(
+        exchange: HttpServerExchange,
+        worker: WorkerModel,
+        fault: UpstreamFault,
+    ) {
+        worker.countTurnedAway()
+        answers.refuse(exchange, fault)
+    }
+
     private fun run(
         exchange: HttpServerExchange,
         worker: WorkerModel,
--- a/standins/src/main/kotlin/io/corianderrock/standins/upstream/WorkerModel.kt
+++ b/standins/src/main/kotlin/io/corianderrock/standins/upstream/WorkerModel.kt
@@ -15,6 +15,7 @@
     private val used = AtomicInteger()
     private val maxUsed = AtomicInteger()
     private val refused = AtomicLong()
+    private val turnedAwayCount = AtomicLong()
 
     @Volatile
     var fault: UpstreamFault = UpstreamFault(FaultKind.NONE)
@@ -25,6 +26,11 @@
     val maxSlotsInUse: Int get() = maxUsed.get()
     val refusals: Long get() = refused.get()
     val usedSlots: Int get() = used.get()
+    val turnedAway: Long get() = turnedAwayCount.get()
+
+    fun countTurnedAway() {
+        turnedAwayCount.incrementAndGet()
+    }
 
     /** Takes a slot; a worker that is full refuses before the request starts. */
     fun tryStart(): Boolean {
