--- a/core/src/main/kotlin/io/corianderrock/coordination/fleet/FleetRows.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/fleet/FleetRows.kt
@@ -15,7 +15,10 @@
 /** The prefix of rows by which entries make themselves known. */
 public const val ENTRY_PREFIX: String = "entry/"
 
-/** An entry instance and its addresses. [seat] is its number within its data centre, from 0. */
+/**
+ * An entry instance and its addresses. [seat] is its number within its data centre, from 0. An entry that [hasLeft] has
+ * finished its requests and stopped gracefully.
+ */
 @Serializable
 public data class EntryRow(
     val id: String,
@@ -23,6 +26,7 @@
     val callersAddress: String,
     val peersAddress: String,
     val seat: Int,
+    val hasLeft: Boolean = false,
 )
 
 /** Returns the prefix of the rows of instances of [dataCentre]. */
--- a/core/src/main/kotlin/io/corianderrock/coordination/fleet/Seats.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/fleet/Seats.kt
@@ -22,9 +22,10 @@
 
 /** The result of asking for a seat. */
 public sealed interface SeatResult {
-    /** The entry holds seat number [seat]. */
+    /** The entry holds seat number [seat], whose row has [revision]. */
     public data class Seated(
         val seat: Int,
+        val revision: Long,
     ) : SeatResult
 
     /** Every seat belongs to an instance that the platform does not call gone. */
@@ -58,16 +59,33 @@
                 is PlatformResult.Conflict -> return SeatResult.Full
             }
         val occupied = rows.values.map(::decode)
-        occupied.firstOrNull { it.seats != seats && !isGone(it.entry) }?.let { return SeatResult.Disagreement(it.seats) }
+        occupied
+            .firstOrNull {
+                it.seats != seats &&
+                    it.entry.isNotEmpty() &&
+                    !isGone(
+                        it.entry,
+                    )
+            }?.let { return SeatResult.Disagreement(it.seats) }
         for (seat in 0 until seats) {
             val row = rows[key(seat)]
             val holder = row?.let(::decode)?.entry
-            val isFree = holder == null || holder == entry.id || isGone(holder)
+            val isFree = holder.isNullOrEmpty() || holder == entry.id || isGone(holder)
             if (isFree) return claim(entry.copy(seat = seat), row)
         }
         return SeatResult.Full
     }
 
+    /** Frees the seat that [entry] has [held] and records that it has left, after its last request has finished. */
+    public fun leave(
+        entry: EntryRow,
+        held: SeatResult.Seated,
+    ): PlatformResult<Long> {
+        val freed = Write(key(entry.seat), Json.encodeToString(SeatRow.serializer(), SeatRow(entry = "", seats)))
+        val fence = Precondition(key(entry.seat), held.revision)
+        return table.transactSettled(Transaction(newId(), listOf(fence), listOf(freed, entry.copy(hasLeft = true).asWrite())))
+    }
+
     private fun claim(
         entry: EntryRow,
         row: Row?,
@@ -80,7 +98,7 @@
                 writes = listOf(Write(key(entry.seat), Json.encodeToString(SeatRow.serializer(), seat)), entry.asWrite()),
             )
         return when (val result = table.transactSettled(transaction)) {
-            is PlatformResult.Ok -> SeatResult.Seated(entry.seat)
+            is PlatformResult.Ok -> SeatResult.Seated(entry.seat, result.value)
             is PlatformResult.Conflict -> SeatResult.Full
             is PlatformResult.Failed -> SeatResult.Failed(result)
         }
--- a/core/src/main/kotlin/io/corianderrock/coordination/maintenance/Controller.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/maintenance/Controller.kt
@@ -124,7 +124,7 @@
 
     /** Every entry of the data centre that is not proved gone has to confirm; one that is silent is waited for. */
     private fun isDrained(row: InstanceRow): Boolean {
-        val local = entries.values.filter { it.dataCentre == row.dataCentre && listed[it.id]?.state != ListedState.GONE }
+        val local = entries.values.filter { it.dataCentre == row.dataCentre && !it.hasLeft && listed[it.id]?.state != ListedState.GONE }
         return local.all { drainProbe.isDrained(it, row) }
     }
 
--- a/core/src/main/kotlin/io/corianderrock/coordination/maintenance/FleetPicture.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/maintenance/FleetPicture.kt
@@ -25,9 +25,18 @@
     val unhealthy: Set<String>,
     val nowMs: Long,
 ) {
+    private val rowsByPool: Map<String, List<InstanceRow>> by lazy {
+        rows.values
+            .map { it.value }
+            .filter { it.phase != InstancePhase.RETIRED }
+            .groupBy { it.pool }
+    }
+
+    /** The data centres that have instances. */
+    public val dataCentres: Set<String> by lazy { rows.values.mapTo(HashSet()) { it.value.dataCentre } }
+
     /** The rows of instances that belong to [pool] and are not gone for good. */
-    public fun rowsOf(pool: String): List<InstanceRow> =
-        rows.values.map { it.value }.filter { it.pool == pool && it.phase != InstancePhase.RETIRED }
+    public fun rowsOf(pool: String): List<InstanceRow> = rowsByPool[pool].orEmpty()
 
     /** True when the instance of [row] serves nobody, by plan or by failure. */
     public fun isUnavailable(row: InstanceRow): Boolean =
@@ -43,10 +52,7 @@
     private val rows = picture.rowsOf(pool)
     private val out: MutableSet<String> = (rows.filter(picture::isUnavailable).map { it.id } + plannedIds()).toMutableSet()
     private val dataCentreOf = rows.associate { it.id to it.dataCentre }
-    private val dataCentres =
-        picture.rows.values
-            .map { it.value.dataCentre }
-            .toSet()
+    private val dataCentres = picture.dataCentres
 
     /** The instances of the pool that are out of service or about to be. */
     public val unavailable: Set<String> get() = out
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
@@ -80,6 +80,9 @@
     private val burnWork = BurnWork(burnCounters, BurnStore(platform, claimOwner.process, ::newId), clock) { sync.configuration }
     private val pipeline = newPipeline(policies)
 
+    @Volatile
+    private var isLeaving = false
+
     @Volatile
     private var isStopping = false
 
@@ -98,7 +101,7 @@
     /** The id of this entry. */
     public val instanceId: String get() = self
 
-    override val isReady: Boolean get() = !isStopping && directory.isReady && seats.isSeated
+    override val isReady: Boolean get() = !isLeaving && directory.isReady && seats.isSeated
 
     /** The ports in use, for callers of the constructor that asked for free ones. */
     public val ports: DaemonPorts get() = DaemonPorts(callers.port, operators.port, peerServer.port)
@@ -140,8 +143,14 @@
             workers = workerStatuses(),
         )
 
-    /** Stops gracefully: refuses new requests, finishes those in flight, hands lease and claims back. */
+    /**
+     * Stops gracefully: says that it is not ready and asks callers to close their connections, then refuses new requests,
+     * finishes those in flight, and hands lease, claims and seat back.
+     */
     override fun close() {
+        isLeaving = true
+        log.info("leaving", "inFlight" eq callers.inFlightCount)
+        TimeUnit.MILLISECONDS.sleep(settings.limits.leaveNoticeMs)
         isStopping = true
         log.info("stopping", "inFlight" eq callers.inFlightCount)
         awaitIdle()
@@ -150,6 +159,7 @@
         control.release()
         burnWork.save()
         claimWork.close()
+        seats.leave(::entryRow)
         val unfinished = callers.inFlightCount
         callers.close()
         operators.close()
@@ -245,7 +255,7 @@
                 maxConcurrentRequests = settings.limits.maxConcurrentRequests,
                 ioThreads = settings.limits.ioThreads,
             )
-        val handler = EntryHandler(pipeline, clock, self, settings.peerToken) { isStopping }
+        val handler = EntryHandler(pipeline, clock, self, settings.peerToken, { isLeaving }) { isStopping }
         return HttpServer.start(listen(settings.callers), limits, callerRefusals(), handler)
     }
 
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/DaemonSettings.kt
@@ -49,6 +49,7 @@
     val maxBodyBytes: Long = 4_194_304,
     val ioThreads: Int = 2,
     val stopTimeoutMs: Long = 30_000,
+    val leaveNoticeMs: Long = 1_000,
     val connectTimeoutMs: Long = 500,
     val entriesPerDataCentre: Int = 2,
 )
@@ -102,6 +103,7 @@
         within("limits.maxBodyBytes", settings.limits.maxBodyBytes, 1..MAX_BODY_BYTES)
         within("limits.ioThreads", settings.limits.ioThreads.toLong(), 1..MAX_IO_THREADS)
         within("limits.stopTimeoutMs", settings.limits.stopTimeoutMs, 0..MAX_STOP_MS)
+        within("limits.leaveNoticeMs", settings.limits.leaveNoticeMs, 0..MAX_STOP_MS)
         within("limits.connectTimeoutMs", settings.limits.connectTimeoutMs, 1..MAX_CALL_TIMEOUT_MS)
         within("limits.entriesPerDataCentre", settings.limits.entriesPerDataCentre.toLong(), 1..MAX_ENTRIES)
         secret("peerToken", settings.peerToken)
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/EntryHandler.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/EntryHandler.kt
@@ -25,12 +25,16 @@
 import java.nio.ByteBuffer
 import java.util.concurrent.atomic.AtomicLong
 
-/** Serves callers through [pipeline]. While [isStopping], new requests are refused. */
+/**
+ * Serves callers through [pipeline]. While [isLeaving], answers ask callers to close their connections; while
+ * [isStopping], new requests are refused.
+ */
 public class EntryHandler(
     private val pipeline: RequestPipeline,
     private val clock: Clock,
     private val instanceId: String,
     private val peerToken: Secret,
+    private val isLeaving: () -> Boolean,
     private val isStopping: () -> Boolean,
 ) : ExchangeHandler {
     private val sequence = AtomicLong()
@@ -42,7 +46,8 @@
     ): Response {
         val entryRequest = entryRequest(request, caller)
         val result = if (isStopping()) pipeline.refuseCautiously(entryRequest, STOPPING) else pipeline.handle(entryRequest)
-        return response(entryRequest.id, result)
+        val response = response(entryRequest.id, result)
+        return if (isLeaving()) response.header("Connection", "close") else response
     }
 
     private fun entryRequest(
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/FleetSync.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/FleetSync.kt
@@ -53,9 +53,9 @@
     /** The fleet of this data centre as last seen. */
     public val fleet: FleetView get() = fleetReference.get()
 
-    /** The entries of all data centres that the platform does not call gone. */
+    /** The entries of all data centres that have not left and that the platform does not call gone. */
     public val entries: Collection<EntryRow>
-        get() = entriesReference.get().values.filter { fleet.listed[it.id]?.state != ListedState.GONE }
+        get() = entriesReference.get().values.filter { !it.hasLeft && fleet.listed[it.id]?.state != ListedState.GONE }
 
     /** The time since the platform last answered, in milliseconds; [Long.MAX_VALUE] before the first answer. */
     public val platformAgeMs: Long
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/SeatHolder.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/SeatHolder.kt
@@ -19,15 +19,15 @@
     private val log = EventLog("seat")
 
     @Volatile
-    private var seat = NO_SEAT
+    private var seated: SeatResult.Seated? = null
 
     /** True once the entry holds a seat. */
-    public val isSeated: Boolean get() = seat != NO_SEAT
+    public val isSeated: Boolean get() = seated != null
 
     /** Returns the number of slots of [worker] that this entry may use. */
     public fun shareOf(worker: WorkerRoute): Int {
-        val held = seat
-        return if (held == NO_SEAT) 0 else seatShare(worker.slots, held, seats)
+        val held = seated ?: return 0
+        return seatShare(worker.slots, held.seat, seats)
     }
 
     /**
@@ -41,7 +41,7 @@
     ): Boolean {
         if (isSeated) return false
         when (val result = registry.take(entry())) {
-            is SeatResult.Seated -> return readFleet() && onSeated(result.seat)
+            is SeatResult.Seated -> return readFleet() && onSeated(result)
             is SeatResult.Full -> log.warn("seat-refused", "reason" eq "every seat belongs to a live instance")
             is SeatResult.Disagreement -> log.warn("seat-refused", "reason" eq "other entries are set up for ${result.seats} seats")
             is SeatResult.Failed -> log.warn("seat-failed", "step" eq result.failure.step, "peer" eq result.failure.peer)
@@ -49,13 +49,16 @@
         return false
     }
 
-    private fun onSeated(taken: Int): Boolean {
-        seat = taken
-        log.info("seated", "seat" eq taken, "of" eq seats)
-        return true
+    /** Gives the seat back after the last request has finished. */
+    public fun leave(entry: () -> EntryRow) {
+        val held = seated ?: return
+        seated = null
+        registry.leave(entry().copy(seat = held.seat), held)
     }
 
-    private companion object {
-        const val NO_SEAT = -1
+    private fun onSeated(taken: SeatResult.Seated): Boolean {
+        seated = taken
+        log.info("seated", "seat" eq taken.seat, "of" eq seats)
+        return true
     }
 }
--- a/load/src/main/kotlin/io/corianderrock/load/LoadGenerator.kt
+++ b/load/src/main/kotlin/io/corianderrock/load/LoadGenerator.kt
@@ -108,7 +108,7 @@
             outcome = OutcomeWord.parse(response.header(ContractHeaders.OUTCOME)),
             reason = response.header(ContractHeaders.REASON).orEmpty(),
             status = response.code,
-            isOwnAnswer = body.contains("\"requestId\":\"${response.header(ContractHeaders.REQUEST_ID)}\""),
+            isOwnAnswer = body.contains("\"work\":\"${item.work}\""),
             attempts = response.header(ContractHeaders.ATTEMPTS)?.toIntOrNull() ?: 0,
             latencyNs = System.nanoTime() - sendAtNs,
         )
--- a/load/src/main/kotlin/io/corianderrock/load/LoadMain.kt
+++ b/load/src/main/kotlin/io/corianderrock/load/LoadMain.kt
@@ -10,6 +10,8 @@
 import io.corianderrock.load.experiment.Outage
 import io.corianderrock.load.experiment.Overload
 import io.corianderrock.load.experiment.ReportWriter
+import io.corianderrock.load.experiment.Slopes
+import io.corianderrock.load.experiment.machine
 import io.corianderrock.transport.parseArguments
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.Option
@@ -31,7 +33,7 @@
     var list: Boolean = false
 }
 
-private val EXPERIMENTS: List<Experiment> = listOf(HeadOfLine(), Overload(), Outage(), ClaimCost())
+private val EXPERIMENTS: List<Experiment> = listOf(HeadOfLine(), Overload(), Outage(), ClaimCost(), Slopes())
 
 /** Runs experiments, prints their targets and writes their reports. Exits with 1 when a target was missed. */
 public fun main(args: Array<String>) {
@@ -73,12 +75,3 @@
     }
     return findings.targets.all { it.isMet }
 }
-
-private fun machine(): String {
-    val runtime = Runtime.getRuntime()
-    return "${runtime.availableProcessors()} processors, heap ${runtime.maxMemory() / BYTES_PER_MB} MB, Java ${System.getProperty(
-        "java.version",
-    )}"
-}
-
-private const val BYTES_PER_MB = 1_048_576
--- a/load/src/main/kotlin/io/corianderrock/load/LocalFleet.kt
+++ b/load/src/main/kotlin/io/corianderrock/load/LocalFleet.kt
@@ -139,6 +139,7 @@
                     entriesPerDataCentre = shape.entriesPerDataCentre,
                     maxConcurrentRequests = shape.maxConcurrentRequests,
                     stopTimeoutMs = STOP_TIMEOUT_MS,
+                    leaveNoticeMs = 0,
                 ),
             peerToken = Secret("local-fleet-peer-token"),
             operatorTokens = listOf(OperatorSettings("experiment", Secret(OPERATOR_TOKEN))),
--- a/load/src/main/kotlin/io/corianderrock/load/experiment/Measure.kt
+++ b/load/src/main/kotlin/io/corianderrock/load/experiment/Measure.kt
@@ -44,13 +44,25 @@
     results
         .filter { it.outcome == OutcomeWord.RAN }
         .forEach { histogram.recordValue(it.latencyNs.coerceIn(0, MAX_LATENCY_NS)) }
-    return LatencySummary(
+    return summaryOf(histogram)
+}
+
+/** Summarises a histogram of nanoseconds. */
+internal fun summaryOf(histogram: Histogram): LatencySummary =
+    LatencySummary(
         count = histogram.totalCount,
         p50Ms = histogram.getValueAtPercentile(50.0) / NS_PER_MS,
         p90Ms = histogram.getValueAtPercentile(90.0) / NS_PER_MS,
         p99Ms = histogram.getValueAtPercentile(99.0) / NS_PER_MS,
         maxMs = histogram.maxValue / NS_PER_MS,
     )
+
+/** The machine that a figure was measured on. */
+internal fun machine(): String {
+    val runtime = Runtime.getRuntime()
+    return "${runtime.availableProcessors()} processors, heap ${runtime.maxMemory() / BYTES_PER_MB} MB, Java ${System.getProperty(
+        "java.version",
+    )}"
 }
 
 /** Builds the result of a variant from what callers saw and what the upstreams of [fleet] recorded. */
@@ -102,5 +114,6 @@
 }
 
 private const val SIGNIFICANT_DIGITS = 3
+private const val BYTES_PER_MB = 1_048_576
 private const val NS_PER_MS = 1e6
 private val MAX_LATENCY_NS = TimeUnit.SECONDS.toNanos(120)
--- a/standins/src/main/kotlin/io/corianderrock/standins/upstream/UpstreamStandin.kt
+++ b/standins/src/main/kotlin/io/corianderrock/standins/upstream/UpstreamStandin.kt
@@ -132,7 +132,7 @@
     ) {
         val requestId = exchange.requestHeaders.getFirst(ContractHeaders.REQUEST_ID).orEmpty()
         val work = exchange.requestHeaders.getFirst(WorkHeaders.WORK).orEmpty()
-        ledger.record(Execution(requestId, work, worker.instance.id))
+        if (work.isNotEmpty()) ledger.record(Execution(requestId, work, worker.instance.id))
         val runUs = runTimeUs(exchange, fault)
         val finish =
             Runnable {
@@ -212,9 +212,10 @@
     ) {
         val requestId = exchange.requestHeaders.getFirst(ContractHeaders.REQUEST_ID).orEmpty()
         val checksum = CRC32().apply { update(body) }.value
+        val work = if (isCrossed) "crossed" else exchange.requestHeaders.getFirst(WorkHeaders.WORK).orEmpty()
         exchange.responseHeaders.put(REQUEST_ID, if (isCrossed) "crossed-$requestId" else requestId)
         exchange.responseHeaders.put(Headers.CONTENT_TYPE, "application/json")
-        exchange.responseSender.send("""{"requestId":"$requestId","worker":"$worker","bodyCrc32":$checksum}""")
+        exchange.responseSender.send("""{"requestId":"$requestId","work":"$work","worker":"$worker","bodyCrc32":$checksum}""")
     }
 
     fun refuse(
