--- a/daemon/src/main/kotlin/io/corianderrock/daemon/ControlLoop.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/ControlLoop.kt
@@ -3,8 +3,11 @@
  */
 package io.corianderrock.daemon
 
+import io.corianderrock.coordination.Clock
+import io.corianderrock.coordination.NS_PER_MS
 import io.corianderrock.coordination.PlatformResult
 import io.corianderrock.coordination.lease.ControllerLease
+import io.corianderrock.coordination.lease.HeldLease
 import io.corianderrock.coordination.maintenance.Controller
 import io.corianderrock.coordination.maintenance.Step
 import io.corianderrock.coordination.maintenance.StepListener
@@ -12,14 +15,19 @@
 import io.corianderrock.transport.EventLog
 import io.corianderrock.transport.eq
 
-/** Renews the lease and, while it is held, lets [controller] do a round. Driven by one thread. */
+/**
+ * Renews the lease and, while it is held, lets [controller] do a round. A long round is followed by a pause of
+ * many times its length, two seconds at the most, so that control work stays a small part of one processor. Driven by one thread.
+ */
 public class ControlLoop(
+    private val clock: Clock,
     private val lease: ControllerLease,
     private val controller: Controller,
     private val declarations: () -> Declarations?,
 ) {
     private val log = EventLog("controller")
     private var wasController = false
+    private var nextRoundNs = clock.monotonicNs()
 
     /** True while this entry holds the lease. */
     @Volatile
@@ -33,7 +41,17 @@
         if (isController != wasController) log.info("controller-changed", "isController" eq isController, "token" eq held?.token)
         wasController = isController
         val current = declarations() ?: return
-        if (held != null) controller.round(current, held)
+        if (held != null && clock.monotonicNs() - nextRoundNs >= 0) doRound(current, held)
+    }
+
+    private fun doRound(
+        current: Declarations,
+        held: HeldLease,
+    ) {
+        val startedNs = clock.monotonicNs()
+        controller.round(current, held)
+        val endedNs = clock.monotonicNs()
+        nextRoundNs = endedNs + ((endedNs - startedNs) * REST_FACTOR).coerceAtMost(MAX_REST_NS)
     }
 
     /** Gives the lease back. */
@@ -41,6 +59,11 @@
         isController = false
         lease.release()
     }
+
+    private companion object {
+        const val REST_FACTOR = 60
+        const val MAX_REST_NS = 2_000 * NS_PER_MS
+    }
 }
 
 /** Writes a line for each step. */
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
@@ -225,7 +225,7 @@
                 listener = StepLog,
             )
         val lease = ControllerLease(platform, clock, self, newId = ::newId)
-        return ControlLoop(lease, controller) { sync.configuration.takeIf { it.version > 0 }?.declarations }
+        return ControlLoop(clock, lease, controller) { sync.configuration.takeIf { it.version > 0 }?.declarations }
     }
 
     /** The workers of this data centre that this entry has ejected or knows to leave. */
