Derive the list of instance rows once, and drop code that nothing calls

Cause: reading the whole change again: the rows of a picture were unwrapped in seven places; RoutingTable.serviceFor stood beside ServiceDirectory.serviceFor and was called by nobody, like RoutingTable.EMPTY and WorkerHealth.cancelTrial; the formatter had folded two conditions beyond reading.

Ruled out: merging the pairs that duplicates lists by shape (settings and limits of different things, declared alike); merging the fleets of FaultTableTest and of the experiments, which differ in size and purpose.

Change: FleetPicture.instances, used by the planners and the controller; the dead code removed. No behaviour changes.

Seen and left: a trial of an ejected worker that ends in a timeout for which the worker is not blamed keeps its claim until the longest ejection is over (30 s).

--- a/core/src/main/kotlin/io/corianderrock/coordination/health/WorkerHealth.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/health/WorkerHealth.kt
@@ -94,11 +94,6 @@
         }
     }
 
-    /** Returns a claimed trial that was not used. */
-    public fun cancelTrial() {
-        trialStartedNs.set(NO_TRIAL)
-    }
-
     /** Forgets the worker; a pool that loses it gets its share of ejections back. */
     public fun dispose() {
         if (ejectedUntilNs.getAndSet(NOT_EJECTED) != NOT_EJECTED) budget.readmit()
--- a/core/src/main/kotlin/io/corianderrock/coordination/maintenance/Controller.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/maintenance/Controller.kt
@@ -95,16 +95,8 @@
     private fun plan(picture: FleetPicture): List<Step> {
         val accounts = HashMap<String, BudgetAccount>()
         val accountOf = { pool: String -> accounts.getOrPut(pool) { BudgetAccount(picture, pool) } }
-        val drained =
-            picture.rows.values
-                .map { it.value }
-                .filter {
-                    it.phase == InstancePhase.DRAINING &&
-                        isDrained(
-                            it,
-                        )
-                }.map { it.id }
-                .toSet()
+        val draining = picture.instances.filter { it.phase == InstancePhase.DRAINING }
+        val drained = draining.filter(::isDrained).map { it.id }.toSet()
         val moves = planMoves(picture, drained, accountOf, moveLimits)
         val maintenance =
             picture.waves.values.map { it.value }.flatMap { row ->
@@ -133,8 +125,7 @@
         wave: WaveRow,
         path: String,
     ): Set<String> =
-        picture.rows.values
-            .map { it.value }
+        picture.instances
             .filter { row -> row.wave?.let(::waveNameOf) == wave.name && row.phase == InstancePhase.VERIFYING }
             .filter { row -> listed[row.id]?.let { instanceProbe.isServing(it, path) } ?: false }
             .map { it.id }
--- a/core/src/main/kotlin/io/corianderrock/coordination/maintenance/FleetPicture.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/maintenance/FleetPicture.kt
@@ -25,15 +25,15 @@
     val unhealthy: Set<String>,
     val nowMs: Long,
 ) {
+    /** The rows of all instances, retired ones included. */
+    public val instances: List<InstanceRow> by lazy { rows.values.map { it.value } }
+
     private val rowsByPool: Map<String, List<InstanceRow>> by lazy {
-        rows.values
-            .map { it.value }
-            .filter { it.phase != InstancePhase.RETIRED }
-            .groupBy { it.pool }
+        instances.filter { it.phase != InstancePhase.RETIRED }.groupBy { it.pool }
     }
 
     /** The data centres that have instances. */
-    public val dataCentres: Set<String> by lazy { rows.values.mapTo(HashSet()) { it.value.dataCentre } }
+    public val dataCentres: Set<String> by lazy { instances.mapTo(HashSet()) { it.dataCentre } }
 
     /** The rows of instances that belong to [pool] and are not gone for good. */
     public fun rowsOf(pool: String): List<InstanceRow> = rowsByPool[pool].orEmpty()
--- a/core/src/main/kotlin/io/corianderrock/coordination/maintenance/MovePlanner.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/maintenance/MovePlanner.kt
@@ -24,8 +24,7 @@
     limits: MoveLimits = MoveLimits(),
 ): List<Step> {
     val moving =
-        picture.rows.values
-            .map { it.value }
+        picture.instances
             .filter { it.phase == InstancePhase.DRAINING && it.nextPool != null }
     val completed = moving.filter { it.id in drained }.map { completeMove(it, picture.nowMs) }
     return completed + newMoves(picture, accounts, limits)
@@ -46,8 +45,7 @@
     limits: MoveLimits,
 ): List<Step> {
     val balances = PoolBalances(picture)
-    return picture.rows.values
-        .map { it.value }
+    return picture.instances
         .filter { isMovable(it, picture, limits) }
         .sortedBy { it.id }
         .mapNotNull { row -> startMove(row, balances, accounts(row.pool), picture.nowMs) }
@@ -91,7 +89,7 @@
     private val counts = HashMap<Place, Int>()
 
     init {
-        picture.rows.values.map { it.value }.filter { it.phase != InstancePhase.RETIRED }.forEach { row ->
+        picture.instances.filter { it.phase != InstancePhase.RETIRED }.forEach { row ->
             counts.merge(Place(row.dataCentre, row.nextPool ?: row.pool), 1, Int::plus)
         }
     }
--- a/core/src/main/kotlin/io/corianderrock/coordination/maintenance/OperatorDesk.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/maintenance/OperatorDesk.kt
@@ -147,22 +147,12 @@
     ): WaveRow? =
         when (action) {
             WaveAction.START ->
-                if (before.status.isOver) {
-                    WaveRow(
-                        before.name,
-                        before.run + 1,
-                        WaveStatus.RUNNING,
-                        operator,
-                        nowMs,
-                    )
-                } else {
-                    null
-                }
+                WaveRow(before.name, before.run + 1, WaveStatus.RUNNING, operator, nowMs)
+                    .takeIf { before.status.isOver }
             WaveAction.PAUSE ->
-                before.copy(status = WaveStatus.PAUSED, reason = "by $operator").takeIf {
-                    before.status ==
-                        WaveStatus.RUNNING
-                }
+                before
+                    .copy(status = WaveStatus.PAUSED, reason = "by $operator")
+                    .takeIf { before.status == WaveStatus.RUNNING }
             WaveAction.RESUME -> before.copy(status = WaveStatus.RUNNING, reason = "").takeIf { before.status == WaveStatus.PAUSED }
             WaveAction.ABORT ->
                 before
--- a/core/src/main/kotlin/io/corianderrock/coordination/maintenance/RetirementPlanner.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/maintenance/RetirementPlanner.kt
@@ -8,8 +8,7 @@
 
 /** Returns a step for each row whose instance the platform calls gone. What it held of a budget is given back. */
 public fun planRetirements(picture: FleetPicture): List<Step.ChangeRow> =
-    picture.rows.values
-        .map { it.value }
+    picture.instances
         .filter { it.phase != InstancePhase.RETIRED && picture.listed[it.id]?.state == ListedState.GONE }
         .map { row ->
             val after = row.next(InstancePhase.RETIRED, picture.nowMs).copy(wave = null, nextPool = null, drainedBy = null)
--- a/core/src/main/kotlin/io/corianderrock/coordination/maintenance/WavePlanner.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/maintenance/WavePlanner.kt
@@ -36,8 +36,7 @@
 ) {
     private val members = spec.pools.flatMap { picture.rowsOf(it) }.sortedWith(compareBy({ it.rack }, { it.id }))
     private val own =
-        picture.rows.values
-            .map { it.value }
+        picture.instances
             .filter { row -> row.wave?.let(::waveNameOf) == wave.name }
     private val nowMs = picture.nowMs
 
--- a/core/src/main/kotlin/io/corianderrock/state/RoutingTable.kt
+++ b/core/src/main/kotlin/io/corianderrock/state/RoutingTable.kt
@@ -28,15 +28,7 @@
 public data class RoutingTable(
     val configurationVersion: Long,
     val services: List<ServiceRoute>,
-) {
-    /** Returns the service with the longest prefix of [path], or null when no service matches. */
-    public fun serviceFor(path: String): ServiceRoute? = services.firstOrNull { path.startsWithSegment(it.spec.pathPrefix) }
-
-    public companion object {
-        /** The table before any configuration is known. */
-        public val EMPTY: RoutingTable = RoutingTable(configurationVersion = 0, services = emptyList())
-    }
-}
+)
 
 /** True when this path equals [prefix] or continues it at a segment boundary. */
 public fun String.startsWithSegment(prefix: String): Boolean =
