Read workers' lists only once the stored jobs are loaded

Cause: a new owner processed ends before it knew the jobs, and acknowledged ends whose effect lay in a later transaction. Change: workers are contacted after the load; contact rows are stored behind the progress that they cover; leases of workers with tasks that last are longer.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -56,7 +56,7 @@
     private fun readySteps(): List<Candidate> {
         val ready = ArrayList<Candidate>()
         for (job in book.live) {
-            if (job.isInherited && driver.isSettling) continue
+            if (job.isInherited && driver.isSettling(job.queue.pool)) continue
             for (occurrence in job.occurrences.values) {
                 for (run in occurrence.steps) {
                     if (run.isDone || !occurrence.isReady(run)) continue
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -62,6 +62,20 @@
         schedule()
     }
 
+    /** Like [put], but stored together with or after all that is pending now. */
+    fun putLast(
+        key: RowKey,
+        onStored: (StoredRow?) -> Unit,
+        value: () -> String?,
+    ) {
+        val earlier = pending.remove(key)
+        val write = Write(key, value, mustBeAbsent = false)
+        earlier?.let { write.onStored.addAll(it.onStored) }
+        write.onStored.add(onStored)
+        pending[key] = write
+        schedule()
+    }
+
     /** Rewrites the owner row when nothing else has done so lately. */
     fun renewIfDue() {
         if (inFlight == null && loop.nowMs - lastSentAtMs >= RENEW_INTERVAL_MS) send()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -231,6 +231,7 @@
 
     private fun onLoaded() {
         isLoaded = true
+        driver.open()
         requestPass()
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -54,6 +54,9 @@
     private val unsettledContacts = HashMap<String, ContactRow>()
     private var settleDeadlineMs = 0L
 
+    /** False until the stored jobs are loaded; lists of workers mean nothing before. */
+    private var isOpen = false
+
     init {
         book.onFinal = ::stopRunsOf
     }
@@ -62,8 +65,15 @@
 
     fun find(id: String): WorkerView? = byId[id]
 
-    /** True while tasks of inherited jobs may be running on a worker that has not answered. */
-    val isSettling: Boolean get() = unsettledContacts.isNotEmpty() && loop.nowMs < settleDeadlineMs
+    /** True while tasks of inherited jobs may be running on a worker of [pool] that has not answered. */
+    fun isSettling(pool: String): Boolean =
+        unsettledContacts.isNotEmpty() && loop.nowMs < settleDeadlineMs && unsettledContacts.values.any { it.pool == pool }
+
+    /** Begins to talk to workers; all stored jobs and contacts are known. */
+    fun open() {
+        isOpen = true
+        byId.values.toList().forEach(::contactIfNeeded)
+    }
 
     /** Takes the contacts of the earlier owner; until [deadlineMs] their runs may still be going on. */
     fun inherit(
@@ -75,7 +85,6 @@
             unsettledContacts[contact.workerId] = contact
             val worker = byId[contact.workerId] ?: continue
             worker.isContactStored = true
-            contactIfNeeded(worker)
         }
         for (contact in contacts) if (contact.workerId !in byId) contactUnlisted(contact)
     }
@@ -99,7 +108,6 @@
         worker.isContactStored = true
         worker.leaseEndsAtMs = settleDeadlineMs
         byId[entry.id] = worker
-        hold(worker)
     }
 
     /** Discovery lists [entry], new or changed. */
@@ -153,7 +161,7 @@
     }
 
     private fun contactIfNeeded(worker: WorkerView) {
-        if (!worker.isContacted && !worker.isHolding) hold(worker)
+        if (isOpen && !worker.isContacted && !worker.isHolding) hold(worker)
     }
 
     /** Orders [task] to be started on [worker]. The caller has checked that it may run there. */
@@ -187,6 +195,7 @@
 
     private fun contactValue(worker: WorkerView): String? {
         if (byId[worker.id] !== worker) return null
+        worker.storingEnd = worker.processedEnd
         val row = ContactRow(worker.id, worker.entry.address, worker.entry.pool, worker.bornWallMs, worker.processedEnd)
         return storedJson.encodeToString(ContactRow.serializer(), row)
     }
@@ -219,6 +228,10 @@
         ensureHolding(worker)
     }
 
+    /** Tasks that last outlive the loss of an owner; short ones end by themselves, and a short lease frees them sooner. */
+    private fun leaseMs(worker: WorkerView): Long =
+        if (worker.runs.values.any { it.stepRun.step.isLongRunning }) LASTING_LEASE_MS else SHORT_LEASE_MS
+
     private fun mayStartStill(
         worker: WorkerView,
         task: TaskRun,
@@ -233,7 +246,7 @@
             task = task.id,
             runNumber = task.runNumber,
             spec = task.stepRun.job.submission.spec,
-            expiresAtWorkerMs = worker.estimatedClockMs(loop.nowMs) + LEASE_MS,
+            expiresAtWorkerMs = worker.estimatedClockMs(loop.nowMs) + leaseMs(worker),
             fence = epoch,
             checkpoint = task.checkpoint,
             ticket = task.stepRun.tickets[worker.id],
@@ -370,7 +383,7 @@
 
     private fun holdOrder(worker: WorkerView): HoldOrder {
         val hasRuns = worker.runs.isNotEmpty() && worker.isContacted && mayOrder()
-        val expiresAtMs = if (hasRuns) worker.estimatedClockMs(loop.nowMs) + LEASE_MS else null
+        val expiresAtMs = if (hasRuns) worker.estimatedClockMs(loop.nowMs) + leaseMs(worker) else null
         val isWaiting = worker.isContacted && worker.runs.isNotEmpty() && worker.stopAnsweredAtMs.isEmpty()
         return HoldOrder(expiresAtMs, epoch, worker.storedEnd, if (isWaiting) HOLD_WAIT_MS else 0)
     }
@@ -434,6 +447,7 @@
         val contact = unsettledContacts[worker.id] ?: return
         if (contact.bornWallMs == bornWallMs) {
             worker.processedEnd = contact.storedEnd
+            worker.storingEnd = contact.storedEnd
             worker.storedEnd = contact.storedEnd
         }
     }
@@ -452,14 +466,22 @@
         worker.processedEnd = end.number
         val task = book.find(end.task.jobId)?.takeIf { it.isLive }?.task(end.task)
         worker.strangers.remove(end.task)
-        committer.put(contactKey(worker), onStored = { onEndsStored(worker) }) { contactValue(worker) }
         val current = worker.runs[end.task]
         if (current != null && current.runNumber == end.runNumber) {
             if (end.kind == EndKind.DONE) observeRunTime(current.stepRun.job.queue.name, loop.nowMs - current.startedAtMs)
             releaseRun(worker, current)
         }
         log.write("task_ended", "task", end.task, "run", end.runNumber, "worker", worker.id, "how", end.kind)
-        if (task == null) return
+        if (task != null) recordEnd(worker, task, end)
+        // Behind the progress of the jobs: an end counts as stored only together with its effect.
+        committer.putLast(contactKey(worker), onStored = { onEndsStored(worker) }) { contactValue(worker) }
+    }
+
+    private fun recordEnd(
+        worker: WorkerView,
+        task: TaskRun,
+        end: EndRow,
+    ) {
         task.lastRunNumber = maxOf(task.lastRunNumber, end.runNumber)
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
         noteOutcome(worker, task, end.kind)
@@ -525,7 +547,7 @@
     }
 
     private fun onEndsStored(worker: WorkerView) {
-        worker.storedEnd = worker.processedEnd
+        worker.storedEnd = worker.storingEnd
         if (!worker.isHolding) scheduleHoldAt(worker, loop.nowMs)
     }
 
@@ -621,6 +643,7 @@
         worker.stopAnsweredAtMs.clear()
         worker.bornWallMs = bornWallMs
         worker.processedEnd = 0
+        worker.storingEnd = 0
         worker.storedEnd = 0
         worker.acknowledgedEnd = 0
         worker.isContacted = false
@@ -661,6 +684,7 @@
             when {
                 answer !is WorkerAnswer.Listed -> LOST_HOLD_RETRY_MS
                 worker.storedEnd < worker.processedEnd -> return
+                worker.confirmedLeaseEndsAtMs == 0L -> 0L
                 else -> HOLD_GAP_MS
             }
         scheduleHoldAt(worker, loop.nowMs + delayMs)
@@ -706,11 +730,14 @@
     }
 
     companion object {
-        /** Length of a lease: two waits for a list and a time-out fit into it. */
-        private const val LEASE_MS = 4_000L
+        /** Lease of a worker with tasks that last: a restart of all entries fits into it, under the platform's least bound of 6 s. */
+        private const val LASTING_LEASE_MS = 5_600L
+
+        /** Lease of other workers: two waits for a list and a time-out fit into it. */
+        private const val SHORT_LEASE_MS = 3_500L
 
-        /** The longest that a lease may last by a clock that keeps time, with the delay of an order. */
-        const val LONGEST_LEASE_MS = 4_400L
+        /** The longest that a lease may last by a clock that is 2% slow, with the delay of an order. */
+        const val LONGEST_LEASE_MS = 6_100L
 
         /** How long a worker may hold back its list while nothing ends; under half of a lease. */
         private const val HOLD_WAIT_MS = 1_400
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -39,6 +39,8 @@
     /** Stops that were answered, with the time of the answer: a later list without the run proves it gone. */
     val stopAnsweredAtMs = HashMap<TaskId, Long>()
     var processedEnd: Long = 0
+    /** The last end that the contact row being stored covers. */
+    var storingEnd: Long = 0
     var storedEnd: Long = 0
     var acknowledgedEnd: Long = 0
     var isHolding: Boolean = false
