Wait for the leases of unanswered inherited contacts; explain waiting tasks

Cause: inherited contacts that discovery no longer listed counted as settled at once, and lost lists extended leases.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -34,6 +34,8 @@
         var hasFilling: Boolean,
     )
 
+    private var explainedAtMs = 0L
+
     private class Candidate(
         val stepRun: StepRun,
         val isLate: Boolean,
@@ -51,6 +53,46 @@
             val pool = stepRun.job.queue.pool
             place(stepRun, rooms.getOrPut(pool) { roomsOf(pool) })
         }
+        explainWaiting(ready, rooms)
+    }
+
+    /** Logs now and then why the oldest waiting tasks do not run. */
+    private fun explainWaiting(
+        ready: List<Candidate>,
+        rooms: Map<String, List<Room>>,
+    ) {
+        if (loop.nowMs - explainedAtMs < EXPLAIN_INTERVAL_MS) return
+        explainedAtMs = loop.nowMs
+        val waiting = ready.mapNotNull { candidate -> candidate.stepRun.tasks.firstOrNull { it.phase == TaskPhase.WAITING } }
+        val longest = waiting.filter { loop.nowMs - it.waitingSinceMs > EXPLAIN_AFTER_MS }.sortedBy { it.waitingSinceMs }
+        for (task in longest.take(MAX_EXPLAINED)) explain(task, rooms[task.stepRun.job.queue.pool].orEmpty(), waiting.size)
+    }
+
+    private fun explain(
+        task: TaskRun,
+        rooms: List<Room>,
+        waitingCount: Int,
+    ) {
+        val pool = task.stepRun.job.queue.pool
+        val inPool = driver.workers.filter { it.entry.pool == pool && it.isListed }
+        log.write(
+            "task_waits",
+            "task", task.id,
+            "waitedMs", loop.nowMs - task.waitingSinceMs,
+            "steps", waitingCount,
+            "pool", pool,
+            "workers", inPool.size,
+            "usable", rooms.size,
+            "withRoom", rooms.count { task.stepRun.step.occupied.fitsIn(it.free) },
+            "allowed", rooms.count { fits(task, it, 0) },
+            "setAside", inPool.count { it.isSetAside },
+            "avoided", inPool.count { loop.nowMs < it.avoidUntilMs },
+            "silent", inPool.count { it.consecutiveLostHolds > 0 },
+            "strangers", inPool.count { it.strangers.isNotEmpty() },
+            "cpu", task.stepRun.step.occupied.cpuMilli,
+            "memoryMb", task.stepRun.step.occupied.memoryMb,
+            "maxPerWorker", task.stepRun.step.maxPerWorker,
+        )
     }
 
     private fun readySteps(): List<Candidate> {
@@ -207,6 +249,11 @@
     }
 
     private companion object {
+        /** How often waiting tasks are explained, after how long, and how many at once. */
+        const val EXPLAIN_INTERVAL_MS = 1_000L
+        const val EXPLAIN_AFTER_MS = 1_000L
+        const val MAX_EXPLAINED = 3
+
         /** Tasks that last first, then by priority; late jobs after those that can meet their objective; then the smallest. */
         val ORDER: Comparator<Candidate> =
             compareBy<Candidate> { !it.stepRun.job.isLongRunning }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -81,12 +81,25 @@
         if (inFlight == null && loop.nowMs - lastSentAtMs >= RENEW_INTERVAL_MS) send()
     }
 
-    /** Gives the ownership back; nothing is written afterwards. */
+    /** Stores what is pending, then gives the ownership back; nothing is written afterwards. */
     fun release(onDone: () -> Unit) {
+        if (isClosed) {
+            onDone()
+        } else if (inFlight == null && pending.isEmpty()) {
+            giveBack(onDone)
+        } else {
+            loop.after(RELEASE_POLL_MS) { release(onDone) }
+        }
+    }
+
+    private fun giveBack(onDone: () -> Unit) {
         isClosed = true
         val freed = owner.copy(holder = "", address = "", beat = owner.beat + 1)
         val change = RowChange(expected = mapOf(OwnerRow.KEY to ownerVersion), puts = mapOf(OwnerRow.KEY to freed.encode()))
-        tables.commit(change) { onDone() }
+        tables.commit(change) { result ->
+            log.write("ownership_released", "epoch", owner.epoch, "result", result)
+            onDone()
+        }
     }
 
     fun close() {
@@ -201,6 +214,9 @@
     }
 
     private companion object {
+        /** Pause between two looks at whether all is stored before the ownership is given back. */
+        const val RELEASE_POLL_MS = 10L
+
         /** Pause between transactions, in which writes collect: 50 calls a second at most. */
         const val MIN_INTERVAL_MS = 20L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -85,6 +85,7 @@
             unsettledContacts[contact.workerId] = contact
             val worker = byId[contact.workerId] ?: continue
             worker.isContactStored = true
+            worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, deadlineMs)
         }
         for (contact in contacts) if (contact.workerId !in byId) contactUnlisted(contact)
     }
@@ -382,7 +383,9 @@
     }
 
     private fun holdOrder(worker: WorkerView): HoldOrder {
-        val hasRuns = worker.runs.isNotEmpty() && worker.isContacted && mayOrder()
+        // A worker that does not answer is not extended: its runs may be restarted once its lease is over.
+        val isAnswering = worker.isContacted && worker.consecutiveLostHolds == 0
+        val hasRuns = worker.runs.isNotEmpty() && isAnswering && mayOrder()
         val expiresAtMs = if (hasRuns) worker.estimatedClockMs(loop.nowMs) + leaseMs(worker) else null
         val isWaiting = worker.isContacted && worker.runs.isNotEmpty() && worker.stopAnsweredAtMs.isEmpty()
         return HoldOrder(expiresAtMs, epoch, worker.storedEnd, if (isWaiting) HOLD_WAIT_MS else 0)
