--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnershipKeeper.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnershipKeeper.kt
@@ -17,6 +17,18 @@
     val isSelf: Boolean,
 )
 
+/** What is known of the owner before: how long its orders may have been sent. */
+public data class EarlierOwner(
+    /** False when there was none. */
+    val existed: Boolean,
+    /** True when it was an earlier process of this entry. */
+    val isSameEntry: Boolean,
+    /** Loop time at which its last write had certainly been made. */
+    val lastWriteByMs: Long,
+    /** True when it ordered nothing after its last write: it gave the ownership back, or its process has ended. */
+    val hasStopped: Boolean,
+)
+
 /** Acquires the ownership for the entry [name] at [address]. */
 public class OwnershipKeeper(
     private val name: String,
@@ -26,7 +38,7 @@
     private val loop: EventLoop,
     private val tables: JobTables,
     private val log: DecisionLog,
-    private val onOwned: (OwnerRow, Long, Boolean) -> Unit,
+    private val onOwned: (OwnerRow, Long, EarlierOwner) -> Unit,
 ) {
     @Volatile
     private var known: OwnerRow? = null
@@ -124,13 +136,14 @@
         val next = OwnerRow(name, address, (row?.epoch ?: 0) + 1, 1)
         val change = RowChange(expected = mapOf(OwnerRow.KEY to version), puts = mapOf(OwnerRow.KEY to next.encode()))
         val sinceLastMs = loop.nowMs - unchangedSinceMs
+        val earlier = earlierOwner(row)
         tables.commit(change) { result ->
             isClaiming = false
             claimAtMs = Long.MAX_VALUE
             log.write("owner_claim", "epoch", next.epoch, "reason", reason, "unchangedMs", sinceLastMs, "result", result)
             when (result) {
-                is ChangeResult.Committed -> own(next, result.version, row == null)
-                is ChangeResult.Conflict -> adopt(result, next)
+                is ChangeResult.Committed -> own(next, result.version, earlier)
+                is ChangeResult.Conflict -> adopt(result, next, earlier)
                 // Its effect shows at the next read: the row then names this entry as its holder.
                 is ChangeResult.Failed -> loop.after(CLAIM_RETRY_MS) { readNow() }
             }
@@ -141,20 +154,31 @@
     private fun adopt(
         conflict: ChangeResult.Conflict,
         claimed: OwnerRow,
+        earlier: EarlierOwner,
     ) {
         val row = conflict.rows.firstOrNull() ?: return
-        if (OwnerRow.decode(row.value) == claimed) own(claimed, row.version, false) else readNow()
+        if (OwnerRow.decode(row.value) == claimed) own(claimed, row.version, earlier) else readNow()
+    }
+
+    private fun earlierOwner(row: OwnerRow?): EarlierOwner {
+        val isSameEntry = row != null && row.holder == name && row.address == address
+        return EarlierOwner(
+            existed = row != null,
+            isSameEntry = isSameEntry,
+            lastWriteByMs = if (isSameEntry) processStartMs else unchangedSinceMs,
+            hasStopped = row == null || row.holder.isEmpty() || isSameEntry,
+        )
     }
 
     private fun own(
         row: OwnerRow,
         version: Long,
-        isFirst: Boolean,
+        earlier: EarlierOwner,
     ) {
         if (isStopped) return
         isOwner = true
         known = row
-        onOwned(row, version, isFirst)
+        onOwned(row, version, earlier)
     }
 
     private companion object {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -7,6 +7,7 @@
 import io.corianderrock.jobs.fleet.FleetController
 import io.corianderrock.jobs.fleet.PoolDemand
 import io.corianderrock.jobs.fleet.WaveDriver
+import io.corianderrock.jobs.ownership.EarlierOwner
 import io.corianderrock.jobs.ownership.OwnerRow
 import io.corianderrock.jobs.placement.Placer
 import io.corianderrock.jobs.placement.RunTimes
@@ -75,7 +76,7 @@
     bounds: SchedulerBounds,
     private val owner: OwnerRow,
     ownerVersion: Long,
-    private val isFirstOwner: Boolean,
+    private val earlier: EarlierOwner,
     private val onLost: () -> Unit,
 ) {
     private val loop = ports.loop
@@ -87,7 +88,8 @@
         WorkerDriver(loop, ports.workers, committer, book, log, owner.epoch, ::mayOrder, ::requestPass, runTimes::observe)
     private val placer = Placer(loop, book, driver, runTimes, ports.advice, log, ports.configuration, ::mayOrder)
     private val demand = PoolDemand(loop, book, runTimes)
-    private val machineOrdersFromMs = if (isFirstOwner) loop.nowMs else loop.nowMs + bounds.machineLeaseMs + ORDER_FRESHNESS_MS
+    private val machineOrdersFromMs =
+        if (earlier.isSameEntry || !earlier.existed) loop.nowMs else earlierOrdersEndMs(ORDER_FRESHNESS_MS) + bounds.machineLeaseMs + TURN_MARGIN_MS
     private val fleet =
         FleetController(
             loop = loop,
@@ -114,7 +116,7 @@
             demand.onAccepted(job)
             requestPass()
         }
-        if (isFirstOwner) onLoaded() else load()
+        if (earlier.existed) load() else onLoaded()
         tick()
     }
 
@@ -185,6 +187,10 @@
 
     private fun mayOrderMachines(): Boolean = isLoaded && isOwnershipFresh(ORDER_FRESHNESS_MS)
 
+    /** When the earlier owner has sent its last order: it sends none later than [freshnessMs] after its last write. */
+    private fun earlierOrdersEndMs(freshnessMs: Long): Long =
+        if (earlier.hasStopped) earlier.lastWriteByMs else earlier.lastWriteByMs + freshnessMs
+
     private fun load() {
         val tables = listOf(Table.JOBS, Table.PROGRESS, Table.CONTACTS, Table.WAVES)
         val found = HashMap<Table, List<StoredRow>>()
@@ -223,7 +229,7 @@
             book.load(submission, progress[submission.id], isInherited = true)
         }
         val contacts = found.getValue(Table.CONTACTS).mapNotNull { decodeStored(ContactRow.serializer(), it.value) }
-        driver.inherit(contacts, loop.nowMs + ORDER_FRESHNESS_WORKERS_MS + WorkerDriver.LONGEST_LEASE_MS)
+        driver.inherit(contacts, earlierOrdersEndMs(ORDER_FRESHNESS_WORKERS_MS) + WorkerDriver.LONGEST_LEASE_MS)
         waveDriver.load(found.getValue(Table.WAVES))
         onLoaded()
         log.write("owner_loaded", "epoch", owner.epoch, "jobs", book.live.size, "contacts", contacts.size, "waves", found.getValue(Table.WAVES).size)
@@ -303,6 +309,9 @@
         /** Orders to instances need a write confirmed within this time; the next owner waits for as long. */
         const val ORDER_FRESHNESS_MS = 1_500L
 
+        /** Added to the time between orders of two owners, for delays on the way. */
+        const val TURN_MARGIN_MS = 200L
+
         /** States are told from memory for this long after the last confirmed write. */
         const val STATE_FRESHNESS_MS = 2_500L
 
