--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoreDesk.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoreDesk.kt
@@ -10,7 +10,7 @@
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.Table
-import io.corianderrock.jobs.runs.Inbox
+import io.corianderrock.jobs.runs.InboxNote
 import io.corianderrock.jobs.runs.decodeStored
 import io.corianderrock.jobs.runs.storedJson
 import io.corianderrock.jobs.state.JobProgress
@@ -63,7 +63,7 @@
                 puts =
                     mapOf(
                         key to storedJson.encodeToString(JobSubmission.serializer(), submission),
-                        RowKey(Table.INBOX, submission.id) to Inbox.SUBMITTED,
+                        InboxNote(submission.id, isCancel = false).key to NOTE,
                     ),
             )
         tables.commit(change) { onAnswer(answerTo(it)) }
@@ -123,12 +123,15 @@
             when {
                 job !is ReadResult.Rows -> onAnswer(CallerAnswer.NotDone("the store cannot be read", RETRY_AFTER_MS))
                 job.rows.isEmpty() -> onAnswer(CallerAnswer.Unknown)
-                else -> tables.commit(RowChange(puts = mapOf(RowKey(Table.INBOX, id) to Inbox.CANCEL))) { onAnswer(answerTo(it)) }
+                else -> tables.commit(RowChange(puts = mapOf(InboxNote(id, isCancel = true).key to NOTE))) { onAnswer(answerTo(it)) }
             }
         }
     }
 
     private companion object {
+        /** Value of inbox rows, which tell by their keys. */
+        const val NOTE = "1"
+
         /** A store outage or a takeover lasts some seconds. */
         const val RETRY_AFTER_MS = 1_000L
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/Drainer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/Drainer.kt
@@ -14,7 +14,8 @@
     private val driver: WorkerDriver,
 ) {
     /** True when nothing that lasts keeps the worker from becoming empty by itself. */
-    fun canEmptySoon(worker: WorkerView?): Boolean = worker != null && worker.isContacted && worker.runs.values.none { it.stepRun.step.isLongRunning }
+    fun canEmptySoon(worker: WorkerView?): Boolean =
+        worker != null && worker.isContacted && worker.runs.values.none { it.stepRun.step.isLongRunning }
 
     /** Stops tasks that last on [worker] as far as their steps allow it now. */
     fun evictLasting(worker: WorkerView) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -59,10 +59,20 @@
     fun tick() {
         refresh()
         if (!isReady) return
-        val standby = configuration()?.pools?.values?.firstOrNull { it.isStandby }?.name ?: return
+        val standby =
+            configuration()
+                ?.pools
+                ?.values
+                ?.firstOrNull { it.isStandby }
+                ?.name ?: return
         val needs = demand.needs(::capacityOf)
         val supplies = byId.values.groupBy { it.machine.pool }
-        val pools = configuration()?.pools?.values?.filter { !it.isStandby }.orEmpty()
+        val pools =
+            configuration()
+                ?.pools
+                ?.values
+                ?.filter { !it.isStandby }
+                .orEmpty()
         for (pool in pools) {
             val need = needs[pool.name] ?: PoolNeed(0, 0, 0, 0.0, 0.0)
             val wanted = maxOf(need.machineCount, MIN_MACHINES)
@@ -134,7 +144,10 @@
     ) {
         val empty =
             byId.values.filter {
-                it.machine.pool != pool && it.machine.pool != standby && it.setAside == SetAsideReason.SURPLUS && isMovable(it) &&
+                it.machine.pool != pool &&
+                    it.machine.pool != standby &&
+                    it.setAside == SetAsideReason.SURPLUS &&
+                    isMovable(it) &&
                     isSurelyEmpty(it)
             }
         for (view in empty.take(missing)) {
@@ -144,7 +157,10 @@
     }
 
     private fun isMovable(view: MachineView): Boolean =
-        view.machine.state == MachineState.UP && !view.isOrdered && loop.nowMs >= view.retryAtMs && view.setAside != SetAsideReason.MAINTENANCE
+        view.machine.state == MachineState.UP &&
+            !view.isOrdered &&
+            loop.nowMs >= view.retryAtMs &&
+            view.setAside != SetAsideReason.MAINTENANCE
 
     private fun shrink(
         pool: String,
@@ -240,8 +256,14 @@
     }
 
     private fun capacityOf(pool: String): Demand =
-        byId.values.firstOrNull { it.machine.pool == pool }?.machine?.capacity
-            ?: byId.values.firstOrNull()?.machine?.capacity
+        byId.values
+            .firstOrNull { it.machine.pool == pool }
+            ?.machine
+            ?.capacity
+            ?: byId.values
+                .firstOrNull()
+                ?.machine
+                ?.capacity
             ?: Demand()
 
     private fun refresh() {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -77,7 +77,15 @@
             }
             val runningCount = run.tasks.count { it.occupiesWorker }
             running += times(step.occupied, runningCount)
-            if (step.after.any { !run.job.occurrences.getValue(run.occurrence).steps[it].isDone }) continue
+            if (step.after.any {
+                    !run.job.occurrences
+                        .getValue(run.occurrence)
+                        .steps[it]
+                        .isDone
+                }
+            ) {
+                continue
+            }
             val waitingCount = run.tasks.count { it.phase == TaskPhase.WAITING }
             waiting += times(step.occupied, waitingCount)
             waitingWork += waitingCount * step.occupied.cpuMilli * runTimes.expectedMs(run) / MILLI
@@ -86,7 +94,8 @@
         val backlogCpu = minOf(waiting.cpuMilli.toDouble(), waitingWork * MILLI / BACKLOG_HORIZON_MS)
         val ordinaryCpu = max(arriving * ARRIVAL_MARGIN, running.cpuMilli + backlogCpu)
         val ordinaryMemory = (running.memoryMb + waiting.memoryMb * (if (waiting.cpuMilli == 0) 1.0 else backlogCpu / waiting.cpuMilli))
-        val lastingCount = max(spread, max(count(lasting.cpuMilli.toDouble(), capacity.cpuMilli), count(lasting.memoryMb.toDouble(), capacity.memoryMb)))
+        val lastingCount =
+            max(spread, max(count(lasting.cpuMilli.toDouble(), capacity.cpuMilli), count(lasting.memoryMb.toDouble(), capacity.memoryMb)))
         val total =
             maxOf(
                 lastingCount,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerRow.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerRow.kt
@@ -6,8 +6,8 @@
 
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.Table
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /** [holder] and [address] are empty while nobody owns. [beat] rises with each write of the holder. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnershipKeeper.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnershipKeeper.kt
@@ -112,7 +112,14 @@
             isSuspectedDead = false
         }
         val claim = unansweredClaim
-        if (claim != null && stored != null && row == claim.row) own(row, stored.version, claim.earlier) else judge(row, stored?.version ?: 0)
+        if (claim != null &&
+            stored != null &&
+            row == claim.row
+        ) {
+            own(row, stored.version, claim.earlier)
+        } else {
+            judge(row, stored?.version ?: 0)
+        }
     }
 
     private fun judge(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -77,21 +77,39 @@
         val inPool = driver.workers.filter { it.entry.pool == pool && it.isListed }
         log.write(
             "task_waits",
-            "task", task.id,
-            "waitedMs", loop.nowMs - task.waitingSinceMs,
-            "steps", waitingCount,
-            "pool", pool,
-            "workers", inPool.size,
-            "usable", rooms.size,
-            "withRoom", rooms.count { task.stepRun.step.occupied.fitsIn(it.free) },
-            "allowed", rooms.count { fits(task, it, 0) },
-            "setAside", inPool.count { it.isSetAside },
-            "avoided", inPool.count { loop.nowMs < it.avoidUntilMs },
-            "silent", inPool.count { it.consecutiveLostHolds > 0 },
-            "strangers", inPool.count { it.strangers.isNotEmpty() },
-            "cpu", task.stepRun.step.occupied.cpuMilli,
-            "memoryMb", task.stepRun.step.occupied.memoryMb,
-            "maxPerWorker", task.stepRun.step.maxPerWorker,
+            "task",
+            task.id,
+            "waitedMs",
+            loop.nowMs - task.waitingSinceMs,
+            "steps",
+            waitingCount,
+            "pool",
+            pool,
+            "workers",
+            inPool.size,
+            "usable",
+            rooms.size,
+            "withRoom",
+            rooms.count {
+                task.stepRun.step.occupied
+                    .fitsIn(it.free)
+            },
+            "allowed",
+            rooms.count { fits(task, it, 0) },
+            "setAside",
+            inPool.count { it.isSetAside },
+            "avoided",
+            inPool.count { loop.nowMs < it.avoidUntilMs },
+            "silent",
+            inPool.count { it.consecutiveLostHolds > 0 },
+            "strangers",
+            inPool.count { it.strangers.isNotEmpty() },
+            "cpu",
+            task.stepRun.step.occupied.cpuMilli,
+            "memoryMb",
+            task.stepRun.step.occupied.memoryMb,
+            "maxPerWorker",
+            task.stepRun.step.maxPerWorker,
         )
     }
 
@@ -216,7 +234,12 @@
         val capacity = room.worker.entry.capacity
         var cost = left.cpuMilli.toDouble() / maxOf(1, capacity.cpuMilli) + left.memoryMb.toDouble() / maxOf(1, capacity.memoryMb)
         if (step.preferredRack != null && step.preferredRack !in room.worker.entry.labels) cost += REMOTE_COST
-        if (racks.isNotEmpty() && room.worker.entry.labels.none { it in racks }) cost += REMOTE_COST
+        if (racks.isNotEmpty() &&
+            room.worker.entry.labels
+                .none { it in racks }
+        ) {
+            cost += REMOTE_COST
+        }
         if (task.lastFailedWorkerId == room.worker.id) cost += FAILED_THERE_COST
         return cost
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RunTimes.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RunTimes.kt
@@ -39,7 +39,10 @@
 
     /** When the objective of [job] ends, in loop time. */
     fun objectiveAtMs(job: JobRun): Double {
-        val steps = job.occurrences.values.lastOrNull()?.steps ?: return job.acceptedAtMs.toDouble()
+        val steps =
+            job.occurrences.values
+                .lastOrNull()
+                ?.steps ?: return job.acceptedAtMs.toDouble()
         val endsMs = DoubleArray(steps.size)
         for (run in steps) endsMs[run.number] = (run.step.after.maxOfOrNull { endsMs[it] } ?: 0.0) + expectedMs(run)
         return job.acceptedAtMs + job.queue.targetLatencyMs + job.queue.stretchFactor * (endsMs.maxOrNull() ?: 0.0)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -13,7 +13,7 @@
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.StoredRow
-import io.corianderrock.jobs.ports.Table
+import kotlin.math.abs
 
 internal class Committer(
     private val loop: EventLoop,
@@ -43,6 +43,14 @@
     private var isClosed = false
     private var failures = 0
 
+    private var confirmedWallMs = loop.wallMs
+
+    /** Time since then. The steady clock stands still while the machine is suspended; the time of day does not. */
+    val sinceConfirmedMs: Long get() = maxOf(loop.nowMs - confirmedAtMs, abs(loop.wallMs - confirmedWallMs))
+
+    /** True while transactions fail or have no answer. */
+    val isInTrouble: Boolean get() = failures > 0 || inFlight != null && loop.nowMs - lastSentAtMs > SLOW_MS
+
     /** When the last transaction that succeeded was sent; ownership is certain only for a while after. */
     var confirmedAtMs: Long = loop.nowMs
         private set
@@ -167,6 +175,7 @@
         owner = batch.owner
         ownerVersion = version
         confirmedAtMs = sentAtMs
+        confirmedWallMs = loop.wallMs - (loop.nowMs - sentAtMs)
         inFlight = null
         for (write in batch.writes) write.onStored.forEach { it(null) }
         if (pending.isNotEmpty()) schedule()
@@ -214,6 +223,9 @@
     }
 
     private companion object {
+        /** A transaction without an answer for this long is in trouble; an answer usually takes 5 ms. */
+        const val SLOW_MS = 100L
+
         /** Pause between two looks at whether all is stored before the ownership is given back. */
         const val RELEASE_POLL_MS = 10L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobBook.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobBook.kt
@@ -45,8 +45,10 @@
         progress: JobProgress?,
         isInherited: Boolean,
     ): JobRun {
-        jobs[submission.id]?.takeIf { it.isStored }?.let { return it }
-        val job = JobRun(submission, isInherited, loop.nowMs)
+        val present = jobs[submission.id]
+        if (present != null && present.isStored) return present
+        // A submission of the same job may be on its way to the store: there is one view of a job.
+        val job = present ?: JobRun(submission, isInherited, loop.nowMs)
         progress?.let { job.restore(it, loop.nowMs) }
         enter(job)
         return job
@@ -144,8 +146,7 @@
     }
 
     /** Counts the accepted jobs of [queueName] of which no task has started. */
-    fun pendingCount(queueName: String): Int =
-        liveJobs.values.count { it.queue.name == queueName && it.state == JobState.QUEUED }
+    fun pendingCount(queueName: String): Int = liveJobs.values.count { it.queue.name == queueName && it.state == JobState.QUEUED }
 
     private fun completeIfDone(job: JobRun) {
         if (job.state.isFinal || job.isLongRunning) return
@@ -174,12 +175,15 @@
         onStored: () -> Unit = {},
     ) {
         committer.put(RowKey(Table.PROGRESS, job.id), onStored = {
-            if (job.state.isFinal) {
-                job.shownState = job.state
+            if (job.storingState.isFinal) {
+                job.shownState = job.storingState
                 compact(job)
             }
             onStored()
-        }) { storedJson.encodeToString(JobProgress.serializer(), job.progress()) }
+        }) {
+            job.storingState = job.state
+            storedJson.encodeToString(JobProgress.serializer(), job.progress())
+        }
     }
 
     /** Frees the task views of a final job once nothing of it runs. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -101,7 +101,13 @@
     private val placer = Placer(loop, book, driver, runTimes, ports.advice, log, ports.configuration, ::mayOrder)
     private val demand = PoolDemand(loop, book, runTimes)
     private val machineOrdersFromMs =
-        if (earlier.isSameEntry || !earlier.existed) loop.nowMs else earlierOrdersEndMs(ORDER_FRESHNESS_MS) + bounds.machineLeaseMs + TURN_MARGIN_MS
+        if (earlier.isSameEntry ||
+            !earlier.existed
+        ) {
+            loop.nowMs
+        } else {
+            earlierOrdersEndMs(ORDER_FRESHNESS_MS) + bounds.machineLeaseMs + TURN_MARGIN_MS
+        }
     private val fleet =
         FleetController(
             loop = loop,
@@ -159,6 +165,8 @@
     public fun state(id: String): JobAnswer {
         if (!isLoaded || isClosed || !isOwnershipFresh(STATE_FRESHNESS_MS)) return JobAnswer(isAvailable = false)
         val job = book.find(id)?.takeIf { it.isStored } ?: return JobAnswer(isAvailable = true)
+        // A final state that is on its way to the store may be there already: only the store can tell.
+        if (job.state != job.shownState && committer.isInTrouble) return JobAnswer(isAvailable = false)
         return JobAnswer(true, job.shownState, job.queue.name)
     }
 
@@ -195,11 +203,15 @@
     }
 
     private fun isOwnershipFresh(withinMs: Long): Boolean =
-        !isClosed && committer.confirmedAtMs > fencedAtMs && loop.nowMs - committer.confirmedAtMs < withinMs
+        !isClosed && committer.confirmedAtMs > fencedAtMs && committer.sinceConfirmedMs < withinMs
 
     /** A worker knows a newer owner: nothing is ordered until a write shows whether that is so. */
     private fun onFenced() {
-        if (fencedAtMs < committer.confirmedAtMs) log.write("fenced", "epoch", owner.epoch, "confirmedAgoMs", loop.nowMs - committer.confirmedAtMs)
+        if (fencedAtMs <
+            committer.confirmedAtMs
+        ) {
+            log.write("fenced", "epoch", owner.epoch, "confirmedAgoMs", loop.nowMs - committer.confirmedAtMs)
+        }
         fencedAtMs = loop.nowMs
     }
 
@@ -212,7 +224,7 @@
         if (earlier.hasStopped) earlier.lastWriteByMs else earlier.lastWriteByMs + freshnessMs
 
     private fun load() {
-        val tables = listOf(Table.JOBS, Table.PROGRESS, Table.CONTACTS, Table.WAVES)
+        val tables = listOf(Table.JOBS, Table.PROGRESS, Table.CONTACTS, Table.WAVES, Table.INBOX)
         val found = HashMap<Table, List<StoredRow>>()
         for (table in tables) {
             scan(table) { rows ->
@@ -251,8 +263,20 @@
         val contacts = found.getValue(Table.CONTACTS).mapNotNull { decodeStored(ContactRow.serializer(), it.value) }
         driver.inherit(contacts, earlierOrdersEndMs(ORDER_FRESHNESS_WORKERS_MS) + driver.longestLeaseBoundMs)
         waveDriver.load(found.getValue(Table.WAVES))
+        // Before anything starts: a job may have been cancelled while nobody owned.
+        found.getValue(Table.INBOX).forEach(::takeFromInbox)
         onLoaded()
-        log.write("owner_loaded", "epoch", owner.epoch, "jobs", book.live.size, "contacts", contacts.size, "waves", found.getValue(Table.WAVES).size)
+        log.write(
+            "owner_loaded",
+            "epoch",
+            owner.epoch,
+            "jobs",
+            book.live.size,
+            "contacts",
+            contacts.size,
+            "waves",
+            found.getValue(Table.WAVES).size,
+        )
     }
 
     private fun onLoaded() {
@@ -298,28 +322,24 @@
     }
 
     private fun takeFromInbox(row: StoredRow) {
-        val jobId = row.key.key
-        val isCancel = row.value == Inbox.CANCEL
-        val job = book.find(jobId)?.takeIf { it.isStored }
-        if (job != null) {
-            settleInbox(row, isCancel)
+        val note = InboxNote.of(row.key)
+        if (book.find(note.jobId)?.isStored == true) {
+            settle(note)
             return
         }
-        ports.tables.read(RowKey(Table.JOBS, jobId)) { result ->
+        ports.tables.read(RowKey(Table.JOBS, note.jobId)) { result ->
             val stored = (result as? ReadResult.Rows)?.rows?.firstOrNull() ?: return@read
             val submission = decodeStored(JobSubmission.serializer(), stored.value) ?: return@read
-            log.write("job_from_inbox", "job", jobId, "version", stored.version)
+            log.write("job_from_inbox", "job", note.jobId, "version", stored.version)
             book.load(submission, progress = null, isInherited = false)
-            settleInbox(row, isCancel)
+            settle(note)
         }
     }
 
-    private fun settleInbox(
-        row: StoredRow,
-        isCancel: Boolean,
-    ) {
-        val job = book.find(row.key.key) ?: return
-        if (isCancel) book.cancel(job) { committer.put(row.key) { null } } else committer.put(row.key) { null }
+    private fun settle(note: InboxNote) {
+        val job = book.find(note.jobId) ?: return
+        val take = { committer.put(note.key) { null } }
+        if (note.isCancel) book.cancel(job) { take() } else take()
     }
 
     private companion object {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -221,7 +221,8 @@
     private fun contactValue(worker: WorkerView): String? {
         if (byId[worker.id] !== worker) return null
         worker.storingEnd = worker.processedEnd
-        val row = ContactRow(worker.id, worker.entry.address, worker.entry.pool, worker.bornWallMs, worker.processedEnd, worker.entry.machineId)
+        val row =
+            ContactRow(worker.id, worker.entry.address, worker.entry.pool, worker.bornWallMs, worker.processedEnd, worker.entry.machineId)
         return storedJson.encodeToString(ContactRow.serializer(), row)
     }
 
@@ -260,8 +261,7 @@
     private fun mayStartStill(
         worker: WorkerView,
         task: TaskRun,
-    ): Boolean =
-        mayOrder() && task.stepRun.job.isLive && worker.isContacted && worker.isListed && worker.drainingSinceMs == null
+    ): Boolean = mayOrder() && task.stepRun.job.isLive && worker.isContacted && worker.isListed && worker.drainingSinceMs == null
 
     private fun startOrder(
         worker: WorkerView,
@@ -451,7 +451,11 @@
             removeWorker(worker)
             return
         }
-        if (worker.consecutiveLostHolds == 1) log.write("hold_refused", "worker", worker.id, "reason", answer.refusal, "runs", worker.runs.size)
+        if (worker.consecutiveLostHolds ==
+            1
+        ) {
+            log.write("hold_refused", "worker", worker.id, "reason", answer.refusal, "runs", worker.runs.size)
+        }
     }
 
     private fun onHoldLost(
@@ -479,7 +483,10 @@
         if (worker.bornWallMs != 0L && lists.bornWallMs > worker.bornWallMs) onNewIncarnation(worker, lists.bornWallMs)
         if (worker.bornWallMs == 0L) learnBorn(worker, lists.bornWallMs)
         if (lists.bornWallMs < worker.bornWallMs) return
-        lists.ended.filter { it.number > worker.processedEnd }.sortedBy { it.number }.forEach { onEnd(worker, it) }
+        lists.ended
+            .filter { it.number > worker.processedEnd }
+            .sortedBy { it.number }
+            .forEach { onEnd(worker, it) }
         lists.running.forEach { onRunningRow(worker, it) }
         settleStops(worker, sentAtMs, lists)
         worker.acknowledgedEnd = maxOf(worker.acknowledgedEnd, order.acknowledgedEnd)
@@ -705,7 +712,9 @@
     }
 
     private fun releaseRuns(worker: WorkerView) {
-        worker.runs.values.toList().forEach { releaseRun(worker, it) }
+        worker.runs.values
+            .toList()
+            .forEach { releaseRun(worker, it) }
         worker.startQueue.clear()
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -94,15 +94,21 @@
     /** The state that progress in memory implies. */
     var state: JobState = JobState.QUEUED
 
+    /** The state in the transaction that was last built. */
+    var storingState: JobState = JobState.QUEUED
+
     /** The state that callers may be shown: final states only after they are stored. */
     var shownState: JobState = JobState.QUEUED
     var finishedWallMs: Long = 0
     var isStored: Boolean = false
-    var hasDirtyProgress: Boolean = false
 
     val isLive: Boolean get() = isStored && !state.isFinal
     val isLongRunning: Boolean = submission.steps.any { it.isLongRunning }
-    val tasks: Sequence<TaskRun> get() = occurrences.values.asSequence().flatMap { it.steps }.flatMap { it.tasks }
+    val tasks: Sequence<TaskRun> get() =
+        occurrences.values
+            .asSequence()
+            .flatMap { it.steps }
+            .flatMap { it.tasks }
 
     fun addOccurrence(
         number: Int,
@@ -142,6 +148,7 @@
     ) {
         state = progress.state
         shownState = progress.state
+        storingState = progress.state
         finishedWallMs = progress.finishedWallMs
         if (state.isFinal) return
         for (stored in progress.steps) restore(stored, nowMs)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
@@ -35,8 +35,7 @@
     internal operator fun minus(other: Demand): Demand =
         Demand(cpuMilli - other.cpuMilli, memoryMb - other.memoryMb, gpuCount - other.gpuCount)
 
-    internal fun fitsIn(room: Demand): Boolean =
-        cpuMilli <= room.cpuMilli && memoryMb <= room.memoryMb && gpuCount <= room.gpuCount
+    internal fun fitsIn(room: Demand): Boolean = cpuMilli <= room.cpuMilli && memoryMb <= room.memoryMb && gpuCount <= room.gpuCount
 }
 
 /** A step: [count] equal tasks and the constraints on where and when they run. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -39,10 +39,12 @@
     /** Stops that were answered, with the time of the answer: a later list without the run proves it gone. */
     val stopAnsweredAtMs = HashMap<TaskId, Long>()
     var processedEnd: Long = 0
+
     /** The last end that the contact row being stored covers. */
     var storingEnd: Long = 0
     var storedEnd: Long = 0
     var acknowledgedEnd: Long = 0
+
     /** When the worker last answered with its lists. */
     var listedAtMs: Long = 0
     var isHolding: Boolean = false
@@ -63,6 +65,7 @@
 
     val occupied: Demand get() = runs.values.fold(Demand()) { sum, task -> sum + task.stepRun.step.occupied }
     val free: Demand get() = entry.capacity - occupied
+
     /** True when nothing runs here for certain. */
     val isEmpty: Boolean get() = isContacted && runs.isEmpty() && strangers.isEmpty() && startQueue.isEmpty()
 
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -0,0 +1,82 @@
+/*
+ * Seeded histories of the scheduler under failure, and the proof that each check fails without its mechanism.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.StartOrder
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.world.JobWorld
+import io.corianderrock.jobs.world.OrderTampering
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
+
+/** Seeds of one run; -Djobs.seeds=100000 plays more. */
+private val SEEDS = Integer.getInteger("jobs.seeds", 150)
+
+/** First seed of a run. */
+private val FIRST_SEED = Integer.getInteger("jobs.first.seed", 1)
+
+internal class JobWorldTest :
+    DescribeSpec({
+        describe("a calm history") {
+            it("ends every job and breaks nothing") {
+                for (seed in 1..20) {
+                    val judge = JobWorld(seed, hasFaults = false).run()
+                    judge.acceptedCount shouldBeGreaterThan 35
+                    judge.violations.map { "seed $seed: $it" }.shouldBeEmpty()
+                }
+            }
+        }
+        describe("histories with failures") {
+            it("break nothing") {
+                val violations =
+                    (FIRST_SEED until FIRST_SEED + SEEDS).flatMap { seed ->
+                        JobWorld(seed).run().violations.map { "seed $seed: $it" }
+                    }
+                violations.take(20).shouldBeEmpty()
+            }
+        }
+        describe("a mechanism switched off") {
+            it("fences: a stale owner's orders run tasks twice") {
+                violationsWith(
+                    object : OrderTampering {
+                        override fun start(order: StartOrder) = order.copy(fence = SAME_FENCE, expiresAtWorkerMs = FAR_MS)
+
+                        override fun hold(
+                            workerId: String,
+                            order: HoldOrder,
+                        ) = order.copy(fence = SAME_FENCE)
+                    },
+                ).shouldNotBeEmpty()
+            }
+            it("acknowledgement after the store: ends are lost with their owner") {
+                violationsWith(EagerAcknowledgement()).shouldNotBeEmpty()
+            }
+        }
+    })
+
+private const val SAME_FENCE = 1_000_000L
+private const val FAR_MS = 1_000_000_000L
+
+private fun violationsWith(tampering: OrderTampering): List<String> = (1..60).flatMap { JobWorld(it, tampering).run().violations }
+
+/** Acknowledges each end in the call after the one that listed it, stored or not. */
+private class EagerAcknowledgement : OrderTampering {
+    private val seen = HashMap<String, Long>()
+
+    override fun hold(
+        workerId: String,
+        order: HoldOrder,
+    ) = order.copy(acknowledgedEnd = maxOf(order.acknowledgedEnd, seen[workerId] ?: 0))
+
+    override fun listed(
+        workerId: String,
+        answer: WorkerAnswer,
+    ): WorkerAnswer {
+        if (answer is WorkerAnswer.Listed) answer.ended.maxOfOrNull { it.number }?.let { seen[workerId] = it }
+        return answer
+    }
+}
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -0,0 +1,445 @@
+/*
+ * A seeded history of jobs over a small fleet: entries that are killed, frozen or cut off, a store that is down or loses
+ * answers, workers that crash, are cut off or carry orders out late, and callers that submit, ask and cancel.
+ */
+package io.corianderrock.jobs.world
+
+import io.corianderrock.jobs.entry.CallerAnswer
+import io.corianderrock.jobs.entry.EntryDesk
+import io.corianderrock.jobs.entry.JobRequest
+import io.corianderrock.jobs.entry.LocalScheduler
+import io.corianderrock.jobs.entry.SchedulerReply
+import io.corianderrock.jobs.entry.StoreDesk
+import io.corianderrock.jobs.ownership.OwnershipKeeper
+import io.corianderrock.jobs.ports.AdviceAnswer
+import io.corianderrock.jobs.ports.EndKind
+import io.corianderrock.jobs.ports.Machine
+import io.corianderrock.jobs.ports.MachineAnswer
+import io.corianderrock.jobs.ports.MachineService
+import io.corianderrock.jobs.ports.MachineState
+import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.runs.Scheduler
+import io.corianderrock.jobs.runs.SchedulerBounds
+import io.corianderrock.jobs.runs.SchedulerPorts
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobState
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.JobsConfiguration
+import io.corianderrock.jobs.state.MaintenanceWave
+import io.corianderrock.jobs.state.Pool
+import io.corianderrock.jobs.state.Queue
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.state.TaskId
+import kotlin.random.Random
+
+/** One entry: a process that may own the scheduling. */
+internal class SimEntry(
+    val name: String,
+    private val world: JobWorld,
+) {
+    var loop = SimLoop(world.time)
+    var scheduler: Scheduler? = null
+    var isCutFromStore = false
+    var isCutFromWorkers = false
+    var isUp = false
+    private lateinit var desk: EntryDesk
+
+    fun boot() {
+        isUp = true
+        loop = SimLoop(world.time)
+        scheduler = null
+        val tables = world.store.seenBy(this)
+        val log = { event: String, fields: Array<out Any?> -> world.trace(name, event, fields) }
+        val keeper =
+            OwnershipKeeper(name, name, claimDelayMs = 20, loop, tables, log = {
+                event,
+                fields,
+                ->
+                log(event, fields)
+            }) { row, version, earlier ->
+                val ports =
+                    SchedulerPorts(
+                        loop = loop,
+                        tables = tables,
+                        workers = SimWorkerLink(world, this, Random(world.random.nextInt())),
+                        machines = world.machinesFor(this),
+                        advice = { _, _, onAnswer -> onAnswer(AdviceAnswer(null, 0)) },
+                        log = { event, fields -> log(event, fields) },
+                        configuration = { world.configuration },
+                        waves = { world.waves },
+                    )
+                val owned = Scheduler(ports, SchedulerBounds(3_000, SimWorker.LONGEST_LEASE_MS), row, version, earlier) { lose() }
+                scheduler = owned
+                world.listed().forEach(owned::onWorkerListed)
+                owned.start()
+            }
+        this.keeper = keeper
+        val local = LocalScheduler { scheduler }
+        desk =
+            EntryDesk(
+                scheduler = { request, onReply ->
+                    val owner = world.entries.firstOrNull { it.isUp && it.scheduler != null && it.loop.frozenUntilMs <= world.time.nowMs }
+                    if (scheduler != null) {
+                        local.ask(request, onReply)
+                    } else if (owner == null) {
+                        onReply(SchedulerReply.NotTaken("no owner", isProcessGone = false))
+                    } else {
+                        owner.loop.after(
+                            1,
+                        ) { LocalScheduler { owner.scheduler }.ask(request) { reply -> loop.after(1) { onReply(reply) } } }
+                    }
+                },
+                store = StoreDesk(tables),
+                log = { event, fields -> log(event, fields) },
+            )
+        keeper.start()
+    }
+
+    private var keeper: OwnershipKeeper? = null
+
+    private fun lose() {
+        scheduler = null
+        keeper?.onLost()
+    }
+
+    fun kill() {
+        isUp = false
+        loop.isKilled = true
+        scheduler = null
+    }
+
+    fun leave() {
+        keeper?.stop()
+        val owned = scheduler
+        scheduler = null
+        owned?.release {}
+        world.time.after(1_500) { kill() }
+    }
+
+    fun ask(
+        request: JobRequest,
+        onAnswer: (CallerAnswer) -> Unit,
+    ) = loop.post { desk.handle(request, onAnswer) }
+}
+
+internal class JobWorld(
+    seed: Int,
+    val tampering: OrderTampering = object : OrderTampering {},
+    private val hasFaults: Boolean = true,
+    private val traces: MutableList<String>? = null,
+) {
+    val random = Random(seed)
+    val time = SimTime()
+    val judge = Judge(time)
+    val store = SimStore(time, random)
+    val entries = List(3) { SimEntry("entry-$it", this) }
+    val configuration =
+        JobsConfiguration(
+            1,
+            emptyList(),
+            listOf(
+                Pool("a", checksAdmission = true),
+                Pool("b"),
+                Pool("spare", isStandby = true),
+            ).associateBy {
+                it.name
+            },
+        )
+    val waves = ArrayList<MaintenanceWave>()
+    var lateShare = 0.0
+    private val machines = LinkedHashMap<String, Machine>()
+    private val workers = LinkedHashMap<String, SimWorker>()
+    private val unlisted = HashSet<String>()
+    private val submissions = ArrayList<JobSubmission>()
+    private var workerCount = 0
+
+    fun trace(
+        entry: String,
+        event: String,
+        fields: Array<out Any?>,
+    ) {
+        traces?.add("${time.nowMs} $entry $event ${fields.joinToString(" ")}")
+    }
+
+    fun worker(id: String): SimWorker? = workers[id]
+
+    fun listed(): List<WorkerEntry> = workers.values.filter { it.isUp && it.entry.id !in unlisted }.map { it.entry }
+
+    fun planOf(task: TaskId): RunPlan {
+        val submission = submissions.first { it.id == task.jobId }
+        val step = submission.steps[task.step]
+        val isPoison = submission.spec == "poison"
+        val duration = if (step.isLongRunning) 1_000_000L else random.nextLong(50, 2_500)
+        return RunPlan(duration, if (isPoison || random.nextInt(20) == 0) EndKind.FAILED else EndKind.DONE, step.demand)
+    }
+
+    fun run(): Judge {
+        repeat(6) {
+            addMachine(
+                "m-$it",
+                if (it < 2) {
+                    "a"
+                } else if (it < 4) {
+                    "b"
+                } else {
+                    "spare"
+                },
+            )
+        }
+        entries.forEach { it.boot() }
+        tickWorkers()
+        time.runUntil(time.nowMs + 1_500)
+        if (random.nextBoolean()) waves.add(MaintenanceWave(1, machines.keys.take(4), 30.0, 2))
+        repeat(JOBS) { time.after(random.nextLong(0, BUSY_MS)) { submit() } }
+        if (hasFaults) repeat(random.nextInt(1, 7)) { time.after(random.nextLong(500, BUSY_MS)) { fault() } }
+        time.runUntil(time.nowMs + BUSY_MS + FAULT_MS)
+        heal()
+        time.runUntil(time.nowMs + QUIET_MS)
+        judge.onQuiet(::finalState)
+        if (waves.isNotEmpty() && store.completeWaves.isEmpty()) judge.violations.add("MIXED the wave is not complete at the end")
+        return judge
+    }
+
+    private fun finalState(id: String): JobState? {
+        var state: JobState? = null
+        entries.first { it.isUp }.ask(JobRequest.State(id, queueOf(id).name)) { if (it is CallerAnswer.State) state = it.state }
+        time.runUntil(time.nowMs + 50)
+        return state
+    }
+
+    private fun queueOf(id: String): Queue = submissions.first { it.id == id }.queue
+
+    private fun addMachine(
+        id: String,
+        pool: String,
+    ) {
+        machines[id] = Machine(id, pool, MachineState.UP, "dc", listOf("kind", "rack"), CAPACITY, null)
+        if (pool != "spare") bear(id)
+    }
+
+    private fun bear(machineId: String) {
+        val machine = machines.getValue(machineId)
+        val id = "w-${workerCount++}"
+        val entry = WorkerEntry(id, id, machine.pool, "dc", machineId, CAPACITY, machine.labels, false, null, time.nowMs)
+        workers[id] = SimWorker(entry, time, if (random.nextBoolean()) 0.98 else 1.0, judge)
+        machines[machineId] = machine.copy(state = MachineState.UP, workerId = id)
+        tellOwners { it.onWorkerListed(entry) }
+    }
+
+    private fun tellOwners(action: (Scheduler) -> Unit) {
+        for (entry in entries) entry.loop.after(2) { entry.scheduler?.let(action) }
+    }
+
+    private fun tickWorkers() {
+        workers.values.forEach { it.tick() }
+        time.after(TICK_MS) { tickWorkers() }
+    }
+
+    fun machinesFor(entry: SimEntry): MachineService =
+        object : MachineService {
+            override fun list(onResult: (List<Machine>?) -> Unit) {
+                val present = machines.values.toList()
+                entry.loop.after(3) { onResult(present) }
+            }
+
+            override fun move(
+                machineId: String,
+                pool: String,
+                token: Long,
+                onAnswer: (MachineAnswer) -> Unit,
+            ) = order(machineId, MachineState.MOVING, pool, 1_500, onAnswer)
+
+            override fun maintain(
+                machineId: String,
+                waveNumber: Int,
+                token: Long,
+                onAnswer: (MachineAnswer) -> Unit,
+            ) = order(machineId, MachineState.MAINTENANCE, null, 2_000, onAnswer)
+
+            private fun order(
+                machineId: String,
+                state: MachineState,
+                pool: String?,
+                tookMs: Long,
+                onAnswer: (MachineAnswer) -> Unit,
+            ) {
+                val answer = carryOut(machineId, state, pool, tookMs)
+                entry.loop.after(3) { onAnswer(answer) }
+            }
+        }
+
+    private fun carryOut(
+        machineId: String,
+        state: MachineState,
+        pool: String?,
+        tookMs: Long,
+    ): MachineAnswer {
+        val machine = machines.getValue(machineId)
+        if (machine.state != MachineState.UP) return MachineAnswer.Refused("busy")
+        machine.workerId?.let { id ->
+            workers[id]?.die()
+            tellOwners { it.onWorkerUnlisted(id) }
+        }
+        machines[machineId] = machine.copy(pool = pool ?: machine.pool, state = state, workerId = null)
+        time.after(tookMs) {
+            val moved = machines.getValue(machineId)
+            if (moved.pool == "spare") machines[machineId] = moved.copy(state = MachineState.UP) else bear(machineId)
+        }
+        return MachineAnswer.Accepted
+    }
+
+    private fun submit() {
+        val submission = newSubmission()
+        submissions.add(submission)
+        judge.onSubmitted(submission)
+        sendUntilAccepted(submission, attemptsLeft = 8)
+    }
+
+    private fun newSubmission(): JobSubmission {
+        val pool = if (random.nextBoolean()) "a" else "b"
+        val queue = Queue("queue-$pool", pool, maxAttempts = 3, stretchFactor = 2.0, targetLatencyMs = 600)
+        val lasts = random.nextInt(12) == 0
+        val steps =
+            if (lasts) {
+                listOf(Step(2, Demand(1_000, 1_000), isLongRunning = true, maxUnavailable = 1))
+            } else {
+                List(random.nextInt(1, 4)) {
+                    Step(
+                        random.nextInt(1, 5),
+                        Demand(random.nextInt(500, 4_000), 500),
+                        500,
+                        if (it ==
+                            0
+                        ) {
+                            emptyList()
+                        } else {
+                            listOf(it - 1)
+                        },
+                    )
+                }
+            }
+        return JobSubmission("job${submissions.size}", queue, if (random.nextInt(25) == 0) "poison" else "work", steps)
+    }
+
+    private fun sendUntilAccepted(
+        submission: JobSubmission,
+        attemptsLeft: Int,
+    ) {
+        if (attemptsLeft == 0) return
+        val entry = entries.filter { it.isUp }.randomOrNull(random)
+        var isAnswered = false
+        entry?.ask(JobRequest.Submit(submission)) { answer ->
+            if (!isAnswered && answer is CallerAnswer.Done) {
+                isAnswered = true
+                judge.onAccepted(submission.id)
+                follow(submission)
+            }
+        }
+        time.after(3_000) { if (!isAnswered) sendUntilAccepted(submission, attemptsLeft - 1) }
+    }
+
+    private fun follow(submission: JobSubmission) {
+        if (random.nextInt(10) == 0) time.after(random.nextLong(0, 3_000)) { cancel(submission) }
+        repeat(3) { time.after(random.nextLong(100, 9_000)) { askState(submission) } }
+    }
+
+    private fun cancel(submission: JobSubmission) {
+        entries.filter { it.isUp }.randomOrNull(random)?.ask(JobRequest.Cancel(submission.id, submission.queue.name)) {
+            if (it is CallerAnswer.Done) judge.onCancelled(submission.id)
+        }
+    }
+
+    private fun askState(submission: JobSubmission) {
+        entries.filter { it.isUp }.randomOrNull(random)?.ask(JobRequest.State(submission.id, submission.queue.name)) {
+            if (it is CallerAnswer.State) judge.onShown(submission.id, it.state)
+            if (it is CallerAnswer.Unknown) judge.onShown(submission.id, null)
+        }
+    }
+
+    private fun fault() {
+        val entry = entries.random(random)
+        val durationMs = random.nextLong(500, FAULT_MS)
+        when (random.nextInt(10)) {
+            0, 1 -> restart(entry, durationMs)
+            2 -> entries.forEach { restart(it, minOf(durationMs, 2_500)) }
+            3 -> freeze(entry, durationMs)
+            4 -> during(durationMs, { store.isDown = true }, { store.isDown = false })
+            5 -> during(durationMs, { entry.isCutFromStore = true }, { entry.isCutFromStore = false })
+            6 -> during(durationMs, { store.lostShare = 0.3 }, { store.lostShare = 0.0 })
+            7 -> during(durationMs, { lateShare = 0.2 }, { lateShare = 0.0 })
+            8 -> cutWorker(durationMs)
+            else -> crashWorker(durationMs)
+        }
+    }
+
+    private fun during(
+        durationMs: Long,
+        begin: () -> Unit,
+        end: () -> Unit,
+    ) {
+        begin()
+        time.after(durationMs, end)
+    }
+
+    private fun restart(
+        entry: SimEntry,
+        downMs: Long,
+    ) {
+        if (!entry.isUp) return
+        if (random.nextInt(3) == 0) entry.leave() else entry.kill()
+        time.after(maxOf(1_600, downMs)) { if (!entry.isUp) entry.boot() }
+    }
+
+    private fun freeze(
+        entry: SimEntry,
+        durationMs: Long,
+    ) {
+        entry.loop.frozenUntilMs = time.nowMs + durationMs
+        if (random.nextBoolean()) entry.loop.lostMs += durationMs
+    }
+
+    private fun cutWorker(durationMs: Long) {
+        val worker = workers.values.filter { it.isUp }.randomOrNull(random) ?: return
+        during(durationMs, { worker.isReachable = false }, { worker.isReachable = true })
+        time.after(minOf(durationMs, 4_500)) { if (!worker.isReachable) unlist(worker) }
+        time.after(durationMs + 100) { if (worker.isUp) list(worker) }
+    }
+
+    private fun crashWorker(durationMs: Long) {
+        val worker = workers.values.filter { it.isUp }.randomOrNull(random) ?: return
+        val machineId = checkNotNull(worker.entry.machineId)
+        worker.die()
+        time.after(4_500) { unlist(worker) }
+        time.after(durationMs) { if (machines.getValue(machineId).workerId == worker.entry.id) bear(machineId) }
+    }
+
+    private fun unlist(worker: SimWorker) {
+        unlisted.add(worker.entry.id)
+        tellOwners { it.onWorkerUnlisted(worker.entry.id) }
+    }
+
+    private fun list(worker: SimWorker) {
+        unlisted.remove(worker.entry.id)
+        tellOwners { it.onWorkerListed(worker.entry) }
+    }
+
+    private fun heal() {
+        store.isDown = false
+        store.lostShare = 0.0
+        lateShare = 0.0
+        workers.values.forEach { it.isReachable = true }
+        for (entry in entries) {
+            entry.isCutFromStore = false
+            if (!entry.isUp) entry.boot()
+        }
+    }
+
+    private companion object {
+        val CAPACITY = Demand(8_000, 32_000)
+        const val JOBS = 40
+        const val BUSY_MS = 15_000L
+        const val FAULT_MS = 8_000L
+        const val QUIET_MS = 45_000L
+        const val TICK_MS = 10L
+    }
+}
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/Judge.kt
@@ -0,0 +1,148 @@
+/*
+ * Checks what must hold for jobs from what the workers and the callers of the world see.
+ */
+package io.corianderrock.jobs.world
+
+import io.corianderrock.jobs.ports.EndKind
+import io.corianderrock.jobs.ports.EndRow
+import io.corianderrock.jobs.ports.StartOrder
+import io.corianderrock.jobs.state.JobState
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.TaskId
+
+internal class Judge(
+    private val time: SimTime,
+) {
+    private class JobFacts(
+        val submission: JobSubmission,
+    ) {
+        var isAccepted = false
+        var cancelledAtMs: Long? = null
+        var shownFinal: JobState? = null
+        var isOwedNothing = false
+    }
+
+    private val jobs = HashMap<String, JobFacts>()
+    private val running = HashMap<TaskId, SimWorker>()
+    private val endedDone = HashSet<Pair<TaskId, Long>>()
+    private val notedDone = HashSet<TaskId>()
+    private val doneTasks = HashSet<TaskId>()
+    private val notedFailures = HashMap<TaskId, Int>()
+    val violations = ArrayList<String>()
+    var startCount = 0
+        private set
+    val acceptedCount: Int get() = jobs.values.count { it.isAccepted }
+
+    fun onSubmitted(submission: JobSubmission) {
+        jobs.getOrPut(submission.id) { JobFacts(submission) }
+    }
+
+    fun onAccepted(id: String) {
+        jobs.getValue(id).isAccepted = true
+    }
+
+    fun onCancelled(id: String) {
+        val facts = jobs.getValue(id)
+        facts.cancelledAtMs = facts.cancelledAtMs ?: time.nowMs
+    }
+
+    fun onStart(
+        worker: SimWorker,
+        order: StartOrder,
+    ) {
+        startCount++
+        val task = order.task
+        val facts = jobs[task.jobId] ?: return violate("UNASKED $task: nobody submitted it")
+        val other = running[task]
+        if (other != null && other.isUp && task in other.runningTasks) violate("TWICE $task on ${worker.entry.id} and ${other.entry.id}")
+        if (task in notedDone) violate("TWICE $task starts after its end was noted")
+        if (facts.shownFinal == JobState.COMPLETE) violate("TWICE $task starts after its job was shown complete")
+        for (step in facts.submission.steps[task.step].after) {
+            val isDone = (0 until facts.submission.steps[step].count).all { TaskId(task.jobId, task.occurrence, step, it) in doneTasks }
+            if (!isDone) violate("ORDER $task starts before step $step is done")
+        }
+        if ((notedFailures[task] ?: 0) >= facts.submission.queue.maxAttempts &&
+            !isLasting(task)
+        ) {
+            violate("BUDGET $task has no attempt left")
+        }
+        val cancelledAtMs = facts.cancelledAtMs
+        if (cancelledAtMs != null &&
+            time.nowMs - cancelledAtMs > CANCEL_MS &&
+            worker.isReachable
+        ) {
+            violate("UNASKED $task starts long after its job was cancelled")
+        }
+        running[task] = worker
+    }
+
+    fun onEnd(
+        run: SimWorker.Run,
+        kind: EndKind,
+    ) {
+        running.remove(run.task)
+        if (kind == EndKind.DONE) {
+            endedDone.add(run.task to run.number)
+            doneTasks.add(run.task)
+        }
+    }
+
+    fun onEndNoted(end: EndRow) {
+        if (end.kind == EndKind.DONE && !isLasting(end.task)) notedDone.add(end.task)
+        if (end.kind == EndKind.FAILED) notedFailures.merge(end.task, 1, Int::plus)
+    }
+
+    fun onShown(
+        id: String,
+        state: JobState?,
+    ) {
+        val facts = jobs.getValue(id)
+        if (state == null) {
+            if (facts.isAccepted) violate("LOST $id is not known though it was accepted")
+            return
+        }
+        if (state == JobState.COMPLETE) {
+            val isDone = tasksOf(facts.submission).all { it in doneTasks }
+            if (!isDone) violate("MIXED $id is shown complete with tasks undone")
+        }
+        if (facts.shownFinal != null && state != facts.shownFinal) violate("LOST $id was ${facts.shownFinal}, then $state")
+        if (state.isFinal) facts.shownFinal = state
+    }
+
+    /** After a long calm every accepted job must have ended, but for those that last. */
+    fun onQuiet(stateOf: (String) -> JobState?) {
+        for ((id, facts) in jobs) {
+            if (!facts.isAccepted) continue
+            val state = stateOf(id)
+            val lasts = facts.submission.steps.any { it.isLongRunning }
+            if (state == null) violate("LOST $id is not known at the end")
+            if (!lasts && state?.isFinal == false) violate("LOST $id is still $state at the end")
+            if (lasts && state == JobState.ACTIVE) checkLasting(facts.submission)
+        }
+    }
+
+    private fun checkLasting(submission: JobSubmission) {
+        for (task in tasksOf(submission)) {
+            val worker = running[task]
+            if (worker == null || !worker.isUp) violate("LOST $task is to last and does not run")
+        }
+    }
+
+    private fun isLasting(task: TaskId): Boolean =
+        jobs[task.jobId]
+            ?.submission
+            ?.steps
+            ?.get(task.step)
+            ?.isLongRunning == true
+
+    private fun tasksOf(submission: JobSubmission): List<TaskId> =
+        submission.steps.flatMapIndexed { step, spec -> (0 until spec.count).map { TaskId(submission.id, 0, step, it) } }
+
+    private fun violate(text: String) {
+        violations.add("${time.nowMs}: $text")
+    }
+
+    private companion object {
+        const val CANCEL_MS = 3_000L
+    }
+}
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
@@ -0,0 +1,104 @@
+/*
+ * The store in memory, with the faults of the platform's: down for all or for one entry, answers lost, writes applied
+ * seconds later.
+ */
+package io.corianderrock.jobs.world
+
+import io.corianderrock.jobs.ports.ChangeResult
+import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.ports.JobTables
+import io.corianderrock.jobs.ports.ReadResult
+import io.corianderrock.jobs.ports.RowChange
+import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.StoredRow
+import io.corianderrock.jobs.ports.Table
+import kotlin.random.Random
+
+internal class SimStore(
+    private val time: SimTime,
+    private val random: Random,
+) {
+    private val rows = HashMap<RowKey, StoredRow>()
+    private var version = 0L
+    var isDown = false
+    var lostShare = 0.0
+    val completeWaves = HashSet<Int>()
+
+    fun apply(change: RowChange): ChangeResult {
+        val conflicts = change.expected.filter { (key, expected) -> (rows[key]?.version ?: 0) != expected }
+        if (conflicts.isNotEmpty()) return ChangeResult.Conflict(change.expected.keys.mapNotNull { rows[it] })
+        version++
+        change.puts.forEach { (key, value) -> rows[key] = StoredRow(key, value, version) }
+        change.deletes.forEach { rows.remove(it) }
+        return ChangeResult.Committed(version)
+    }
+
+    fun rowsOf(table: Table): ReadResult = ReadResult.Rows(rows.values.filter { it.key.table == table }.sortedBy { it.key.key }, version)
+
+    fun row(key: RowKey): ReadResult = ReadResult.Rows(listOfNotNull(rows[key]), version)
+
+    /** The store as [entry] reaches it. */
+    fun seenBy(entry: SimEntry): JobTables = View(entry)
+
+    private inner class View(
+        private val entry: SimEntry,
+    ) : JobTables {
+        private val loop: EventLoop = entry.loop
+
+        override fun commit(
+            change: RowChange,
+            onResult: (ChangeResult) -> Unit,
+        ) {
+            if (isUnreachable()) {
+                loop.after(TIMEOUT_MS) { onResult(ChangeResult.Failed("no answer", mayHaveApplied = true)) }
+                return
+            }
+            val isLost = random.nextDouble() < lostShare
+            val applyDelayMs = if (isLost && random.nextBoolean()) random.nextLong(500, 5_000) else random.nextLong(1, 4)
+            time.after(applyDelayMs) {
+                val result = apply(change)
+                if (!isLost) loop.after(random.nextLong(1, 4)) { onResult(result) }
+            }
+            if (isLost) loop.after(TIMEOUT_MS) { onResult(ChangeResult.Failed("answer lost", mayHaveApplied = true)) }
+        }
+
+        override fun scan(
+            table: Table,
+            onResult: (ReadResult) -> Unit,
+        ) = read({ rowsOf(table) }, onResult)
+
+        override fun read(
+            key: RowKey,
+            onResult: (ReadResult) -> Unit,
+        ) = read({ row(key) }, onResult)
+
+        private fun read(
+            rows: () -> ReadResult,
+            onResult: (ReadResult) -> Unit,
+        ) {
+            if (isUnreachable()) {
+                loop.after(TIMEOUT_MS) { onResult(ReadResult.Failed("no answer")) }
+            } else {
+                time.after(2) {
+                    val result = rows()
+                    loop.after(2) { onResult(result) }
+                }
+            }
+        }
+
+        override fun publishWave(
+            number: Int,
+            isComplete: Boolean,
+            onResult: (Boolean) -> Unit,
+        ) {
+            if (isComplete && !isUnreachable()) completeWaves.add(number)
+            loop.after(2) { onResult(!isUnreachable()) }
+        }
+
+        private fun isUnreachable(): Boolean = isDown || entry.isCutFromStore
+    }
+
+    private companion object {
+        const val TIMEOUT_MS = 900L
+    }
+}
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -0,0 +1,234 @@
+/*
+ * Workers in memory that keep to the platform's contract: fences, run numbers, leases on clocks that may be 2% slow,
+ * lists of ends until they are acknowledged, and orders that are carried out late.
+ */
+package io.corianderrock.jobs.world
+
+import io.corianderrock.jobs.ports.EndKind
+import io.corianderrock.jobs.ports.EndRow
+import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.RunningRow
+import io.corianderrock.jobs.ports.StartOrder
+import io.corianderrock.jobs.ports.StartRefusal
+import io.corianderrock.jobs.ports.StopOrder
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.ports.WorkerLink
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.TaskId
+import kotlin.random.Random
+
+/** One life of a machine. */
+internal class SimWorker(
+    val entry: WorkerEntry,
+    private val time: SimTime,
+    private val clockRate: Double,
+    private val judge: Judge,
+) {
+    class Run(
+        val task: TaskId,
+        val number: Long,
+        val startedAtMs: Long,
+        val endsAtMs: Long,
+        val kind: EndKind,
+        val demand: Demand,
+    )
+
+    private val bornAtMs = time.nowMs
+    private val running = LinkedHashMap<TaskId, Run>()
+    private val ended = ArrayList<EndRow>()
+    private val highestEnded = HashMap<TaskId, Long>()
+    private var endCount = 0L
+    private var fence = 0L
+    private var expiresAtClockMs = 0L
+    var isUp = true
+    var isReachable = true
+    val runningTasks: Set<TaskId> get() = running.keys
+
+    private val clockMs: Long get() = ((time.nowMs - bornAtMs) * clockRate).toLong()
+
+    fun tick() {
+        if (!isUp) return
+        for (run in running.values.filter { time.nowMs >= it.endsAtMs }) end(run, run.kind)
+        if (clockMs > expiresAtClockMs) running.values.toList().forEach { end(it, EndKind.LAPSED) }
+    }
+
+    fun die() {
+        isUp = false
+        running.clear()
+    }
+
+    fun start(
+        order: StartOrder,
+        plan: RunPlan,
+    ): WorkerAnswer {
+        tick()
+        if (order.fence < fence) return WorkerAnswer.Refused(StartRefusal.FENCE, clockMs)
+        fence = order.fence
+        if (order.expiresAtWorkerMs <= clockMs) return WorkerAnswer.Refused(StartRefusal.EXPIRED, clockMs)
+        if (running[order.task]?.number == order.runNumber) return WorkerAnswer.Done(clockMs)
+        extend(order.expiresAtWorkerMs)
+        if (order.task in running || order.runNumber <= (highestEnded[order.task] ?: 0)) {
+            return WorkerAnswer.Refused(StartRefusal.OLD_RUN, clockMs)
+        }
+        val used =
+            running.values.fold(
+                Demand(),
+            ) { sum, run -> Demand(sum.cpuMilli + run.demand.cpuMilli, sum.memoryMb + run.demand.memoryMb) }
+        if (used.cpuMilli + plan.demand.cpuMilli > entry.capacity.cpuMilli) return WorkerAnswer.Refused(StartRefusal.NO_ROOM, clockMs)
+        judge.onStart(this, order)
+        running[order.task] = Run(order.task, order.runNumber, time.nowMs, time.nowMs + plan.durationMs, plan.end, plan.demand)
+        return WorkerAnswer.Done(clockMs)
+    }
+
+    fun stop(order: StopOrder): WorkerAnswer {
+        tick()
+        if (order.fence < fence) return WorkerAnswer.Refused(StartRefusal.FENCE, clockMs)
+        fence = order.fence
+        val run = running[order.task]
+        if (run != null && run.number <= order.runNumber) end(run, EndKind.STOPPED)
+        highestEnded.merge(order.task, order.runNumber, ::maxOf)
+        return WorkerAnswer.Done(clockMs)
+    }
+
+    fun hold(order: HoldOrder): WorkerAnswer {
+        tick()
+        if (order.fence < fence) return WorkerAnswer.Refused(StartRefusal.FENCE, clockMs)
+        fence = order.fence
+        order.expiresAtWorkerMs?.let(::extend)
+        for (end in ended.filter { it.number <= order.acknowledgedEnd }) judge.onEndNoted(end)
+        ended.removeAll { it.number <= order.acknowledgedEnd }
+        val rows = running.values.map { RunningRow(it.task, it.number, "", 100) }
+        return WorkerAnswer.Listed(clockMs, entry.bornWallMs, rows, ended.toList())
+    }
+
+    fun hasEndAfter(number: Long): Boolean {
+        tick()
+        return ended.any { it.number > number }
+    }
+
+    private fun extend(expiresAtMs: Long) {
+        expiresAtClockMs = maxOf(expiresAtClockMs, minOf(expiresAtMs, clockMs + LONGEST_LEASE_MS))
+    }
+
+    private fun end(
+        run: Run,
+        kind: EndKind,
+    ) {
+        running.remove(run.task)
+        highestEnded.merge(run.task, run.number, ::maxOf)
+        endCount++
+        ended.add(EndRow(endCount, run.task, run.number, kind, ""))
+        judge.onEnd(run, kind)
+    }
+
+    companion object {
+        const val LONGEST_LEASE_MS = 6_000L
+    }
+}
+
+/** What a run will come to. */
+internal class RunPlan(
+    val durationMs: Long,
+    val end: EndKind,
+    val demand: Demand,
+)
+
+/** How orders are changed on their way, to show that a check fails without a mechanism. */
+internal interface OrderTampering {
+    fun start(order: StartOrder): StartOrder = order
+
+    fun hold(
+        workerId: String,
+        order: HoldOrder,
+    ): HoldOrder = order
+
+    fun listed(
+        workerId: String,
+        answer: WorkerAnswer,
+    ): WorkerAnswer = answer
+}
+
+/** The workers as an entry reaches them. */
+internal class SimWorkerLink(
+    private val world: JobWorld,
+    private val entry: SimEntry,
+    private val random: Random,
+) : WorkerLink {
+    override fun start(
+        entry: WorkerEntry,
+        order: StartOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        val sent = world.tampering.start(order)
+        send(entry, { it.start(sent, world.planOf(sent.task)) }, onAnswer)
+    }
+
+    override fun stop(
+        entry: WorkerEntry,
+        order: StopOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) = send(entry, { it.stop(order) }, onAnswer)
+
+    override fun hold(
+        entry: WorkerEntry,
+        order: HoldOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        val sent = world.tampering.hold(entry.id, order)
+        if (sent.waitMs == 0) {
+            send(entry, { world.tampering.listed(entry.id, it.hold(sent)) }, onAnswer)
+        } else {
+            send(entry, { it.hold(sent) }, onAnswer = { first ->
+                if (first is WorkerAnswer.Listed) await(entry, sent, onAnswer) else onAnswer(first)
+            })
+        }
+    }
+
+    private fun await(
+        target: WorkerEntry,
+        order: HoldOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+        waitedMs: Int = 0,
+    ) {
+        val worker = world.worker(target.id)
+        val isDue = worker == null || !reaches(worker) || waitedMs >= order.waitMs || worker.hasEndAfter(order.acknowledgedEnd)
+        if (!isDue) {
+            entry.loop.after(POLL_MS) { await(target, order, onAnswer, waitedMs + POLL_MS.toInt()) }
+            return
+        }
+        send(target, { world.tampering.listed(target.id, it.hold(order.copy(expiresAtWorkerMs = null))) }, onAnswer)
+    }
+
+    private fun reaches(worker: SimWorker): Boolean = worker.isUp && worker.isReachable && !entry.isCutFromWorkers
+
+    private fun send(
+        target: WorkerEntry,
+        order: (SimWorker) -> WorkerAnswer,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        val worker = world.worker(target.id)
+        if (worker == null || !reaches(worker)) {
+            entry.loop.after(TIMEOUT_MS) { onAnswer(WorkerAnswer.Lost("no answer", mayBeCarriedOut = true)) }
+            return
+        }
+        if (random.nextDouble() < world.lateShare) {
+            world.time.after(random.nextLong(2_000, 12_000)) { if (worker.isUp) order(worker) }
+            entry.loop.after(TIMEOUT_MS) { onAnswer(WorkerAnswer.Lost("answer lost", mayBeCarriedOut = true)) }
+            return
+        }
+        world.time.after(random.nextLong(1, 3)) {
+            val answer = if (reaches(worker)) order(worker) else null
+            if (answer == null) {
+                entry.loop.after(TIMEOUT_MS) { onAnswer(WorkerAnswer.Lost("no answer", mayBeCarriedOut = true)) }
+            } else {
+                entry.loop.after(random.nextLong(1, 3)) { onAnswer(answer) }
+            }
+        }
+    }
+
+    private companion object {
+        const val TIMEOUT_MS = 700L
+        const val POLL_MS = 20L
+    }
+}
--- a/transport/src/main/kotlin/io/corianderrock/transport/AsyncHttpClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/AsyncHttpClient.kt
@@ -39,7 +39,10 @@
     private val loop: EventLoop,
     limits: ClientLimits = ClientLimits(),
 ) {
-    private val client: OkHttpClient = newHttpClient(limits).newBuilder().dispatcher(newDispatcher()).socketFactory(ResettingSocketFactory).build()
+    private val client: OkHttpClient =
+        newHttpClient(
+            limits,
+        ).newBuilder().dispatcher(newDispatcher()).socketFactory(ResettingSocketFactory).build()
 
     /** Sends one call, once; [onResult] runs on the loop. The whole call takes at most [timeoutMs]. */
     public fun send(
