--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -24,6 +24,9 @@
     private val token: Long,
     /** Orders of the earlier owner may still be on their way until then. */
     private val ordersFromMs: Long,
+    /** Until when single instances may not be ordered, because the earlier owner ordered them lately. */
+    private val heldUntilMs: Map<String, Long>,
+    private val stuckForMs: (String) -> Long,
     private val configuration: () -> JobsConfiguration?,
     private val mayOrder: () -> Boolean,
 ) {
@@ -88,15 +91,24 @@
         standby: String,
     ) {
         val supply = machines.filter { it.machine.state != MachineState.DOWN && it.setAside == null && isUseful(it) }
-        val missing = wanted - supply.size
+        val missing = maxOf(wanted - supply.size, missingForStuck(pool, supply))
         if (missing > 0) {
             grow(pool, missing, need, machines, standby)
         }
         val peak = peakNeed(pool, wanted)
-        if (supply.size > peak) shrink(pool, supply, supply.size - peak, need)
+        if (supply.size > peak && missing <= 0) shrink(pool, supply, supply.size - peak, need)
         for (view in machines) if (view.setAside == SetAsideReason.SURPLUS) returnIfEmpty(view, standby)
     }
 
+    /** Tasks that fit nowhere, although the sum of the room would do, get one more instance at a time. */
+    private fun missingForStuck(
+        pool: String,
+        supply: List<MachineView>,
+    ): Int {
+        val isJoining = supply.any { it.machine.state != MachineState.UP || loop.nowMs - it.joinedAtMs < STUCK_MS }
+        return if (!isJoining && stuckForMs(pool) > STUCK_MS) 1 else 0
+    }
+
     /** Instances whose worker is leaving or failing do not count as supply. */
     private fun isUseful(view: MachineView): Boolean {
         val worker = workerOf(view) ?: return view.machine.state != MachineState.UP || loop.nowMs - view.joinedAtMs < JOIN_TIMEOUT_MS
@@ -156,10 +168,19 @@
         }
     }
 
+    /** The instances that were ordered lately, with the time since in milliseconds. */
+    fun recentOrders(): Map<String, Long> =
+        byId.values
+            .filter { loop.nowMs - it.orderedAtMs < RECENT_MS }
+            .associate { it.machine.id to loop.nowMs - it.orderedAtMs }
+
+    /** True when no earlier owner has ordered the instance too lately for this one to do so. */
+    fun isOrderable(view: MachineView): Boolean =
+        !view.isOrdered && loop.nowMs >= view.retryAtMs && loop.nowMs >= (heldUntilMs[view.machine.id] ?: 0)
+
     private fun isMovable(view: MachineView): Boolean =
-        view.machine.state == MachineState.UP &&
-            !view.isOrdered &&
-            loop.nowMs >= view.retryAtMs &&
+        isOrderable(view) &&
+            view.machine.state == MachineState.UP &&
             view.setAside != SetAsideReason.MAINTENANCE
 
     private fun shrink(
@@ -203,6 +224,7 @@
     ) {
         val worker = workerOf(view)
         view.isOrdered = true
+        view.orderedAtMs = loop.nowMs
         worker?.isSetAside = true
         service.move(view.machine.id, pool, token) { answer ->
             onOrdered(view, answer, "move") {
@@ -221,6 +243,7 @@
     ) {
         val worker = workerOf(view)
         view.isOrdered = true
+        view.orderedAtMs = loop.nowMs
         service.maintain(view.machine.id, waveNumber, token) { answer ->
             onOrdered(view, answer, "maintain") {
                 endWorker(view, worker)
@@ -311,6 +334,12 @@
         /** Workers that are avoided for longer than this do not count as supply. */
         const val AVOIDED_MS = 2_000L
 
+        /** Orders older than this do not matter to the next owner; above the platform's bound on turns. */
+        const val RECENT_MS = 5_000L
+
+        /** A task that has fitted nowhere for this long needs another instance. */
+        const val STUCK_MS = 600L
+
         /** How often the list is read. */
         const val LIST_INTERVAL_MS = 3_000L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -99,8 +99,8 @@
         val total =
             maxOf(
                 lastingCount,
-                count((lasting.cpuMilli + ordinaryCpu) / FILL_SHARE, capacity.cpuMilli),
-                count((lasting.memoryMb + ordinaryMemory) / FILL_SHARE, capacity.memoryMb),
+                count(lasting.cpuMilli + ordinaryCpu / FILL_SHARE, capacity.cpuMilli),
+                count(lasting.memoryMb + ordinaryMemory / FILL_SHARE, capacity.memoryMb),
             )
         return PoolNeed(total, lastingCount, running.cpuMilli, waitingWork, arriving)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/WaveDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/WaveDriver.kt
@@ -80,7 +80,7 @@
         for (view in chosen) {
             val worker = fleet.workerOf(view)
             if (worker != null) fleet.drainer.evictLasting(worker)
-            if (slots <= 0 || view.isOrdered || loop.nowMs < view.retryAtMs || view.machine.state != MachineState.UP) continue
+            if (slots <= 0 || !fleet.isOrderable(view) || view.machine.state != MachineState.UP) continue
             if (!fleet.isSurelyEmpty(view)) continue
             slots--
             maintain(wave, state, view)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerRow.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerRow.kt
@@ -10,13 +10,17 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
-/** [holder] and [address] are empty while nobody owns. [beat] rises with each write of the holder. */
+/**
+ * [holder] and [address] are empty while nobody owns. [beat] rises with each write of the holder. A holder that leaves
+ * names in [recentOrders] the instances that it ordered lately, with the time since in milliseconds.
+ */
 @Serializable
 public data class OwnerRow(
     val holder: String,
     val address: String,
     val epoch: Long,
     val beat: Long,
+    val recentOrders: Map<String, Long> = emptyMap(),
 ) {
     internal fun encode(): String = Json.encodeToString(serializer(), this)
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -36,23 +36,35 @@
 
     private var explainedAtMs = 0L
 
+    /** Since when a task has found no room, by pool. */
+    private val stuckSinceMs = HashMap<String, Long>()
+
     private class Candidate(
         val stepRun: StepRun,
         val isLate: Boolean,
         val work: Double,
     )
 
+    /** How long some task of [pool] has found no worker with room. */
+    fun stuckForMs(pool: String): Long = stuckSinceMs[pool]?.let { loop.nowMs - it } ?: 0
+
     /** Starts what can start now. */
     fun pass() {
         if (!mayOrder()) return
         val ready = readySteps()
-        if (ready.isEmpty()) return
+        if (ready.isEmpty()) {
+            stuckSinceMs.clear()
+            return
+        }
         val rooms = HashMap<String, List<Room>>()
+        val stuck = HashSet<String>()
         for (candidate in ready) {
             val stepRun = candidate.stepRun
             val pool = stepRun.job.queue.pool
-            place(stepRun, rooms.getOrPut(pool) { roomsOf(pool) })
+            if (!place(stepRun, rooms.getOrPut(pool) { roomsOf(pool) })) stuck.add(pool)
         }
+        stuckSinceMs.keys.retainAll(stuck)
+        for (pool in stuck) stuckSinceMs.putIfAbsent(pool, loop.nowMs)
         explainWaiting(ready, rooms)
     }
 
@@ -146,28 +158,29 @@
             worker.consecutiveLostHolds == 0 &&
             loop.nowMs >= worker.avoidUntilMs
 
+    /** Places the waiting tasks of [stepRun]; false when one of them found no room. */
     private fun place(
         stepRun: StepRun,
         rooms: List<Room>,
-    ) {
-        if (stepRun.job.queue.needsAdvice && !hasTickets(stepRun, rooms)) return
+    ): Boolean {
+        if (stepRun.job.queue.needsAdvice && !hasTickets(stepRun, rooms)) return true
         val waiting = stepRun.tasks.filter { it.phase == TaskPhase.WAITING }
         if (stepRun.step.isGang) {
-            placeGang(stepRun, rooms)
-            return
+            return placeGang(stepRun, rooms)
         }
         for (task in waiting) {
-            val room = best(task, rooms) ?: return
+            val room = best(task, rooms) ?: return false
             take(task, room)
         }
+        return true
     }
 
     /** A gang starts as a whole, under one run number, or not at all. */
     private fun placeGang(
         stepRun: StepRun,
         rooms: List<Room>,
-    ) {
-        if (stepRun.tasks.any { it.phase != TaskPhase.WAITING }) return
+    ): Boolean {
+        if (stepRun.tasks.any { it.phase != TaskPhase.WAITING }) return true
         val before = rooms.associateWith { it.free }
         val chosen = ArrayList<Room>()
         for (task in stepRun.tasks) {
@@ -176,7 +189,7 @@
             chosen.add(room)
         }
         before.forEach { (room, free) -> room.free = free }
-        if (chosen.size < stepRun.tasks.size) return
+        if (chosen.size < stepRun.tasks.size) return false
         val runNumber = stepRun.tasks.maxOf { it.lastRunNumber }
         val checkpoint = stepRun.tasks.firstNotNullOfOrNull { it.checkpoint }
         for ((task, room) in stepRun.tasks.zip(chosen)) {
@@ -184,6 +197,7 @@
             task.checkpoint = checkpoint
             take(task, room)
         }
+        return true
     }
 
     private fun take(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -13,7 +13,6 @@
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.StoredRow
-import kotlin.math.abs
 
 internal class Committer(
     private val loop: EventLoop,
@@ -43,17 +42,11 @@
     private var isClosed = false
     private var failures = 0
 
-    private var confirmedWallMs = loop.wallMs
-
-    /** Time since then. The steady clock stands still while the machine is suspended; the time of day does not. */
-    val sinceConfirmedMs: Long get() = maxOf(loop.nowMs - confirmedAtMs, abs(loop.wallMs - confirmedWallMs))
-
     /** True while transactions fail or have no answer. */
     val isInTrouble: Boolean get() = failures > 0 || inFlight != null && loop.nowMs - lastSentAtMs > SLOW_MS
 
-    /** When the last transaction that succeeded was sent; ownership is certain only for a while after. */
-    var confirmedAtMs: Long = loop.nowMs
-        private set
+    /** The last transaction that succeeded, by the time it was sent; ownership is certain only for a while after. */
+    val ownership = Freshness(loop)
 
     /**
      * Stores what [value] returns when the transaction is built; null deletes the row. With [mustBeAbsent] an existing
@@ -90,19 +83,25 @@
     }
 
     /** Stores what is pending, then gives the ownership back; nothing is written afterwards. */
-    fun release(onDone: () -> Unit) {
+    fun release(
+        recentOrders: Map<String, Long>,
+        onDone: () -> Unit,
+    ) {
         if (isClosed) {
             onDone()
         } else if (inFlight == null && pending.isEmpty()) {
-            giveBack(onDone)
+            giveBack(recentOrders, onDone)
         } else {
-            loop.after(RELEASE_POLL_MS) { release(onDone) }
+            loop.after(RELEASE_POLL_MS) { release(recentOrders, onDone) }
         }
     }
 
-    private fun giveBack(onDone: () -> Unit) {
+    private fun giveBack(
+        recentOrders: Map<String, Long>,
+        onDone: () -> Unit,
+    ) {
         isClosed = true
-        val freed = owner.copy(holder = "", address = "", beat = owner.beat + 1)
+        val freed = owner.copy(holder = "", address = "", beat = owner.beat + 1, recentOrders = recentOrders)
         val change = RowChange(expected = mapOf(OwnerRow.KEY to ownerVersion), puts = mapOf(OwnerRow.KEY to freed.encode()))
         tables.commit(change) { result ->
             log.write("ownership_released", "epoch", owner.epoch, "result", result)
@@ -174,8 +173,7 @@
         failures = 0
         owner = batch.owner
         ownerVersion = version
-        confirmedAtMs = sentAtMs
-        confirmedWallMs = loop.wallMs - (loop.nowMs - sentAtMs)
+        ownership.confirm(sentAtMs)
         inFlight = null
         for (write in batch.writes) write.onStored.forEach { it(null) }
         if (pending.isNotEmpty()) schedule()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -117,6 +117,8 @@
             log = log,
             token = owner.epoch,
             ordersFromMs = machineOrdersFromMs,
+            heldUntilMs = earlier.recentOrders.mapValues { (_, ageMs) -> earlier.lastWriteByMs - ageMs + bounds.machineLeaseMs + TURN_MARGIN_MS },
+            stuckForMs = placer::stuckForMs,
             configuration = ports.configuration,
             mayOrder = ::mayOrderMachines,
         )
@@ -125,7 +127,8 @@
     private var isClosed = false
     private var isPassRequested = false
     private var fencedAtMs = Long.MIN_VALUE
-    private var inboxReadAtMs = 0L
+    private val inbox = Freshness(loop)
+    private var inboxAskedAtMs = Long.MIN_VALUE / 2
     private var isReadingInbox = false
     private var tickCount = 0L
 
@@ -190,10 +193,10 @@
     /** Counts the jobs of a queue of which nothing has started; null when this scheduler cannot tell. */
     public fun pending(queueName: String): Int? = if (isLoaded && !isClosed) book.pendingCount(queueName) else null
 
-    /** Stops to order and gives the ownership back. */
+    /** Stops to order and gives the ownership back, with word of the instances that were ordered lately. */
     public fun release(onDone: () -> Unit) {
         isClosed = true
-        committer.release(onDone)
+        committer.release(fleet.recentOrders(), onDone)
     }
 
     private fun lose(reason: String) {
@@ -203,15 +206,12 @@
     }
 
     private fun isOwnershipFresh(withinMs: Long): Boolean =
-        !isClosed && committer.confirmedAtMs > fencedAtMs && committer.sinceConfirmedMs < withinMs
+        !isClosed && committer.ownership.confirmedAtMs > fencedAtMs && committer.ownership.ageMs < withinMs
 
     /** A worker knows a newer owner: nothing is ordered until a write shows whether that is so. */
     private fun onFenced() {
-        if (fencedAtMs <
-            committer.confirmedAtMs
-        ) {
-            log.write("fenced", "epoch", owner.epoch, "confirmedAgoMs", loop.nowMs - committer.confirmedAtMs)
-        }
+        val isNews = fencedAtMs < committer.ownership.confirmedAtMs
+        if (isNews) log.write("fenced", "epoch", owner.epoch, "confirmedAgoMs", committer.ownership.ageMs)
         fencedAtMs = loop.nowMs
     }
 
@@ -280,6 +280,7 @@
     }
 
     private fun onLoaded() {
+        inbox.confirm()
         isLoaded = true
         driver.open()
         requestPass()
@@ -290,7 +291,7 @@
         isPassRequested = true
         loop.after(PASS_DELAY_MS) {
             isPassRequested = false
-            if (!isClosed) placer.pass()
+            if (!isClosed && inbox.ageMs < INBOX_FRESHNESS_MS) placer.pass()
         }
     }
 
@@ -312,12 +313,15 @@
 
     /** Takes what entries stored on their own while they could not reach this one. */
     private fun readInboxIfDue() {
-        if (isReadingInbox || loop.nowMs - inboxReadAtMs < INBOX_INTERVAL_MS) return
+        if (isReadingInbox || loop.nowMs - inboxAskedAtMs < INBOX_INTERVAL_MS) return
         isReadingInbox = true
+        val sentAtMs = loop.nowMs
+        inboxAskedAtMs = sentAtMs
         ports.tables.scan(Table.INBOX) { result ->
             isReadingInbox = false
-            inboxReadAtMs = loop.nowMs
-            if (!isClosed && result is ReadResult.Rows) result.rows.forEach(::takeFromInbox)
+            if (isClosed || result !is ReadResult.Rows) return@scan
+            inbox.confirm(sentAtMs)
+            result.rows.forEach(::takeFromInbox)
         }
     }
 
@@ -364,6 +368,9 @@
         /** Pause after a scan that failed. */
         const val SCAN_RETRY_MS = 200L
 
+        /** Nothing starts unless the inbox was read within this time: a cancel in it counts after 3 s. */
+        const val INBOX_FRESHNESS_MS = 2_500L
+
         /** How often the inbox is read. */
         const val INBOX_INTERVAL_MS = 1_000L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -806,7 +806,7 @@
         const val HOLD_WAIT_MS = 1_100
 
         /** Pause between two lists, in which ends collect. */
-        const val HOLD_GAP_MS = 15L
+        const val HOLD_GAP_MS = 35L
 
         /** Pause before a worker that did not answer is asked again. */
         const val LOST_HOLD_RETRY_MS = 250L
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
@@ -91,8 +91,9 @@
             isComplete: Boolean,
             onResult: (Boolean) -> Unit,
         ) {
-            if (isComplete && !isUnreachable()) completeWaves.add(number)
-            loop.after(2) { onResult(!isUnreachable()) }
+            val isStored = !isUnreachable()
+            if (isComplete && isStored) completeWaves.add(number)
+            loop.after(2) { onResult(isStored) }
         }
 
         private fun isUnreachable(): Boolean = isDown || entry.isCutFromStore
