Share spare instances among pools by what they lack; forecast without missed jobs

Cause: a pool with a backlog of jobs that could no longer be in time took all spare instances, and other pools waited 12 s; a machine list that could not be read was asked for again only after 3 s. Ruled out: lost connections (187 of them belong to the final fault).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -76,30 +76,56 @@
                 ?.values
                 ?.filter { !it.isStandby }
                 .orEmpty()
-        for (pool in pools) {
-            val need = needs[pool.name] ?: PoolNeed(0, 0, 0, 0.0, 0.0)
-            val wanted = maxOf(need.machineCount, MIN_MACHINES)
-            adjust(pool.name, wanted, need, supplies[pool.name].orEmpty(), standby)
+        val states = pools.map { stateOf(it.name, needs[it.name] ?: NO_NEED, supplies[it.name].orEmpty()) }
+        val shares = share(states, byId.values.count { it.machine.pool == standby && isMovable(it) })
+        for (state in states) {
+            if (state.missing > 0) grow(state, shares[state.pool] ?: 0, standby)
+            if (state.surplus > 0) shrink(state)
+            for (view in state.machines) if (view.setAside == SetAsideReason.SURPLUS) returnIfEmpty(view, standby)
         }
     }
 
-    private fun adjust(
+    /** What a pool has and lacks now. */
+    private class PoolState(
+        val pool: String,
+        val need: PoolNeed,
+        val machines: List<MachineView>,
+        val supply: List<MachineView>,
+        val missing: Int,
+        val surplus: Int,
+    )
+
+    private fun stateOf(
         pool: String,
-        wanted: Int,
         need: PoolNeed,
         machines: List<MachineView>,
-        standby: String,
-    ) {
+    ): PoolState {
+        val wanted = maxOf(need.machineCount, MIN_MACHINES)
         val supply = machines.filter { it.machine.state != MachineState.DOWN && it.setAside == null && isUseful(it) }
         val missing = maxOf(wanted - supply.size, missingForStuck(pool, supply))
-        if (missing > 0) {
-            grow(pool, missing, need, machines, standby)
+        val surplus = if (missing > 0) 0 else supply.size - peakNeed(pool, wanted)
+        return PoolState(pool, need, machines, supply, missing, surplus)
+    }
+
+    /** Deals [spareCount] instances out one by one, each to the pool that lacks the largest part of its need. */
+    private fun share(
+        states: List<PoolState>,
+        spareCount: Int,
+    ): Map<String, Int> {
+        val shares = HashMap<String, Int>()
+        repeat(spareCount) {
+            val neediest = states.maxByOrNull { lackingPart(it, shares[it.pool] ?: 0) } ?: return shares
+            if (lackingPart(neediest, shares[neediest.pool] ?: 0) <= 0.0) return shares
+            shares.merge(neediest.pool, 1, Int::plus)
         }
-        val peak = peakNeed(pool, wanted)
-        if (supply.size > peak && missing <= 0) shrink(pool, supply, supply.size - peak, need)
-        for (view in machines) if (view.setAside == SetAsideReason.SURPLUS) returnIfEmpty(view, standby)
+        return shares
     }
 
+    private fun lackingPart(
+        state: PoolState,
+        share: Int,
+    ): Double = (state.missing - share).toDouble() / (state.supply.size + state.missing).coerceAtLeast(1)
+
     /** Tasks that fit nowhere, although the sum of the room would do, get one more instance at a time. */
     private fun missingForStuck(
         pool: String,
@@ -128,24 +154,22 @@
     }
 
     private fun grow(
-        pool: String,
-        missing: Int,
-        need: PoolNeed,
-        machines: List<MachineView>,
+        state: PoolState,
+        share: Int,
         standby: String,
     ) {
-        var left = missing
-        for (view in machines.filter { it.setAside == SetAsideReason.SURPLUS && !it.isOrdered }.take(left)) {
+        var left = state.missing
+        for (view in state.machines.filter { it.setAside == SetAsideReason.SURPLUS && !it.isOrdered }.take(left)) {
             release(view)
             left--
         }
         val spare = byId.values.filter { it.machine.pool == standby && isMovable(it) }
-        for (view in spare.take(left)) {
-            log.write("pool_grows", "pool", pool, "machine", view.machine.id, "missing", missing, "need", need)
-            move(view, pool)
+        for (view in spare.take(minOf(left, share))) {
+            log.write("pool_grows", "pool", state.pool, "machine", view.machine.id, "missing", state.missing, "need", state.need)
+            move(view, state.pool)
             left--
         }
-        if (left > 0) takeFromOthers(pool, left, standby)
+        if (left > 0) takeFromOthers(state.pool, left, standby)
     }
 
     /** With nothing in standby, empty instances that another pool holds set aside as surplus serve as well. */
@@ -183,16 +207,12 @@
             view.machine.state == MachineState.UP &&
             view.setAside != SetAsideReason.MAINTENANCE
 
-    private fun shrink(
-        pool: String,
-        supply: List<MachineView>,
-        surplus: Int,
-        need: PoolNeed,
-    ) {
-        val candidates = supply.filter { isMovable(it) && loop.nowMs - it.joinedAtMs > MIN_STAY_MS && drainer.canEmptySoon(workerOf(it)) }
+    private fun shrink(state: PoolState) {
+        val candidates =
+            state.supply.filter { isMovable(it) && loop.nowMs - it.joinedAtMs > MIN_STAY_MS && drainer.canEmptySoon(workerOf(it)) }
         val ordered = candidates.sortedBy { workerOf(it)?.occupied?.cpuMilli ?: 0 }
-        for (view in ordered.take(surplus)) {
-            log.write("pool_shrinks", "pool", pool, "machine", view.machine.id, "surplus", surplus, "need", need)
+        for (view in ordered.take(state.surplus)) {
+            log.write("pool_shrinks", "pool", state.pool, "machine", view.machine.id, "surplus", state.surplus, "need", state.need)
             setAside(view, SetAsideReason.SURPLUS)
         }
     }
@@ -298,7 +318,12 @@
         service.list { machines ->
             isListing = false
             listedAtMs = loop.nowMs
-            if (machines == null) log.write("machine_list_lost") else onList(machines, sentAtMs)
+            if (machines == null) {
+                log.write("machine_list_lost", "tookMs", loop.nowMs - sentAtMs)
+                listedAtMs += LIST_RETRY_MS - LIST_INTERVAL_MS
+            } else {
+                onList(machines, sentAtMs)
+            }
         }
     }
 
@@ -319,6 +344,11 @@
     }
 
     private companion object {
+        val NO_NEED = PoolNeed(0, 0, 0, 0.0, 0.0)
+
+        /** Pause before a list that could not be read is asked for again. */
+        const val LIST_RETRY_MS = 300L
+
         /** Every pool keeps one instance, so that a single short job need not wait for a move. */
         const val MIN_MACHINES = 1
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -68,6 +68,7 @@
         var running = Demand()
         var waiting = Demand()
         var waitingWork = 0.0
+        val tooLate = jobs.filterTo(HashSet()) { !it.isLongRunning && runTimes.isTooLate(it, loop.nowMs) }
         for (run in jobs.asSequence().flatMap { it.occurrences.values }.flatMap { it.steps }) {
             val step = run.step
             if (step.isLongRunning) {
@@ -86,6 +87,7 @@
             ) {
                 continue
             }
+            if (run.job in tooLate) continue
             val waitingCount = run.tasks.count { it.phase == TaskPhase.WAITING }
             waiting += times(step.occupied, waitingCount)
             waitingWork += waitingCount * step.occupied.cpuMilli * runTimes.expectedMs(run) / MILLI
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RunTimes.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RunTimes.kt
@@ -48,7 +48,16 @@
         return job.acceptedAtMs + job.queue.targetLatencyMs + job.queue.stretchFactor * (endsMs.maxOrNull() ?: 0.0)
     }
 
+    /** True when even a late end of [job] is out of reach: it still runs, but no instance is fetched for it. */
+    fun isTooLate(
+        job: JobRun,
+        nowMs: Long,
+    ): Boolean = nowMs - job.acceptedAtMs > LATE_FACTOR * (objectiveAtMs(job) - job.acceptedAtMs)
+
     private companion object {
+        /** A job counts as late up to this multiple of its objective, and as missed after. */
+        const val LATE_FACTOR = 3.0
+
         /** Runs over which the mean moves. */
         const val WINDOW = 200
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -117,7 +117,11 @@
             log = log,
             token = owner.epoch,
             ordersFromMs = machineOrdersFromMs,
-            heldUntilMs = earlier.recentOrders.mapValues { (_, ageMs) -> earlier.lastWriteByMs - ageMs + bounds.machineLeaseMs + TURN_MARGIN_MS },
+            heldUntilMs =
+                earlier.recentOrders.mapValues { (_, ageMs) ->
+                    earlier.lastWriteByMs - ageMs + bounds.machineLeaseMs +
+                        TURN_MARGIN_MS
+                },
             stuckForMs = placer::stuckForMs,
             configuration = ports.configuration,
             mayOrder = ::mayOrderMachines,
