--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -77,7 +77,8 @@
                 ?.filter { !it.isStandby }
                 .orEmpty()
         val states = pools.map { stateOf(it.name, needs[it.name] ?: NO_NEED, supplies[it.name].orEmpty()) }
-        val shares = share(states, byId.values.count { it.machine.pool == standby && isMovable(it) })
+        val lacks = states.map { PoolLack(it.pool, it.supply.size, maxOf(0, it.missing)) }
+        val shares = shareSpare(lacks, byId.values.count { it.machine.pool == standby && isMovable(it) })
         for (state in states) {
             if (state.missing > 0) grow(state, shares[state.pool] ?: 0, standby)
             if (state.surplus > 0) shrink(state)
@@ -107,25 +108,6 @@
         return PoolState(pool, need, machines, supply, missing, surplus)
     }
 
-    /** Deals [spareCount] instances out one by one, each to the pool that lacks the largest part of its need. */
-    private fun share(
-        states: List<PoolState>,
-        spareCount: Int,
-    ): Map<String, Int> {
-        val shares = HashMap<String, Int>()
-        repeat(spareCount) {
-            val neediest = states.maxByOrNull { lackingPart(it, shares[it.pool] ?: 0) } ?: return shares
-            if (lackingPart(neediest, shares[neediest.pool] ?: 0) <= 0.0) return shares
-            shares.merge(neediest.pool, 1, Int::plus)
-        }
-        return shares
-    }
-
-    private fun lackingPart(
-        state: PoolState,
-        share: Int,
-    ): Double = (state.missing - share).toDouble() / (state.supply.size + state.missing).coerceAtLeast(1)
-
     /** Tasks that fit nowhere, although the sum of the room would do, get one more instance at a time. */
     private fun missingForStuck(
         pool: String,
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/FleetSharingTest.kt
@@ -0,0 +1,62 @@
+/*
+ * The load of a day on which one queue has a backlog of missed jobs while another one's demand begins.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.fleet.PoolDemand
+import io.corianderrock.jobs.fleet.PoolLack
+import io.corianderrock.jobs.fleet.shareSpare
+import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.placement.RunTimes
+import io.corianderrock.jobs.runs.Committer
+import io.corianderrock.jobs.runs.JobBook
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.Queue
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.world.SilentTables
+import io.corianderrock.jobs.world.SimLoop
+import io.corianderrock.jobs.world.SimTime
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.maps.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+
+private val CAPACITY = Demand(32_000, 128_000)
+
+internal class FleetSharingTest :
+    DescribeSpec({
+        describe("spare instances") {
+            it("go to both pools when one lacks far more") {
+                val shares = shareSpare(listOf(PoolLack("backlog", 14, 26), PoolLack("beginning", 1, 6)), spareCount = 10)
+                shares.getValue("beginning") shouldBeGreaterThan 3
+                shares.values.sum() shouldBe 10
+            }
+            it("stay where they are when nothing lacks") {
+                shareSpare(listOf(PoolLack("a", 3, 0)), spareCount = 5).shouldBeEmpty()
+            }
+            it("are not handed out beyond the lack") {
+                shareSpare(listOf(PoolLack("a", 3, 2)), spareCount = 5) shouldBe mapOf("a" to 2)
+            }
+        }
+        describe("the forecast") {
+            it("fetches nothing for jobs that can no longer be in time") {
+                val time = SimTime()
+                val loop = SimLoop(time)
+                val book = JobBook(loop, Committer(loop, SilentTables, { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, {}), { _, _ -> })
+                val demand = PoolDemand(loop, book, RunTimes())
+                repeat(30) { number -> book.load(wideJob("job$number"), progress = null, isInherited = false) }
+                val fresh = demand.needs { CAPACITY }.getValue("pool").machineCount
+                time.runUntil(time.nowMs + 60_000)
+                val missed = demand.needs { CAPACITY }.getValue("pool").machineCount
+                fresh shouldBeGreaterThan 10
+                missed shouldBeLessThan 2
+            }
+        }
+    })
+
+private fun wideJob(id: String): JobSubmission {
+    val queue = Queue("queue", "pool", stretchFactor = 1.6, targetLatencyMs = 600)
+    return JobSubmission(id, queue, "work", listOf(Step(8, Demand(3_800, 6_000), estimateMs = 1_400)))
+}
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -39,6 +39,13 @@
                 violations.take(20).shouldBeEmpty()
             }
         }
+        describe("histories that failed once") {
+            for ((seed, cause) in REGRESSIONS) {
+                it("seed $seed: $cause") {
+                    JobWorld(seed).run().violations.shouldBeEmpty()
+                }
+            }
+        }
         describe("a mechanism switched off") {
             it("fences: a stale owner's orders run tasks twice") {
                 violationsWith(
@@ -58,6 +65,18 @@
         }
     })
 
+private val REGRESSIONS =
+    mapOf(
+        115 to "two views of one job, from its submission and from the inbox",
+        126 to "a suspended owner told old states when it woke",
+        135 to "tasks started after a takeover before the inbox was read",
+        262 to "taking the note of a submission deleted the note of its cancellation",
+        380 to "the confirmation of an older write showed a job as complete",
+        1279 to "an owner that regained the store started tasks of a job cancelled meanwhile",
+        2812 to "a task waited for room while instances stood by",
+        4478 to "an owner that was frozen started tasks of a job cancelled meanwhile",
+    )
+
 private const val SAME_FENCE = 1_000_000L
 private const val FAR_MS = 1_000_000_000L
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
@@ -103,3 +103,27 @@
         const val TIMEOUT_MS = 900L
     }
 }
+
+/** Tables that never answer. */
+internal object SilentTables : JobTables {
+    override fun commit(
+        change: RowChange,
+        onResult: (ChangeResult) -> Unit,
+    ) = Unit
+
+    override fun scan(
+        table: Table,
+        onResult: (ReadResult) -> Unit,
+    ) = Unit
+
+    override fun read(
+        key: RowKey,
+        onResult: (ReadResult) -> Unit,
+    ) = Unit
+
+    override fun publishWave(
+        number: Int,
+        isComplete: Boolean,
+        onResult: (Boolean) -> Unit,
+    ) = Unit
+}
