--- a/jobs/src/test/kotlin/io/corianderrock/jobs/FleetSharingTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/FleetSharingTest.kt
@@ -19,9 +19,10 @@
 import io.corianderrock.jobs.world.SimTime
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeGreaterThan
-import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.maps.shouldBeEmpty
 import io.kotest.matchers.shouldBe
+import kotlin.math.abs
 
 private val CAPACITY = Demand(32_000, 128_000)
 
@@ -29,8 +30,11 @@
     DescribeSpec({
         describe("spare instances") {
             it("go to both pools when one lacks far more") {
-                val shares = shareSpare(listOf(PoolLack("backlog", 14, 26), PoolLack("beginning", 1, 6)), spareCount = 10)
-                shares.getValue("beginning") shouldBeGreaterThan 3
+                val lacks = listOf(PoolLack("backlog", 14, 26), PoolLack("beginning", 1, 6))
+                val shares = shareSpare(lacks, spareCount = 10)
+                val coveredParts = lacks.map { (it.supplyCount + shares.getValue(it.pool)).toDouble() / (it.supplyCount + it.missingCount) }
+                // Equal parts of both needs, but for the last instance dealt out.
+                abs(coveredParts[0] - coveredParts[1]) shouldBeLessThan 1.0 / 7
                 shares.values.sum() shouldBe 10
             }
             it("stay where they are when nothing lacks") {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -46,6 +46,13 @@
                 }
             }
         }
+        describe("histories that still fail") {
+            for ((seed, seen) in OPEN_FINDINGS) {
+                it("seed $seed: $seen") {
+                    JobWorld(seed).run().violations.shouldBeEmpty()
+                }
+            }
+        }
         describe("a mechanism switched off") {
             it("fences: a stale owner's orders run tasks twice") {
                 violationsWith(
@@ -77,6 +84,14 @@
         4478 to "an owner that was frozen started tasks of a job cancelled meanwhile",
     )
 
+/** Listed in KNOWN-RED.txt. */
+private val OPEN_FINDINGS =
+    mapOf(
+        11172 to "jobs of a pool are not ended 45 s after the last failure",
+        11979 to "a job is shown as active after it was shown as complete",
+        12998 to "a job is shown as queued after it was shown as complete",
+    )
+
 private const val SAME_FENCE = 1_000_000L
 private const val FAR_MS = 1_000_000_000L
 
