Remove what nothing reads, and make twins one

- The list of lately ordered instances in the owner row had no effect: a condition that was to use it was never changed, and the wait for all instances, which is longer, stood.
It goes; the wait stays.
- State that was written and never read, an unused setting and an unused parameter go.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoreDesk.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoreDesk.kt
@@ -9,6 +9,7 @@
 import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
 import io.corianderrock.jobs.runs.InboxNote
 import io.corianderrock.jobs.runs.decodeStored
@@ -85,47 +86,44 @@
         id: String,
         queueName: String,
         onAnswer: (CallerAnswer) -> Unit,
-    ) {
-        tables.read(RowKey(Table.JOBS, id)) { job ->
-            if (job !is ReadResult.Rows) {
-                onAnswer(CallerAnswer.NotDone("the store cannot be read", RETRY_AFTER_MS))
-                return@read
-            }
-            val submission = job.rows.firstOrNull()?.let { decodeStored(JobSubmission.serializer(), it.value) }
-            if (submission == null || submission.queue.name != queueName) {
-                onAnswer(CallerAnswer.Unknown)
-            } else {
-                readProgress(id, onAnswer)
-            }
+    ): Unit =
+        read(Table.JOBS, id, onAnswer) { job ->
+            val submission = job?.let { decodeStored(JobSubmission.serializer(), it.value) }
+            if (submission == null || submission.queue.name != queueName) onAnswer(CallerAnswer.Unknown) else readProgress(id, onAnswer)
         }
-    }
 
     private fun readProgress(
         id: String,
         onAnswer: (CallerAnswer) -> Unit,
-    ) {
-        tables.read(RowKey(Table.PROGRESS, id)) { result ->
-            if (result !is ReadResult.Rows) {
-                onAnswer(CallerAnswer.NotDone("the store cannot be read", RETRY_AFTER_MS))
-                return@read
-            }
-            val progress = result.rows.firstOrNull()?.let { decodeStored(JobProgress.serializer(), it.value) }
-            onAnswer(CallerAnswer.State(progress?.state ?: JobState.QUEUED))
-        }
+    ) = read(Table.PROGRESS, id, onAnswer) { row ->
+        val progress = row?.let { decodeStored(JobProgress.serializer(), it.value) }
+        onAnswer(CallerAnswer.State(progress?.state ?: JobState.QUEUED))
     }
 
     /** Stores a note that job [id] is cancelled. */
     public fun cancel(
         id: String,
         onAnswer: (CallerAnswer) -> Unit,
-    ) {
-        tables.read(RowKey(Table.JOBS, id)) { job ->
-            when {
-                job !is ReadResult.Rows -> onAnswer(CallerAnswer.NotDone("the store cannot be read", RETRY_AFTER_MS))
-                job.rows.isEmpty() -> onAnswer(CallerAnswer.Unknown)
-                else -> tables.commit(RowChange(puts = mapOf(InboxNote(id, isCancel = true).key to NOTE))) { onAnswer(answerTo(it)) }
+    ): Unit =
+        read(Table.JOBS, id, onAnswer) { job ->
+            if (job == null) {
+                onAnswer(CallerAnswer.Unknown)
+            } else {
+                tables.commit(RowChange(puts = mapOf(InboxNote(id, isCancel = true).key to NOTE))) { onAnswer(answerTo(it)) }
             }
         }
+
+    /** Hands the row over, null when there is none; answers itself when the store cannot be read. */
+    private fun read(
+        table: Table,
+        id: String,
+        onAnswer: (CallerAnswer) -> Unit,
+        onRow: (StoredRow?) -> Unit,
+    ) = tables.read(RowKey(table, id)) { result ->
+        when (result) {
+            is ReadResult.Rows -> onRow(result.rows.firstOrNull())
+            is ReadResult.Failed -> onAnswer(CallerAnswer.NotDone("the store cannot be read", RETRY_AFTER_MS))
+        }
     }
 
     private companion object {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -24,8 +24,6 @@
     private val token: Long,
     /** Orders of the earlier owner may still be on their way until then. */
     private val ordersFromMs: Long,
-    /** Until when single instances may not be ordered, because the earlier owner ordered them lately. */
-    private val heldUntilMs: Map<String, Long>,
     private val stuckForMs: (String) -> Long,
     private val configuration: () -> JobsConfiguration?,
     private val mayOrder: () -> Boolean,
@@ -43,7 +41,6 @@
         var atMs: Long,
     )
 
-    val machines: Collection<MachineView> get() = byId.values
     val isReady: Boolean get() = hasList && mayOrder() && loop.nowMs >= ordersFromMs
 
     fun find(machineId: String): MachineView? = byId[machineId]
@@ -62,20 +59,15 @@
     fun tick() {
         refresh()
         if (!isReady) return
-        val standby =
+        val (standbyPools, pools) =
             configuration()
                 ?.pools
                 ?.values
-                ?.firstOrNull { it.isStandby }
-                ?.name ?: return
+                .orEmpty()
+                .partition { it.isStandby }
+        val standby = standbyPools.firstOrNull()?.name ?: return
         val needs = demand.needs(::capacityOf)
         val supplies = byId.values.groupBy { it.machine.pool }
-        val pools =
-            configuration()
-                ?.pools
-                ?.values
-                ?.filter { !it.isStandby }
-                .orEmpty()
         val states = pools.map { stateOf(it.name, needs[it.name] ?: NO_NEED, supplies[it.name].orEmpty()) }
         val lacks = states.map { PoolLack(it.pool, it.supply.size, maxOf(0, it.missing)) }
         val shares = shareSpare(lacks, byId.values.count { it.machine.pool == standby && isMovable(it) })
@@ -174,15 +166,8 @@
         }
     }
 
-    /** The instances that were ordered lately, with the time since in milliseconds. */
-    fun recentOrders(): Map<String, Long> =
-        byId.values
-            .filter { loop.nowMs - it.orderedAtMs < RECENT_MS }
-            .associate { it.machine.id to loop.nowMs - it.orderedAtMs }
-
-    /** True when no earlier owner has ordered the instance too lately for this one to do so. */
-    fun isOrderable(view: MachineView): Boolean =
-        !view.isOrdered && loop.nowMs >= view.retryAtMs && loop.nowMs >= (heldUntilMs[view.machine.id] ?: 0)
+    /** True when no order to the instance is on its way or was refused just now. */
+    fun isOrderable(view: MachineView): Boolean = !view.isOrdered && loop.nowMs >= view.retryAtMs
 
     private fun isMovable(view: MachineView): Boolean =
         isOrderable(view) &&
@@ -204,7 +189,6 @@
         reason: SetAsideReason,
     ) {
         view.setAside = reason
-        view.setAsideAtMs = loop.nowMs
         workerOf(view)?.isSetAside = true
     }
 
@@ -224,17 +208,9 @@
         view: MachineView,
         pool: String,
     ) {
-        val worker = workerOf(view)
-        view.isOrdered = true
-        view.orderedAtMs = loop.nowMs
-        worker?.isSetAside = true
-        service.move(view.machine.id, pool, token) { answer ->
-            onOrdered(view, answer, "move") {
-                endWorker(view, worker)
-                view.machine = view.machine.copy(pool = pool, state = MachineState.MOVING, workerId = null)
-                view.setAside = null
-            }
-        }
+        workerOf(view)?.isSetAside = true
+        val moved = { machine: Machine -> machine.copy(pool = pool, state = MachineState.MOVING, workerId = null) }
+        order(view, "move", moved) { onAnswer -> service.move(view.machine.id, pool, token, onAnswer) }
     }
 
     /** Orders the maintenance of [view] for wave [waveNumber]; [onDone] gets the answer. */
@@ -242,28 +218,32 @@
         view: MachineView,
         waveNumber: Int,
         onDone: (MachineAnswer) -> Unit,
+    ) {
+        val maintained = { machine: Machine -> machine.copy(state = MachineState.MAINTENANCE, workerId = null) }
+        order(view, "maintain", maintained, onDone) { onAnswer -> service.maintain(view.machine.id, waveNumber, token, onAnswer) }
+    }
+
+    /** Sends an order, which ends the instance's worker when accepted; [after] tells what the instance is then. */
+    private fun order(
+        view: MachineView,
+        step: String,
+        after: (Machine) -> Machine,
+        onDone: (MachineAnswer) -> Unit = {},
+        send: ((MachineAnswer) -> Unit) -> Unit,
     ) {
         val worker = workerOf(view)
         view.isOrdered = true
-        view.orderedAtMs = loop.nowMs
-        service.maintain(view.machine.id, waveNumber, token) { answer ->
-            onOrdered(view, answer, "maintain") {
-                endWorker(view, worker)
-                view.machine = view.machine.copy(state = MachineState.MAINTENANCE, workerId = null)
+        send { answer ->
+            onOrdered(view, answer, step) {
+                worker?.let { driver.onEnded(it.id) }
+                view.joinedAtMs = loop.nowMs
+                view.machine = after(view.machine)
                 view.setAside = null
             }
             onDone(answer)
         }
     }
 
-    private fun endWorker(
-        view: MachineView,
-        worker: WorkerView?,
-    ) {
-        worker?.let { driver.onEnded(it.id) }
-        view.joinedAtMs = loop.nowMs
-    }
-
     private fun onOrdered(
         view: MachineView,
         answer: MachineAnswer,
@@ -346,9 +326,6 @@
         /** Workers that are avoided for longer than this do not count as supply. */
         const val AVOIDED_MS = 2_000L
 
-        /** Orders older than this do not matter to the next owner; above the platform's bound on turns. */
-        const val RECENT_MS = 5_000L
-
         /** A task that has fitted nowhere for this long needs another instance. */
         const val STUCK_MS = 600L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/MachineView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/MachineView.kt
@@ -17,8 +17,6 @@
     /** True while an order is unanswered or its answer was lost. */
     var isOrdered: Boolean = false
     var retryAtMs: Long = 0
-    var orderedAtMs: Long = Long.MIN_VALUE / 2
     var setAside: SetAsideReason? = null
-    var setAsideAtMs: Long = 0
     var joinedAtMs: Long = 0
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerRow.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerRow.kt
@@ -6,13 +6,12 @@
 
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.Table
+import io.corianderrock.jobs.ports.decodeOrNull
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /**
- * [holder] and [address] are empty while nobody owns. [beat] rises with each write of the holder. A holder that leaves
- * names in [recentOrders] the instances that it ordered lately, with the time since in milliseconds.
+ * [holder] and [address] are empty while nobody owns. [beat] rises with each write of the holder.
  */
 @Serializable
 public data class OwnerRow(
@@ -20,18 +19,12 @@
     val address: String,
     val epoch: Long,
     val beat: Long,
-    val recentOrders: Map<String, Long> = emptyMap(),
 ) {
     internal fun encode(): String = Json.encodeToString(serializer(), this)
 
     public companion object {
         internal val KEY: RowKey = RowKey(Table.OWNERS, "scheduler")
 
-        internal fun decode(text: String): OwnerRow? =
-            try {
-                Json.decodeFromString(serializer(), text)
-            } catch (_: SerializationException) {
-                null
-            }
+        internal fun decode(text: String): OwnerRow? = Json.decodeOrNull(serializer(), text)
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnershipKeeper.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnershipKeeper.kt
@@ -27,8 +27,6 @@
     val lastWriteByMs: Long,
     /** True when it ordered nothing after its last write: it gave the ownership back, or its process has ended. */
     val hasStopped: Boolean,
-    /** Instances that it ordered lately, with the time from the order to its last write in milliseconds. */
-    val recentOrders: Map<String, Long> = emptyMap(),
 )
 
 /** Acquires the ownership for the entry [name] at [address]. */
@@ -187,7 +185,6 @@
             isSameEntry = isSameEntry,
             lastWriteByMs = if (isSameEntry) processStartMs else unchangedSinceMs,
             hasStopped = row == null || row.holder.isEmpty() || isSameEntry,
-            recentOrders = row?.recentOrders.orEmpty(),
         )
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -10,7 +10,6 @@
 import io.corianderrock.jobs.runs.JobBook
 import io.corianderrock.jobs.runs.WorkerDriver
 import io.corianderrock.jobs.state.Demand
-import io.corianderrock.jobs.state.JobsConfiguration
 import io.corianderrock.jobs.state.Step
 import io.corianderrock.jobs.state.StepRun
 import io.corianderrock.jobs.state.TaskPhase
@@ -24,7 +23,6 @@
     private val runTimes: RunTimes,
     private val advice: AdviceService,
     private val log: DecisionLog,
-    private val configuration: () -> JobsConfiguration?,
     private val mayOrder: () -> Boolean,
 ) {
     private class Room(
@@ -164,11 +162,8 @@
         rooms: List<Room>,
     ): Boolean {
         if (stepRun.job.queue.needsAdvice && !hasTickets(stepRun, rooms)) return true
-        val waiting = stepRun.tasks.filter { it.phase == TaskPhase.WAITING }
-        if (stepRun.step.isGang) {
-            return placeGang(stepRun, rooms)
-        }
-        for (task in waiting) {
+        if (stepRun.step.isGang) return placeGang(stepRun, rooms)
+        for (task in stepRun.tasks.filter { it.phase == TaskPhase.WAITING }) {
             val room = best(task, rooms) ?: return false
             take(task, room)
         }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -83,25 +83,19 @@
     }
 
     /** Stores what is pending, then gives the ownership back; nothing is written afterwards. */
-    fun release(
-        recentOrders: Map<String, Long>,
-        onDone: () -> Unit,
-    ) {
+    fun release(onDone: () -> Unit) {
         if (isClosed) {
             onDone()
         } else if (inFlight == null && pending.isEmpty()) {
-            giveBack(recentOrders, onDone)
+            giveBack(onDone)
         } else {
-            loop.after(RELEASE_POLL_MS) { release(recentOrders, onDone) }
+            loop.after(RELEASE_POLL_MS) { release(onDone) }
         }
     }
 
-    private fun giveBack(
-        recentOrders: Map<String, Long>,
-        onDone: () -> Unit,
-    ) {
+    private fun giveBack(onDone: () -> Unit) {
         isClosed = true
-        val freed = owner.copy(holder = "", address = "", beat = owner.beat + 1, recentOrders = recentOrders)
+        val freed = owner.copy(holder = "", address = "", beat = owner.beat + 1)
         val change = RowChange(expected = mapOf(OwnerRow.KEY to ownerVersion), puts = mapOf(OwnerRow.KEY to freed.encode()))
         tables.commit(change) { result ->
             log.write("ownership_released", "epoch", owner.epoch, "result", result)
@@ -109,10 +103,6 @@
         }
     }
 
-    fun close() {
-        isClosed = true
-    }
-
     private fun schedule() {
         if (isScheduled || inFlight != null) return
         isScheduled = true
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobBook.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobBook.kt
@@ -9,6 +9,7 @@
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
+import io.corianderrock.jobs.ports.decodeOrNull
 import io.corianderrock.jobs.state.JobProgress
 import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.JobState
@@ -16,7 +17,6 @@
 import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.TaskRun
 import kotlinx.serialization.DeserializationStrategy
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 internal val storedJson: Json = Json { ignoreUnknownKeys = true }
@@ -203,9 +203,4 @@
 internal fun <T> decodeStored(
     deserializer: DeserializationStrategy<T>,
     text: String,
-): T? =
-    try {
-        storedJson.decodeFromString(deserializer, text)
-    } catch (_: SerializationException) {
-        null
-    }
+): T? = storedJson.decodeOrNull(deserializer, text)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -98,12 +98,10 @@
             onFenced = ::onFenced,
             observeRunTime = runTimes::observe,
         )
-    private val placer = Placer(loop, book, driver, runTimes, ports.advice, log, ports.configuration, ::mayOrder)
+    private val placer = Placer(loop, book, driver, runTimes, ports.advice, log, ::mayOrder)
     private val demand = PoolDemand(loop, book, runTimes)
     private val machineOrdersFromMs =
-        if (earlier.isSameEntry ||
-            !earlier.existed
-        ) {
+        if (earlier.isSameEntry || !earlier.existed) {
             loop.nowMs
         } else {
             earlierOrdersEndMs(ORDER_FRESHNESS_MS) + bounds.machineLeaseMs + TURN_MARGIN_MS
@@ -117,11 +115,6 @@
             log = log,
             token = owner.epoch,
             ordersFromMs = machineOrdersFromMs,
-            heldUntilMs =
-                earlier.recentOrders.mapValues { (_, ageMs) ->
-                    earlier.lastWriteByMs - ageMs + bounds.machineLeaseMs +
-                        TURN_MARGIN_MS
-                },
             stuckForMs = placer::stuckForMs,
             configuration = ports.configuration,
             mayOrder = ::mayOrderMachines,
@@ -197,10 +190,10 @@
     /** Counts the jobs of a queue of which nothing has started; null when this scheduler cannot tell. */
     public fun pending(queueName: String): Int? = if (isLoaded && !isClosed) book.pendingCount(queueName) else null
 
-    /** Stops to order and gives the ownership back, with word of the instances that were ordered lately. */
+    /** Stops to order and gives the ownership back. */
     public fun release(onDone: () -> Unit) {
         isClosed = true
-        committer.release(fleet.recentOrders(), onDone)
+        committer.release(onDone)
     }
 
     private fun lose(reason: String) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -46,7 +46,7 @@
     private val book: JobBook,
     private val log: DecisionLog,
     private val epoch: Long,
-    private val longestLeaseMs: Long,
+    longestLeaseMs: Long,
     private val mayOrder: () -> Boolean,
     private val onChange: () -> Unit,
     private val onFenced: () -> Unit,
@@ -492,7 +492,6 @@
         worker.acknowledgedEnd = maxOf(worker.acknowledgedEnd, order.acknowledgedEnd)
         if (!worker.isContacted) {
             worker.isContacted = true
-            worker.idleSinceMs = loop.nowMs
             settleContact(worker.id)
         }
     }
@@ -633,9 +632,7 @@
         row: RunningRow,
     ) {
         if (row.checkpoint.isNotEmpty()) task.checkpoint = row.checkpoint
-        val wasAtWork = task.isAtWork
         task.isAtWork = row.percent == FULL_PERCENT
-        if (wasAtWork && !task.isAtWork) task.awaySinceMs = loop.nowMs
         if (task.phase == TaskPhase.STARTING && task.id !in worker.unanswered && task !in worker.startQueue) {
             task.phase = TaskPhase.RUNNING
             task.stepRun.job.markStarted()
@@ -726,11 +723,9 @@
         worker.startQueue.remove(task)
         worker.stopAnsweredAtMs.remove(task.id)
         worker.unanswered.remove(task.id)
-        if (worker.runs.isEmpty()) worker.idleSinceMs = loop.nowMs
         if (task.worker !== worker) return
         task.worker = null
         if (task.phase == TaskPhase.DONE) return
-        if (task.isAtWork || task.awaySinceMs == 0L) task.awaySinceMs = loop.nowMs
         task.isAtWork = false
         task.phase = TaskPhase.WAITING
         task.waitingSinceMs = loop.nowMs
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -34,9 +34,6 @@
     /** True once the worker reports the task at full work. */
     var isAtWork: Boolean = false
 
-    /** When the run was last known not to be at work; used for tasks that last. */
-    var awaySinceMs: Long = 0
-
     val occupiesWorker: Boolean
         get() = phase == TaskPhase.STARTING || phase == TaskPhase.RUNNING || phase == TaskPhase.STOPPING
 }
@@ -89,7 +86,6 @@
     val id: String get() = submission.id
     val queue: Queue get() = submission.queue
     val occurrences = sortedMapOf<Int, OccurrenceRun>()
-    var doneOccurrences: Set<Int> = emptySet()
 
     /** The state that progress in memory implies. */
     var state: JobState = JobState.QUEUED
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -59,7 +59,6 @@
     /** No new work until then; set after failures that point at the worker. */
     var avoidUntilMs: Long = 0
     val recentFailedJobs = LinkedHashSet<String>()
-    var idleSinceMs: Long = 0
     var isContactStored: Boolean = false
     var isContactStoring: Boolean = false
 
