--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -117,8 +117,8 @@
         if (isClosed) return
         val batch = inFlight ?: takeBatch().also { inFlight = it }
         lastSentAtMs = loop.nowMs
-        val sentAtMs = loop.nowMs
-        tables.commit(changeOf(batch)) { onResult(batch, sentAtMs, it) }
+        val sentAt = loop.moment()
+        tables.commit(changeOf(batch)) { onResult(batch, sentAt, it) }
     }
 
     private fun takeBatch(): Batch {
@@ -143,27 +143,27 @@
 
     private fun onResult(
         batch: Batch,
-        sentAtMs: Long,
+        sentAt: Moment,
         result: ChangeResult,
     ) {
         if (isClosed) return
         when (result) {
-            is ChangeResult.Committed -> onCommitted(batch, sentAtMs, result.version)
-            is ChangeResult.Conflict -> onConflict(batch, sentAtMs, result.rows)
+            is ChangeResult.Committed -> onCommitted(batch, sentAt, result.version)
+            is ChangeResult.Conflict -> onConflict(batch, sentAt, result.rows)
             is ChangeResult.Failed -> onFailed(result)
         }
     }
 
     private fun onCommitted(
         batch: Batch,
-        sentAtMs: Long,
+        sentAt: Moment,
         version: Long,
     ) {
         if (failures > 0) log.write("store_regained", "failures", failures)
         failures = 0
         owner = batch.owner
         ownerVersion = version
-        ownership.confirm(sentAtMs)
+        ownership.confirm(sentAt)
         inFlight = null
         for (write in batch.writes) write.onStored.forEach { it(null) }
         if (pending.isNotEmpty()) schedule()
@@ -171,13 +171,13 @@
 
     private fun onConflict(
         batch: Batch,
-        sentAtMs: Long,
+        sentAt: Moment,
         rows: List<StoredRow>,
     ) {
         val row = rows.firstOrNull { it.key == OwnerRow.KEY }
         val stored = row?.let { OwnerRow.decode(it.value) }
         when {
-            stored == batch.owner -> onCommitted(batch, sentAtMs, checkNotNull(row).version)
+            stored == batch.owner -> onCommitted(batch, sentAt, checkNotNull(row).version)
             stored == owner -> dropExisting(batch, rows)
             else -> lose("owner row held by ${stored?.holder} epoch ${stored?.epoch}")
         }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Freshness.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Freshness.kt
@@ -7,19 +7,30 @@
 import io.corianderrock.jobs.ports.EventLoop
 import kotlin.math.abs
 
+/** One moment by both clocks. */
+internal data class Moment(
+    val loopMs: Long,
+    val wallMs: Long,
+)
+
+/** Returns the present moment. */
+internal fun EventLoop.moment(): Moment = Moment(nowMs, wallMs)
+
 internal class Freshness(
     private val loop: EventLoop,
 ) {
+    private var confirmed = loop.moment()
+
     /** Loop time of the last confirmation. */
-    var confirmedAtMs: Long = loop.nowMs
-        private set
-    private var confirmedWallMs = loop.wallMs
+    val confirmedAtMs: Long get() = confirmed.loopMs
 
-    val ageMs: Long get() = maxOf(loop.nowMs - confirmedAtMs, abs(loop.wallMs - confirmedWallMs))
+    val ageMs: Long get() = maxOf(loop.nowMs - confirmed.loopMs, abs(loop.wallMs - confirmed.wallMs))
 
-    /** Confirms what held at [atMs] in loop time. */
-    fun confirm(atMs: Long = loop.nowMs) {
-        confirmedAtMs = atMs
-        confirmedWallMs = loop.wallMs - (loop.nowMs - atMs)
+    /**
+     * Confirms what held at [at]. For an answer that is the moment at which its request was sent: the process may have
+     * been suspended between the two, which only the time of day shows.
+     */
+    fun confirm(at: Moment = loop.moment()) {
+        confirmed = at
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -312,12 +312,12 @@
     private fun readInboxIfDue() {
         if (isReadingInbox || loop.nowMs - inboxAskedAtMs < INBOX_INTERVAL_MS) return
         isReadingInbox = true
-        val sentAtMs = loop.nowMs
-        inboxAskedAtMs = sentAtMs
+        val askedAt = loop.moment()
+        inboxAskedAtMs = askedAt.loopMs
         ports.tables.scan(Table.INBOX) { result ->
             isReadingInbox = false
             if (isClosed || result !is ReadResult.Rows) return@scan
-            inbox.confirm(sentAtMs)
+            inbox.confirm(askedAt)
             result.rows.forEach(::takeFromInbox)
         }
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -737,7 +737,7 @@
     ) {
         val delayMs =
             when {
-                answer !is WorkerAnswer.Listed -> LOST_HOLD_RETRY_MS
+                answer !is WorkerAnswer.Listed -> if (worker.isEmpty) IDLE_LOST_RETRY_MS else LOST_HOLD_RETRY_MS
                 worker.storedEnd < worker.processedEnd -> return
                 !worker.isLeaseConfirmed -> 0L
                 else -> HOLD_GAP_MS
@@ -757,11 +757,15 @@
 
     private fun needsHold(worker: WorkerView): Boolean =
         !worker.isContacted ||
+            isSilentSupply(worker) ||
             worker.runs.size > worker.startQueue.size ||
             worker.strangers.isNotEmpty() ||
             worker.stopAnsweredAtMs.isNotEmpty() ||
             worker.acknowledgedEnd < worker.storedEnd
 
+    /** Nothing else would show that a worker which lost all its runs while it was cut off answers again. */
+    private fun isSilentSupply(worker: WorkerView): Boolean = worker.isListed && worker.consecutiveLostHolds > 0
+
     /** Frees what ran on workers whose leases have run out, forgets workers that are gone, and renews leases. */
     fun tick() {
         for (worker in byId.values.toList()) {
@@ -806,6 +810,9 @@
         /** Pause before a worker that did not answer is asked again. */
         const val LOST_HOLD_RETRY_MS = 250L
 
+        /** The same for a worker on which nothing runs: about the time for which it gets no new work. */
+        const val IDLE_LOST_RETRY_MS = 1_000L
+
         /** A worker that is due for a list and was not asked for this long is asked by the tick. */
         const val STALLED_HOLD_MS = 500L
 
