Store orders to instances before they are sent, so that a handover does not stop moves

Cause: a new owner ordered no instance at all until every order of the earlier owner had to be over: 4.1 s after a graceful stop, 5.6 s after a loss. Ruled out: processor (0.12 cores), the store (no errors then), placement. Change: each order is journalled in a row of its own in the transaction before it is sent, and the row is deleted once nobody has to wait for it; a new owner waits only with the instances that have a row. The rule between two owners is now checked in the model (ONE).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -21,9 +21,8 @@
     private val driver: WorkerDriver,
     private val demand: PoolDemand,
     private val log: DecisionLog,
+    private val orders: InstanceOrders,
     private val token: Long,
-    /** Orders of the earlier owner may still be on their way until then. */
-    private val ordersFromMs: Long,
     private val stuckForMs: (String) -> Long,
     private val configuration: () -> JobsConfiguration?,
     private val mayOrder: () -> Boolean,
@@ -32,6 +31,7 @@
     private var isListing = false
     private var listedAtMs = Long.MIN_VALUE / 2
     private var hasList = false
+    private var loggedAtMs = Long.MIN_VALUE / 2
     private val peakNeeds = HashMap<String, PeakNeed>()
     val drainer = Drainer(loop, driver)
 
@@ -41,7 +41,7 @@
         var atMs: Long,
     )
 
-    val isReady: Boolean get() = hasList && mayOrder() && loop.nowMs >= ordersFromMs
+    val isReady: Boolean get() = hasList && mayOrder()
 
     fun find(machineId: String): MachineView? = byId[machineId]
 
@@ -58,6 +58,7 @@
 
     fun tick() {
         refresh()
+        orders.tick()
         if (!isReady) return
         val (standbyPools, pools) =
             configuration()
@@ -70,6 +71,7 @@
         val supplies = byId.values.groupBy { it.machine.pool }
         val states = pools.map { stateOf(it.name, needs[it.name] ?: NO_NEED, supplies[it.name].orEmpty()) }
         val lacks = states.map { PoolLack(it.pool, it.supply.size, maxOf(0, it.missing)) }
+        logPools(states)
         val shares = shareSpare(lacks, byId.values.count { it.machine.pool == standby && isMovable(it) })
         for (state in states) {
             if (state.missing > 0) grow(state, shares[state.pool] ?: 0, standby)
@@ -78,6 +80,42 @@
         }
     }
 
+    /** Once a second and pool: what decides its size, with its machines by what they are good for now. */
+    private fun logPools(states: List<PoolState>) {
+        if (loop.nowMs - loggedAtMs < LOG_INTERVAL_MS) return
+        loggedAtMs = loop.nowMs
+        for (state in states) {
+            val workers = state.supply.mapNotNull(::workerOf)
+            log.write(
+                "pool",
+                "pool",
+                state.pool,
+                "wanted",
+                state.need.machineCount,
+                "machines",
+                state.machines.size,
+                "supply",
+                state.supply.size,
+                "up",
+                workers.size,
+                "setAside",
+                state.machines.count { it.setAside != null },
+                "runningCpuMilli",
+                workers.sumOf { it.occupied.cpuMilli },
+                "runningMemoryMb",
+                workers.sumOf { it.occupied.memoryMb },
+                "waitingWorkCoreMs",
+                state.need.waitingWorkCoreMs.toLong(),
+                "arrivingCpuMilli",
+                state.need.arrivingCpuMilli.toLong(),
+                "lasting",
+                state.need.lastingMachineCount,
+                "stuckMs",
+                stuckForMs(state.pool),
+            )
+        }
+    }
+
     /** What a pool has and lacks now. */
     private class PoolState(
         val pool: String,
@@ -166,8 +204,15 @@
         }
     }
 
-    /** True when no order to the instance is on its way or was refused just now. */
-    fun isOrderable(view: MachineView): Boolean = !view.isOrdered && loop.nowMs >= view.retryAtMs
+    /** True when no order to the instance is on its way, was refused just now or was sent lately by an earlier owner. */
+    fun isOrderable(view: MachineView): Boolean =
+        !view.isOrdered && loop.nowMs >= view.retryAtMs && !orders.isInherited(view.machine.id)
+
+    /** Counts instances that an earlier owner may have just sent to maintenance, but for those of [known]. */
+    fun inheritedMaintenanceCount(
+        waveNumber: Int,
+        known: List<MachineView>,
+    ): Int = orders.inheritedMaintenanceCount(waveNumber, known.mapTo(HashSet()) { it.machine.id })
 
     private fun isMovable(view: MachineView): Boolean =
         isOrderable(view) &&
@@ -210,7 +255,7 @@
     ) {
         workerOf(view)?.isSetAside = true
         val moved = { machine: Machine -> machine.copy(pool = pool, state = MachineState.MOVING, workerId = null) }
-        order(view, "move", moved) { onAnswer -> service.move(view.machine.id, pool, token, onAnswer) }
+        order(view, "move", null, moved) { onAnswer -> service.move(view.machine.id, pool, token, onAnswer) }
     }
 
     /** Orders the maintenance of [view] for wave [waveNumber]; [onDone] gets the answer. */
@@ -220,20 +265,22 @@
         onDone: (MachineAnswer) -> Unit,
     ) {
         val maintained = { machine: Machine -> machine.copy(state = MachineState.MAINTENANCE, workerId = null) }
-        order(view, "maintain", maintained, onDone) { onAnswer -> service.maintain(view.machine.id, waveNumber, token, onAnswer) }
+        order(view, "maintain", waveNumber, maintained, onDone) { onAnswer -> service.maintain(view.machine.id, waveNumber, token, onAnswer) }
     }
 
     /** Sends an order, which ends the instance's worker when accepted; [after] tells what the instance is then. */
     private fun order(
         view: MachineView,
         step: String,
+        waveNumber: Int?,
         after: (Machine) -> Machine,
         onDone: (MachineAnswer) -> Unit = {},
         send: ((MachineAnswer) -> Unit) -> Unit,
     ) {
         val worker = workerOf(view)
         view.isOrdered = true
-        send { answer ->
+        val onAnswer: (MachineAnswer) -> Unit = { answer ->
+            orders.onAnswered(view.machine.id)
             onOrdered(view, answer, step) {
                 worker?.let { driver.onEnded(it.id) }
                 view.joinedAtMs = loop.nowMs
@@ -242,6 +289,9 @@
             }
             onDone(answer)
         }
+        orders.record(view.machine.id, waveNumber) {
+            if (mayOrder()) send(onAnswer) else onAnswer(MachineAnswer.Refused(UNCERTAIN_OWNERSHIP))
+        }
     }
 
     private fun onOrdered(
@@ -308,6 +358,12 @@
     private companion object {
         val NO_NEED = PoolNeed(0, 0, 0, 0.0, 0.0)
 
+        /** Reason of an order that was not sent. */
+        const val UNCERTAIN_OWNERSHIP = "the ownership became uncertain before the order was sent"
+
+        /** How often the state of each pool is logged. */
+        const val LOG_INTERVAL_MS = 1_000L
+
         /** Pause before a list that could not be read is asked for again. */
         const val LIST_RETRY_MS = 300L
 
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceOrders.kt
@@ -0,0 +1,92 @@
+/*
+ * The journal of orders to instances. Two owners may not order one instance shortly after each other, so an order is
+ * stored before it is sent and its row is kept for as long as a next owner has to wait with that instance. Instances
+ * without a row may be ordered at once after a handover.
+ */
+package io.corianderrock.jobs.fleet
+
+import io.corianderrock.jobs.ports.DecisionLog
+import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.StoredRow
+import io.corianderrock.jobs.ports.Table
+import io.corianderrock.jobs.runs.Committer
+import io.corianderrock.jobs.runs.decodeStored
+import io.corianderrock.jobs.runs.storedJson
+import kotlinx.serialization.Serializable
+
+/** A stored order; [waveNumber] is null for a move. */
+@Serializable
+internal data class InstanceOrderRow(
+    val epoch: Long,
+    val waveNumber: Int? = null,
+)
+
+internal class InstanceOrders(
+    private val loop: EventLoop,
+    private val committer: Committer,
+    private val log: DecisionLog,
+    private val epoch: Long,
+    /** How long a row stays after its order was answered or given up. */
+    private val keepMs: Long,
+    /** From when on instances that an earlier owner has ordered may be ordered again. */
+    private val inheritedUntilMs: Long,
+) {
+    private val inherited = HashMap<String, InstanceOrderRow>()
+
+    /** The instance orders that are in the store, by the time of the last answer. */
+    private val answeredAtMs = HashMap<String, Long>()
+
+    /** Takes the orders of earlier owners. */
+    fun load(rows: List<StoredRow>) {
+        for (row in rows) {
+            val order = decodeStored(InstanceOrderRow.serializer(), row.value)
+            if (order == null) log.write("instance_order_unreadable", "machine", row.key.key)
+            inherited[row.key.key] = order ?: InstanceOrderRow(0)
+        }
+        if (rows.isNotEmpty()) {
+            log.write("instance_orders_inherited", "machines", rows.size, "forMs", inheritedUntilMs - loop.nowMs)
+        }
+    }
+
+    /** True while an order of an earlier owner to the instance may be too recent for another one. */
+    fun isInherited(machineId: String): Boolean = machineId in inherited
+
+    /** Counts the instances that an earlier owner may have just sent to maintenance of wave [waveNumber], but for [known]. */
+    fun inheritedMaintenanceCount(
+        waveNumber: Int,
+        known: Set<String>,
+    ): Int = inherited.count { (machineId, order) -> order.waveNumber == waveNumber && machineId !in known }
+
+    /** Stores that [machineId] is about to be ordered, then runs [send]. */
+    fun record(
+        machineId: String,
+        waveNumber: Int?,
+        send: () -> Unit,
+    ) {
+        answeredAtMs.remove(machineId)
+        committer.put(key(machineId), onStored = { send() }) {
+            storedJson.encodeToString(InstanceOrderRow.serializer(), InstanceOrderRow(epoch, waveNumber))
+        }
+    }
+
+    /** The order to [machineId] was answered or given up. */
+    fun onAnswered(machineId: String) {
+        answeredAtMs[machineId] = loop.nowMs
+    }
+
+    /** Deletes the rows that no next owner needs any more. */
+    fun tick() {
+        val over = answeredAtMs.filterValues { loop.nowMs - it >= keepMs }.keys.toList()
+        answeredAtMs.keys.removeAll(over.toSet())
+        over.forEach(::delete)
+        if (inherited.isEmpty() || loop.nowMs < inheritedUntilMs) return
+        log.write("instance_orders_over", "machines", inherited.size)
+        inherited.keys.filter { it !in answeredAtMs }.forEach(::delete)
+        inherited.clear()
+    }
+
+    private fun delete(machineId: String) = committer.put(key(machineId)) { null }
+
+    private fun key(machineId: String) = RowKey(Table.INSTANCE_ORDERS, machineId)
+}
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/WaveDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/WaveDriver.kt
@@ -64,12 +64,11 @@
         state: WaveProgress,
     ) {
         val present = wave.machineIds.mapNotNull(fleet::find)
-        val inProgress =
-            present.count {
-                it.machine.state == MachineState.MAINTENANCE ||
-                    it.isOrdered &&
-                    it.setAside == SetAsideReason.MAINTENANCE
+        val known =
+            present.filter {
+                it.machine.state == MachineState.MAINTENANCE || it.isOrdered && it.setAside == SetAsideReason.MAINTENANCE
             }
+        val inProgress = known.size + fleet.inheritedMaintenanceCount(wave.number, known)
         val due = present.filter { it.machine.id !in state.done }
         if (due.isEmpty() && inProgress == 0) {
             publish(wave, state, isComplete = true)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
@@ -13,6 +13,7 @@
     INBOX("inbox"),
     CONTACTS("contacts"),
     WAVES("waves"),
+    INSTANCE_ORDERS("instance_orders"),
     ;
 
     /** The name under which the platform keeps the table. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -5,6 +5,7 @@
 package io.corianderrock.jobs.runs
 
 import io.corianderrock.jobs.fleet.FleetController
+import io.corianderrock.jobs.fleet.InstanceOrders
 import io.corianderrock.jobs.fleet.PoolDemand
 import io.corianderrock.jobs.fleet.WaveDriver
 import io.corianderrock.jobs.ownership.EarlierOwner
@@ -106,6 +107,8 @@
         } else {
             earlierOrdersEndMs(ORDER_FRESHNESS_MS) + bounds.machineLeaseMs + TURN_MARGIN_MS
         }
+    private val instanceOrders =
+        InstanceOrders(loop, committer, log, owner.epoch, bounds.machineLeaseMs + TURN_MARGIN_MS, machineOrdersFromMs)
     private val fleet =
         FleetController(
             loop = loop,
@@ -113,8 +116,8 @@
             driver = driver,
             demand = demand,
             log = log,
+            orders = instanceOrders,
             token = owner.epoch,
-            ordersFromMs = machineOrdersFromMs,
             stuckForMs = placer::stuckForMs,
             configuration = ports.configuration,
             mayOrder = ::mayOrderMachines,
@@ -221,7 +224,7 @@
         if (earlier.hasStopped) earlier.lastWriteByMs else earlier.lastWriteByMs + freshnessMs
 
     private fun load() {
-        val tables = listOf(Table.JOBS, Table.PROGRESS, Table.CONTACTS, Table.WAVES, Table.INBOX)
+        val tables = listOf(Table.JOBS, Table.PROGRESS, Table.CONTACTS, Table.WAVES, Table.INSTANCE_ORDERS, Table.INBOX)
         val found = HashMap<Table, List<StoredRow>>()
         for (table in tables) {
             scan(table) { rows ->
@@ -260,6 +263,7 @@
         val contacts = found.getValue(Table.CONTACTS).mapNotNull { decodeStored(ContactRow.serializer(), it.value) }
         driver.inherit(contacts, earlierOrdersEndMs(ORDER_FRESHNESS_WORKERS_MS) + driver.longestLeaseBoundMs)
         waveDriver.load(found.getValue(Table.WAVES))
+        instanceOrders.load(found.getValue(Table.INSTANCE_ORDERS))
         // Before anything starts: a job may have been cancelled while nobody owned.
         found.getValue(Table.INBOX).forEach(::takeFromInbox)
         onLoaded()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -126,6 +126,9 @@
     seed: Int,
     val tampering: OrderTampering = object : OrderTampering {},
     private val hasFaults: Boolean = true,
+    private val machineCount: Int = 6,
+    /** Plans disturbances of its own before the jobs are submitted. */
+    private val plan: (JobWorld) -> Unit = {},
     private val traces: MutableList<String>? = null,
 ) {
     val random = Random(seed)
@@ -174,7 +177,7 @@
     }
 
     fun run(): Judge {
-        repeat(6) {
+        repeat(machineCount) {
             addMachine(
                 "m-$it",
                 if (it < 2) {
@@ -190,6 +193,7 @@
         tickWorkers()
         time.runUntil(time.nowMs + 1_500)
         if (random.nextBoolean()) waves.add(MaintenanceWave(1, machines.keys.take(4), 30.0, 2))
+        plan(this)
         repeat(JOBS) { time.after(random.nextLong(0, BUSY_MS)) { submit() } }
         if (hasFaults) repeat(random.nextInt(1, 7)) { time.after(random.nextLong(500, BUSY_MS)) { fault() } }
         time.runUntil(time.nowMs + BUSY_MS + FAULT_MS)
@@ -247,22 +251,24 @@
                 pool: String,
                 token: Long,
                 onAnswer: (MachineAnswer) -> Unit,
-            ) = order(machineId, MachineState.MOVING, pool, 1_500, onAnswer)
+            ) = order(machineId, MachineState.MOVING, pool, 1_500, token, onAnswer)
 
             override fun maintain(
                 machineId: String,
                 waveNumber: Int,
                 token: Long,
                 onAnswer: (MachineAnswer) -> Unit,
-            ) = order(machineId, MachineState.MAINTENANCE, null, 2_000, onAnswer)
+            ) = order(machineId, MachineState.MAINTENANCE, null, 2_000, token, onAnswer)
 
             private fun order(
                 machineId: String,
                 state: MachineState,
                 pool: String?,
                 tookMs: Long,
+                token: Long,
                 onAnswer: (MachineAnswer) -> Unit,
             ) {
+                judge.onInstanceOrder(machineId, token)
                 val answer = carryOut(machineId, state, pool, tookMs)
                 entry.loop.after(3) { onAnswer(answer) }
             }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/Judge.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/Judge.kt
@@ -10,6 +10,13 @@
 import io.corianderrock.jobs.state.JobSubmission
 import io.corianderrock.jobs.state.TaskId
 
+/** An order to an instance under the token of its owner. */
+internal data class InstanceOrder(
+    val machineId: String,
+    val token: Long,
+    val atMs: Long,
+)
+
 internal class Judge(
     private val time: SimTime,
 ) {
@@ -30,10 +37,23 @@
     private val doneTasks = HashSet<TaskId>()
     private val notedFailures = HashMap<TaskId, Int>()
     val violations = ArrayList<String>()
+    val instanceOrders = ArrayList<InstanceOrder>()
     var startCount = 0
         private set
     val acceptedCount: Int get() = jobs.values.count { it.isAccepted }
 
+    fun onInstanceOrder(
+        machineId: String,
+        token: Long,
+    ) {
+        val last = instanceOrders.lastOrNull { it.machineId == machineId }
+        if (last != null && token < last.token) violate("ONE $machineId is ordered under $token after ${last.token}")
+        if (last != null && token != last.token && time.nowMs - last.atMs < MACHINE_LEASE_MS) {
+            violate("ONE $machineId is ordered under ${last.token} and $token within ${time.nowMs - last.atMs} ms")
+        }
+        instanceOrders.add(InstanceOrder(machineId, token, time.nowMs))
+    }
+
     fun onSubmitted(submission: JobSubmission) {
         jobs.getOrPut(submission.id) { JobFacts(submission) }
     }
@@ -153,5 +173,8 @@
 
     private companion object {
         const val CANCEL_MS = 3_000L
+
+        /** Two owners may not order one instance within this time of each other. */
+        const val MACHINE_LEASE_MS = 3_000L
     }
 }
