Size pools ahead of demand, move idle instances directly, hand over in one transaction

Ruled out: processor (0.13 cores), capacity in total except for two seconds of the largest turn. Change: arrivals are extrapolated to when an ordered instance has joined; turns of pools are learnt, kept in the store, and the next one is expected; idle instances of other pools are taken at once; tasks that save are moved off instances that are set aside, tasks that last too while a pool lacks instances; an instance on its way counts for its new pool; the last transaction of a stopping owner carries what is pending and frees the row; a claim that a stopping entry is unsure of is given back; peers read the owner row when told of a handover; own part of the store.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/EntryDesk.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/EntryDesk.kt
@@ -42,7 +42,10 @@
     /** The scheduler did not take the question; nothing was done. */
     public data class NotTaken(
         val reason: String,
-        val isProcessGone: Boolean,
+        /** Nothing listens at the address of the owner. */
+        val isProcessGone: Boolean = false,
+        /** The process there does not own the scheduling any more. */
+        val isOwnerGone: Boolean = false,
     ) : SchedulerReply
 
     /** No answer; the question may have been carried out. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalScheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalScheduler.kt
@@ -16,14 +16,14 @@
     ) {
         val present = scheduler()
         if (present == null) {
-            onReply(NOT_OWNER)
+            onReply(SchedulerReply.NotTaken("not the owner", isOwnerGone = true))
             return
         }
         when (request) {
             is JobRequest.Submit -> present.submit(request.submission) { onReply(replyTo(it)) }
             is JobRequest.State -> onReply(state(present, request))
             is JobRequest.Cancel -> present.cancel(request.id) { onReply(replyToCancel(it)) }
-            is JobRequest.Pending -> onReply(present.pending(request.queueName)?.let { answer(CallerAnswer.Pending(it)) } ?: NOT_OWNER)
+            is JobRequest.Pending -> onReply(present.pending(request.queueName)?.let { answer(CallerAnswer.Pending(it)) } ?: NOT_TAKEN)
         }
     }
 
@@ -31,14 +31,14 @@
         when (result) {
             is SubmitResult.Accepted -> answer(CallerAnswer.Done)
             is SubmitResult.Rejected -> answer(CallerAnswer.NotDone(result.reason, result.retryAfterMs))
-            is SubmitResult.Unavailable -> NOT_OWNER
+            is SubmitResult.Unavailable -> NOT_TAKEN
         }
 
     private fun replyToCancel(isKnown: Boolean?): SchedulerReply =
         when (isKnown) {
             true -> answer(CallerAnswer.Done)
             // A job that another entry has just stored is not known yet: the store decides.
-            false, null -> NOT_OWNER
+            false, null -> NOT_TAKEN
         }
 
     private fun state(
@@ -48,7 +48,7 @@
         val found = scheduler.state(request.id)
         val state = found.state
         return when {
-            !found.isAvailable || state == null -> NOT_OWNER
+            !found.isAvailable || state == null -> NOT_TAKEN
             found.queueName != request.queueName -> answer(CallerAnswer.Unknown)
             else -> answer(CallerAnswer.State(state))
         }
@@ -57,6 +57,6 @@
     private fun answer(answer: CallerAnswer): SchedulerReply = SchedulerReply.Answer(answer)
 
     private companion object {
-        val NOT_OWNER = SchedulerReply.NotTaken("not the owner, or not loaded, or not known here", isProcessGone = false)
+        val NOT_TAKEN = SchedulerReply.NotTaken("not loaded yet, or not known here")
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/Drainer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/Drainer.kt
@@ -17,6 +17,26 @@
     fun canEmptySoon(worker: WorkerView?): Boolean =
         worker != null && worker.isContacted && worker.runs.values.none { it.stepRun.step.isLongRunning }
 
+    /**
+     * Stops tasks on [worker] that resume elsewhere from what they have saved, as far as [others] have room for them:
+     * a straggler would hold the instance for many times the run time of the rest.
+     */
+    fun evictSaving(
+        worker: WorkerView,
+        others: List<WorkerView>,
+    ) {
+        val rooms = others.filter { it !== worker }.map { it.free }.toMutableList()
+        for (task in worker.runs.values.toList()) {
+            val step = task.stepRun.step
+            val isMovable = step.isCheckpointing && !step.isGang && !step.isLongRunning && task.phase == TaskPhase.RUNNING
+            if (!isMovable || loop.nowMs - task.startedAtMs < MIN_RUN_MS) continue
+            val room = rooms.indexOfFirst { step.occupied.fitsIn(it) }
+            if (room < 0) return
+            rooms[room] -= step.occupied
+            driver.stop(task)
+        }
+    }
+
     /** Stops tasks that last on [worker] as far as their steps allow it now. */
     fun evictLasting(worker: WorkerView) {
         for (task in worker.runs.values.toList()) {
@@ -37,6 +57,9 @@
     }
 
     private companion object {
+        /** Shorter runs end sooner than a stop and a start elsewhere take effect. */
+        const val MIN_RUN_MS = 500L
+
         /** A worker with tasks that last lists them at least this often. */
         const val HEARD_OF_MS = 1_500L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -19,11 +19,11 @@
     private val loop: EventLoop,
     private val service: MachineService,
     private val driver: WorkerDriver,
-    private val demand: PoolDemand,
     private val log: DecisionLog,
     private val orders: InstanceOrders,
     private val token: Long,
-    private val stuckForMs: (String) -> Long,
+    demand: PoolDemand,
+    stuckForMs: (String) -> Long,
     private val configuration: () -> JobsConfiguration?,
     private val mayOrder: () -> Boolean,
 ) {
@@ -31,15 +31,8 @@
     private var isListing = false
     private var listedAtMs = Long.MIN_VALUE / 2
     private var hasList = false
-    private var loggedAtMs = Long.MIN_VALUE / 2
-    private val peakNeeds = HashMap<String, PeakNeed>()
     val drainer = Drainer(loop, driver)
-
-    /** The largest need of a pool within [SHRINK_AFTER_MS]. */
-    private class PeakNeed(
-        var count: Int,
-        var atMs: Long,
-    )
+    val sizer = PoolSizer(loop, log, demand, stuckForMs, ::workerOf)
 
     val isReady: Boolean get() = hasList && mayOrder()
 
@@ -53,8 +46,7 @@
     }
 
     fun workerOf(view: MachineView): WorkerView? =
-        driver.workers.firstOrNull { it.entry.machineId == view.machine.id && it.isListed }
-            ?: view.machine.workerId?.let(driver::find)
+        driver.listedOn(view.machine.id) ?: view.machine.workerId?.let(driver::find)
 
     fun tick() {
         refresh()
@@ -67,140 +59,90 @@
                 .orEmpty()
                 .partition { it.isStandby }
         val standby = standbyPools.firstOrNull()?.name ?: return
-        val needs = demand.needs(::capacityOf)
-        val supplies = byId.values.groupBy { it.machine.pool }
-        val states = pools.map { stateOf(it.name, needs[it.name] ?: NO_NEED, supplies[it.name].orEmpty()) }
-        val lacks = states.map { PoolLack(it.pool, it.supply.size, maxOf(0, it.missing)) }
-        logPools(states)
-        val shares = shareSpare(lacks, byId.values.count { it.machine.pool == standby && isMovable(it) })
+        val states = sizer.states(pools.map { it.name }, byId.values, ::capacityOf)
+        for (state in states) if (state.missingAhead > 0) takeBack(state)
+        val isShort = growAll(states, standby) > 0
         for (state in states) {
-            if (state.missing > 0) grow(state, shares[state.pool] ?: 0, standby)
-            if (state.surplus > 0) shrink(state)
-            for (view in state.machines) if (view.setAside == SetAsideReason.SURPLUS) returnIfEmpty(view, standby)
+            if (state.surplus > 0) shrink(state, isShort)
+            val leaving = state.machines.filter { it.setAside == SetAsideReason.SURPLUS }
+            for (view in leaving) empty(view, state, isShort)
+            for (view in leaving) returnIfEmpty(view, standby)
         }
     }
 
-    /** Once a second and pool: what decides its size, with its machines by what they are good for now. */
-    private fun logPools(states: List<PoolState>) {
-        if (loop.nowMs - loggedAtMs < LOG_INTERVAL_MS) return
-        loggedAtMs = loop.nowMs
-        for (state in states) {
-            val workers = state.supply.mapNotNull(::workerOf)
-            log.write(
-                "pool",
-                "pool",
-                state.pool,
-                "wanted",
-                state.need.machineCount,
-                "machines",
-                state.machines.size,
-                "supply",
-                state.supply.size,
-                "up",
-                workers.size,
-                "setAside",
-                state.machines.count { it.setAside != null },
-                "runningCpuMilli",
-                workers.sumOf { it.occupied.cpuMilli },
-                "runningMemoryMb",
-                workers.sumOf { it.occupied.memoryMb },
-                "waitingWorkCoreMs",
-                state.need.waitingWorkCoreMs.toLong(),
-                "arrivingCpuMilli",
-                state.need.arrivingCpuMilli.toLong(),
-                "lasting",
-                state.need.lastingMachineCount,
-                "stuckMs",
-                stuckForMs(state.pool),
-            )
-        }
+    /** Moves away what can go on elsewhere; tasks that last only for the sake of a pool that lacks instances. */
+    private fun empty(
+        view: MachineView,
+        state: PoolState,
+        isShort: Boolean,
+    ) {
+        val worker = workerOf(view) ?: return
+        drainer.evictSaving(worker, state.supply.mapNotNull(::workerOf))
+        if (isShort) drainer.evictLasting(worker)
     }
 
-    /** What a pool has and lacks now. */
-    private class PoolState(
-        val pool: String,
-        val need: PoolNeed,
-        val machines: List<MachineView>,
-        val supply: List<MachineView>,
-        val missing: Int,
-        val surplus: Int,
-    )
-
-    private fun stateOf(
-        pool: String,
-        need: PoolNeed,
-        machines: List<MachineView>,
-    ): PoolState {
-        val wanted = maxOf(need.machineCount, MIN_MACHINES)
-        val supply = machines.filter { it.machine.state != MachineState.DOWN && it.setAside == null && isUseful(it) }
-        val missing = maxOf(wanted - supply.size, missingForStuck(pool, supply))
-        val surplus = if (missing > 0) 0 else supply.size - peakNeed(pool, wanted)
-        return PoolState(pool, need, machines, supply, missing, surplus)
+    /** Instances that the pool holds set aside for others serve it first. */
+    private fun takeBack(state: PoolState) {
+        val own = state.machines.filter { it.setAside == SetAsideReason.SURPLUS && !it.isOrdered }
+        own.take(state.missingAhead).forEach(::release)
     }
 
-    /** Tasks that fit nowhere, although the sum of the room would do, get one more instance at a time. */
-    private fun missingForStuck(
-        pool: String,
-        supply: List<MachineView>,
+    /**
+     * Deals spare instances out: first for work that is there, then for work that is expected. Returns how many
+     * instances work that is there still lacks.
+     */
+    private fun growAll(
+        states: List<PoolState>,
+        standby: String,
     ): Int {
-        val isJoining = supply.any { it.machine.state != MachineState.UP || loop.nowMs - it.joinedAtMs < STUCK_MS }
-        return if (!isJoining && stuckForMs(pool) > STUCK_MS) 1 else 0
+        val idle = idleMachines(states)
+        val standing = byId.values.filter { it.pool == standby && isMovable(it) }
+        // An instance that lies idle in another pool is paid for already, and one move is less than two.
+        val spare = ArrayDeque(idle + standing)
+        val lackingCount = states.sumOf { it.missing } - spare.size
+        grow(states, spare) { it.missing }
+        grow(states, spare) { it.missingAhead - it.missing }
+        return maxOf(0, lackingCount)
     }
 
-    /** Instances whose worker is leaving or failing do not count as supply. */
-    private fun isUseful(view: MachineView): Boolean {
-        val worker = workerOf(view) ?: return view.machine.state != MachineState.UP || loop.nowMs - view.joinedAtMs < JOIN_TIMEOUT_MS
-        return worker.drainingSinceMs == null && worker.avoidUntilMs <= loop.nowMs + AVOIDED_MS
-    }
-
-    private fun peakNeed(
-        pool: String,
-        wanted: Int,
-    ): Int {
-        val peak = peakNeeds.getOrPut(pool) { PeakNeed(wanted, loop.nowMs) }
-        if (wanted >= peak.count || loop.nowMs - peak.atMs > SHRINK_AFTER_MS) {
-            peak.count = wanted
-            peak.atMs = loop.nowMs
+    private fun idleMachines(states: List<PoolState>): List<MachineView> =
+        states.flatMap { state ->
+            val movable = state.machines.filter { isMovable(it) && isSurelyEmpty(it) }
+            val (surplus, serving) = movable.partition { it.setAside == SetAsideReason.SURPLUS }
+            surplus + serving.take(state.idleCount)
         }
-        return peak.count
-    }
 
     private fun grow(
-        state: PoolState,
-        share: Int,
-        standby: String,
-    ) {
-        var left = state.missing
-        for (view in state.machines.filter { it.setAside == SetAsideReason.SURPLUS && !it.isOrdered }.take(left)) {
-            release(view)
-            left--
-        }
-        val spare = byId.values.filter { it.machine.pool == standby && isMovable(it) }
-        for (view in spare.take(minOf(left, share))) {
-            log.write("pool_grows", "pool", state.pool, "machine", view.machine.id, "missing", state.missing, "need", state.need)
-            move(view, state.pool)
-            left--
-        }
-        if (left > 0) takeFromOthers(state.pool, left, standby)
-    }
-
-    /** With nothing in standby, empty instances that another pool holds set aside as surplus serve as well. */
-    private fun takeFromOthers(
-        pool: String,
-        missing: Int,
-        standby: String,
+        states: List<PoolState>,
+        spare: ArrayDeque<MachineView>,
+        missingOf: (PoolState) -> Int,
     ) {
-        val empty =
-            byId.values.filter {
-                it.machine.pool != pool &&
-                    it.machine.pool != standby &&
-                    it.setAside == SetAsideReason.SURPLUS &&
-                    isMovable(it) &&
-                    isSurelyEmpty(it)
+        val lacks = states.map { PoolLack(it.pool, it.supply.size, missingOf(it)) }
+        val shares = shareSpare(lacks, spare.size)
+        for (state in states) {
+            repeat(shares[state.pool] ?: 0) {
+                val view = spare.removeFirstOrNull() ?: return
+                if (view.pool == state.pool) {
+                    release(view)
+                } else {
+                    log.write(
+                        "pool_grows",
+                        "pool",
+                        state.pool,
+                        "machine",
+                        view.machine.id,
+                        "from",
+                        view.pool,
+                        "missing",
+                        state.missing,
+                        "missingAhead",
+                        state.missingAhead,
+                        "need",
+                        state.need,
+                    )
+                    move(view, state.pool)
+                }
             }
-        for (view in empty.take(missing)) {
-            log.write("pool_takes", "pool", pool, "machine", view.machine.id, "from", view.machine.pool, "missing", missing)
-            move(view, pool)
         }
     }
 
@@ -219,16 +161,31 @@
             view.machine.state == MachineState.UP &&
             view.setAside != SetAsideReason.MAINTENANCE
 
-    private fun shrink(state: PoolState) {
-        val candidates =
-            state.supply.filter { isMovable(it) && loop.nowMs - it.joinedAtMs > MIN_STAY_MS && drainer.canEmptySoon(workerOf(it)) }
-        val ordered = candidates.sortedBy { workerOf(it)?.occupied?.cpuMilli ?: 0 }
-        for (view in ordered.take(state.surplus)) {
+    private fun shrink(
+        state: PoolState,
+        isShort: Boolean,
+    ) {
+        val settled = state.supply.filter { isMovable(it) && loop.nowMs - it.joinedAtMs > MIN_STAY_MS }
+        val candidates = settled.filter { drainer.canEmptySoon(workerOf(it)) }.sortedBy { workerOf(it)?.occupied?.cpuMilli ?: 0 }
+        val chosen = if (candidates.isEmpty() && isShort) listOfNotNull(cheapestToEmpty(state, settled)) else candidates
+        for (view in chosen.take(state.surplus)) {
             log.write("pool_shrinks", "pool", state.pool, "machine", view.machine.id, "surplus", state.surplus, "need", state.need)
             setAside(view, SetAsideReason.SURPLUS)
         }
     }
 
+    /** One instance at a time on which tasks last, if the others of the pool have room for them. */
+    private fun cheapestToEmpty(
+        state: PoolState,
+        settled: List<MachineView>,
+    ): MachineView? {
+        if (state.machines.any { it.setAside == SetAsideReason.SURPLUS }) return null
+        val view = settled.minByOrNull { workerOf(it)?.runs?.size ?: 0 } ?: return null
+        val worker = workerOf(view) ?: return null
+        val free = state.supply.mapNotNull(::workerOf).filter { it !== worker }.fold(Demand()) { sum, other -> sum + other.free }
+        return view.takeIf { worker.occupied.fitsIn(free) }
+    }
+
     fun setAside(
         view: MachineView,
         reason: SetAsideReason,
@@ -255,7 +212,7 @@
     ) {
         workerOf(view)?.isSetAside = true
         val moved = { machine: Machine -> machine.copy(pool = pool, state = MachineState.MOVING, workerId = null) }
-        order(view, "move", null, moved) { onAnswer -> service.move(view.machine.id, pool, token, onAnswer) }
+        order(view, "move", null, pool, moved) { onAnswer -> service.move(view.machine.id, pool, token, onAnswer) }
     }
 
     /** Orders the maintenance of [view] for wave [waveNumber]; [onDone] gets the answer. */
@@ -265,7 +222,7 @@
         onDone: (MachineAnswer) -> Unit,
     ) {
         val maintained = { machine: Machine -> machine.copy(state = MachineState.MAINTENANCE, workerId = null) }
-        order(view, "maintain", waveNumber, maintained, onDone) { onAnswer -> service.maintain(view.machine.id, waveNumber, token, onAnswer) }
+        order(view, "maintain", waveNumber, null, maintained, onDone) { onAnswer -> service.maintain(view.machine.id, waveNumber, token, onAnswer) }
     }
 
     /** Sends an order, which ends the instance's worker when accepted; [after] tells what the instance is then. */
@@ -273,12 +230,14 @@
         view: MachineView,
         step: String,
         waveNumber: Int?,
+        moveTo: String?,
         after: (Machine) -> Machine,
         onDone: (MachineAnswer) -> Unit = {},
         send: ((MachineAnswer) -> Unit) -> Unit,
     ) {
         val worker = workerOf(view)
         view.isOrdered = true
+        view.movingTo = moveTo
         val onAnswer: (MachineAnswer) -> Unit = { answer ->
             orders.onAnswered(view.machine.id)
             onOrdered(view, answer, step) {
@@ -302,6 +261,7 @@
     ) {
         log.write("machine_ordered", "step", step, "machine", view.machine.id, "pool", view.machine.pool, "answer", answer)
         view.isOrdered = false
+        view.movingTo = null
         view.changedAtMs = loop.nowMs
         when (answer) {
             is MachineAnswer.Accepted -> onAccepted()
@@ -356,35 +316,15 @@
     }
 
     private companion object {
-        val NO_NEED = PoolNeed(0, 0, 0, 0.0, 0.0)
-
         /** Reason of an order that was not sent. */
         const val UNCERTAIN_OWNERSHIP = "the ownership became uncertain before the order was sent"
 
-        /** How often the state of each pool is logged. */
-        const val LOG_INTERVAL_MS = 1_000L
-
         /** Pause before a list that could not be read is asked for again. */
         const val LIST_RETRY_MS = 300L
 
-        /** Every pool keeps one instance, so that a single short job need not wait for a move. */
-        const val MIN_MACHINES = 1
-
-        /** Instances are given back when they have not been needed for this long, about the price of a move. */
-        const val SHRINK_AFTER_MS = 1_500L
-
         /** An instance stays at least this long in a pool that it has joined. */
         const val MIN_STAY_MS = 1_500L
 
-        /** A worker that has not shown up this long after its instance joined does not count as supply. */
-        const val JOIN_TIMEOUT_MS = 4_000L
-
-        /** Workers that are avoided for longer than this do not count as supply. */
-        const val AVOIDED_MS = 2_000L
-
-        /** A task that has fitted nowhere for this long needs another instance. */
-        const val STUCK_MS = 600L
-
         /** How often the list is read. */
         const val LIST_INTERVAL_MS = 3_000L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceOrders.kt
@@ -34,7 +34,10 @@
 ) {
     private val inherited = HashMap<String, InstanceOrderRow>()
 
-    /** The instance orders that are in the store, by the time of the last answer. */
+    /** The rows as they should be stored. */
+    private val recorded = HashMap<String, InstanceOrderRow>()
+
+    /** When the last order to an instance of [recorded] was answered. */
     private val answeredAtMs = HashMap<String, Long>()
 
     /** Takes the orders of earlier owners. */
@@ -65,9 +68,8 @@
         send: () -> Unit,
     ) {
         answeredAtMs.remove(machineId)
-        committer.put(key(machineId), onStored = { send() }) {
-            storedJson.encodeToString(InstanceOrderRow.serializer(), InstanceOrderRow(epoch, waveNumber))
-        }
+        recorded[machineId] = InstanceOrderRow(epoch, waveNumber)
+        store(machineId, send)
     }
 
     /** The order to [machineId] was answered or given up. */
@@ -82,11 +84,22 @@
         over.forEach(::delete)
         if (inherited.isEmpty() || loop.nowMs < inheritedUntilMs) return
         log.write("instance_orders_over", "machines", inherited.size)
-        inherited.keys.filter { it !in answeredAtMs }.forEach(::delete)
+        inherited.keys.filter { it !in recorded }.forEach(::delete)
         inherited.clear()
     }
 
-    private fun delete(machineId: String) = committer.put(key(machineId)) { null }
+    private fun delete(machineId: String) {
+        recorded.remove(machineId)
+        store(machineId) {}
+    }
+
+    /** Stores the row as it is when the transaction is built: writes to one row that wait for it become one. */
+    private fun store(
+        machineId: String,
+        onStored: () -> Unit,
+    ) = committer.put(key(machineId), onStored = { onStored() }) {
+        recorded[machineId]?.let { storedJson.encodeToString(InstanceOrderRow.serializer(), it) }
+    }
 
     private fun key(machineId: String) = RowKey(Table.INSTANCE_ORDERS, machineId)
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/MachineView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/MachineView.kt
@@ -16,7 +16,13 @@
 
     /** True while an order is unanswered or its answer was lost. */
     var isOrdered: Boolean = false
+
+    /** The pool to which the unanswered order moves the instance. */
+    var movingTo: String? = null
     var retryAtMs: Long = 0
     var setAside: SetAsideReason? = null
     var joinedAtMs: Long = 0
+
+    /** The pool that the instance serves, or will serve when its order has been carried out. */
+    val pool: String get() = movingTo ?: machine.pool
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -11,7 +11,6 @@
 import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.TaskPhase
 import kotlin.math.ceil
-import kotlin.math.exp
 import kotlin.math.max
 
 /** The need of one pool in instances, with the inputs that decided it. */
@@ -21,6 +20,12 @@
     val runningCpuMilli: Int,
     val waitingWorkCoreMs: Double,
     val arrivingCpuMilli: Double,
+    /** Instances that tasks that last fill, without regard to their spread. */
+    val lastingInstances: Double = 0.0,
+    /** Instances that the work arriving now keeps filled. */
+    val arrivingInstances: Double = 0.0,
+    /** The same when an instance that is ordered now has joined. */
+    val risingInstances: Double = 0.0,
 )
 
 internal class PoolDemand(
@@ -28,22 +33,6 @@
     private val book: JobBook,
     private val runTimes: RunTimes,
 ) {
-    /** An exponentially weighted rate of arriving work, in core-milliseconds a millisecond. */
-    private class ArrivalRate {
-        private var rate = 0.0
-        private var atMs = 0L
-
-        fun add(
-            work: Double,
-            nowMs: Long,
-        ) {
-            rate = at(nowMs) + work / WINDOW_MS
-            atMs = nowMs
-        }
-
-        fun at(nowMs: Long): Double = rate * exp((atMs - nowMs) / WINDOW_MS)
-    }
-
     private val arrivals = HashMap<String, ArrivalRate>()
 
     /** Notes the work of a job that has just been accepted. */
@@ -104,7 +93,16 @@
                 count(lasting.cpuMilli + ordinaryCpu / FILL_SHARE, capacity.cpuMilli),
                 count(lasting.memoryMb + ordinaryMemory / FILL_SHARE, capacity.memoryMb),
             )
-        return PoolNeed(total, lastingCount, running.cpuMilli, waitingWork, arriving)
+        return PoolNeed(
+            machineCount = total,
+            lastingMachineCount = lastingCount,
+            runningCpuMilli = running.cpuMilli,
+            waitingWorkCoreMs = waitingWork,
+            arrivingCpuMilli = arriving,
+            lastingInstances = max(share(lasting.cpuMilli, capacity.cpuMilli), share(lasting.memoryMb, capacity.memoryMb)),
+            arrivingInstances = instancesFor(arriving, capacity),
+            risingInstances = instancesFor((arrivals[pool]?.ahead(loop.nowMs) ?: 0.0) * MILLI, capacity),
+        )
     }
 
     private fun times(
@@ -112,15 +110,22 @@
         count: Int,
     ): Demand = Demand(demand.cpuMilli * count, demand.memoryMb * count, demand.gpuCount * count)
 
+    private fun instancesFor(
+        cpuMilli: Double,
+        capacity: Demand,
+    ): Double = cpuMilli * ARRIVAL_MARGIN / FILL_SHARE / max(1, capacity.cpuMilli)
+
+    private fun share(
+        needed: Int,
+        perMachine: Int,
+    ): Double = needed.toDouble() / max(1, perMachine)
+
     private fun count(
         needed: Double,
         perMachine: Int,
     ): Int = if (perMachine <= 0) 0 else ceil(needed / perMachine).toInt()
 
     private companion object {
-        /** Time constant of the arrival rate: a rise of demand shows within half of the time a move takes. */
-        const val WINDOW_MS = 900.0
-
         /** Waiting work is to be done within this time, about the run time of one task. */
         const val BACKLOG_HORIZON_MS = 900.0
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerRow.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerRow.kt
@@ -11,7 +11,8 @@
 import kotlinx.serialization.json.Json
 
 /**
- * [holder] and [address] are empty while nobody owns. [beat] rises with each write of the holder.
+ * [holder] and [address] are empty while nobody owns. [beat] rises with each write of the holder. For [unsettledMs]
+ * after the write, owners before the holder may still send orders that they believe to be theirs to send.
  */
 @Serializable
 public data class OwnerRow(
@@ -19,7 +20,10 @@
     val address: String,
     val epoch: Long,
     val beat: Long,
+    val unsettledMs: Long = 0,
 ) {
+    internal fun released(): OwnerRow = copy(holder = "", address = "", beat = beat + 1)
+
     internal fun encode(): String = Json.encodeToString(serializer(), this)
 
     public companion object {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnershipKeeper.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnershipKeeper.kt
@@ -27,7 +27,12 @@
     val lastWriteByMs: Long,
     /** True when it ordered nothing after its last write: it gave the ownership back, or its process has ended. */
     val hasStopped: Boolean,
-)
+    /** How long after its last write owners before it may have sent orders. */
+    val unsettledMs: Long = 0,
+) {
+    /** Loop time after which no earlier owner sends an order; an owner sends none [freshnessMs] after its last write. */
+    public fun ordersEndMs(freshnessMs: Long): Long = lastWriteByMs + if (hasStopped) unsettledMs else maxOf(unsettledMs, freshnessMs)
+}
 
 /** Acquires the ownership for the entry [name] at [address]. */
 public class OwnershipKeeper(
@@ -50,6 +55,7 @@
     private var isSuspectedDead = false
     private val processStartMs = loop.nowMs
     private var hasReadOnce = false
+    private var readAtMs = Long.MIN_VALUE / 2
 
     /** A claim of this process whose answer was lost, with the owner before it. */
     private var unansweredClaim: Claim? = null
@@ -65,9 +71,10 @@
     /** Starts to watch. */
     public fun start(): Unit = poll()
 
-    /** Stops to watch and never claims again. */
+    /** Stops to watch and never claims again; a claim that took effect, or may have, is given back. */
     public fun stop() {
         isStopped = true
+        unansweredClaim?.let { settleAbandoned(it.row) }
     }
 
     /** The scheduler of this entry has lost its ownership. */
@@ -87,6 +94,14 @@
         }
     }
 
+    /** The entry that is taken for the owner says that it is not. Callable from any thread. */
+    public fun suspectHandover() {
+        loop.post {
+            if (loop.nowMs - readAtMs < SUSPECTED_READ_INTERVAL_MS) return@post
+            readNow()
+        }
+    }
+
     private fun poll() {
         if (isStopped) return
         if (!isOwner) readNow()
@@ -95,6 +110,7 @@
 
     private fun readNow() {
         if (isStopped || isOwner || isClaiming) return
+        readAtMs = loop.nowMs
         tables.read(OwnerRow.KEY) { if (it is ReadResult.Rows) onRead(it) }
     }
 
@@ -149,10 +165,11 @@
         reason: String,
     ) {
         isClaiming = true
-        val next = OwnerRow(name, address, (row?.epoch ?: 0) + 1, 1)
+        val earlier = earlierOwner(row)
+        val unsettledMs = maxOf(0, earlier.ordersEndMs(LONGEST_ORDER_FRESHNESS_MS) - loop.nowMs)
+        val next = OwnerRow(name, address, (row?.epoch ?: 0) + 1, 1, unsettledMs)
         val change = RowChange(expected = mapOf(OwnerRow.KEY to version), puts = mapOf(OwnerRow.KEY to next.encode()))
         val sinceLastMs = loop.nowMs - unchangedSinceMs
-        val earlier = earlierOwner(row)
         tables.commit(change) { result ->
             isClaiming = false
             claimAtMs = Long.MAX_VALUE
@@ -162,6 +179,7 @@
                 is ChangeResult.Conflict -> adopt(result, next, earlier)
                 is ChangeResult.Failed -> {
                     if (result.mayHaveApplied) unansweredClaim = Claim(next, earlier)
+                    if (result.mayHaveApplied && isStopped) settleAbandoned(next)
                     loop.after(CLAIM_RETRY_MS) { readNow() }
                 }
             }
@@ -185,6 +203,7 @@
             isSameEntry = isSameEntry,
             lastWriteByMs = if (isSameEntry) processStartMs else unchangedSinceMs,
             hasStopped = row == null || row.holder.isEmpty() || isSameEntry,
+            unsettledMs = row?.unsettledMs ?: 0,
         )
     }
 
@@ -193,21 +212,54 @@
         version: Long,
         earlier: EarlierOwner,
     ) {
-        if (isStopped) return
+        if (isStopped) {
+            giveBack(row, version)
+            return
+        }
         isOwner = true
         unansweredClaim = null
         known = row
         onOwned(row, version, earlier)
     }
 
-    private companion object {
+    /** A claim of this stopping entry may have taken effect: nobody else would claim until it had been silent for long. */
+    private fun settleAbandoned(claimed: OwnerRow) {
+        tables.read(OwnerRow.KEY) { result ->
+            val stored = (result as? ReadResult.Rows)?.rows?.firstOrNull()
+            when {
+                result is ReadResult.Failed -> loop.after(CLAIM_RETRY_MS) { settleAbandoned(claimed) }
+                stored != null && OwnerRow.decode(stored.value) == claimed -> giveBack(claimed, stored.version)
+                // The claim may still be on its way; it cannot take effect any more once the row has changed.
+                stored != null && OwnerRow.decode(stored.value) == known -> loop.after(CLAIM_RETRY_MS) { settleAbandoned(claimed) }
+            }
+        }
+    }
+
+    private fun giveBack(
+        row: OwnerRow,
+        version: Long,
+    ) {
+        val change = RowChange(expected = mapOf(OwnerRow.KEY to version), puts = mapOf(OwnerRow.KEY to row.released().encode()))
+        tables.commit(change) { result ->
+            log.write("owner_claim_given_back", "epoch", row.epoch, "result", result)
+            if (result is ChangeResult.Failed) loop.after(CLAIM_RETRY_MS) { settleAbandoned(row) }
+        }
+    }
+
+    internal companion object {
+        /** No owner sends an order later than this after its last confirmed write. */
+        const val LONGEST_ORDER_FRESHNESS_MS = 4_000L
+
         /** How often an entry reads the owner row. */
-        const val POLL_INTERVAL_MS = 800L
+        private const val POLL_INTERVAL_MS = 800L
 
         /** An owner row that has not changed for this long has lost its holder: four missed renewals. */
-        const val TAKEOVER_AFTER_MS = 2_900L
+        private const val TAKEOVER_AFTER_MS = 2_900L
+
+        /** Least time between two reads for a suspected handover; many callers may notice it at once. */
+        private const val SUSPECTED_READ_INTERVAL_MS = 150L
 
         /** Pause after a claim whose answer was lost. */
-        const val CLAIM_RETRY_MS = 150L
+        private const val CLAIM_RETRY_MS = 150L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
@@ -14,6 +14,7 @@
     CONTACTS("contacts"),
     WAVES("waves"),
     INSTANCE_ORDERS("instance_orders"),
+    TURNS("turns"),
     ;
 
     /** The name under which the platform keeps the table. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -20,6 +20,8 @@
     private val log: DecisionLog,
     private var owner: OwnerRow,
     private var ownerVersion: Long,
+    /** How long from now earlier owners may still send orders; stored with each write. */
+    private val unsettledMs: () -> Long,
     private val onLost: (String) -> Unit,
 ) {
     private class Write(
@@ -33,6 +35,7 @@
         val writes: List<Write>,
         val owner: OwnerRow,
         val values: Map<RowKey, String?>,
+        val firstSentAt: Moment,
     )
 
     private val pending = LinkedHashMap<RowKey, Write>()
@@ -42,6 +45,9 @@
     private var isClosed = false
     private var failures = 0
 
+    /** Set once the ownership is to be given back. */
+    private var onReleased: (() -> Unit)? = null
+
     /** True while transactions fail or have no answer. */
     val isInTrouble: Boolean get() = failures > 0 || inFlight != null && loop.nowMs - lastSentAtMs > SLOW_MS
 
@@ -82,25 +88,17 @@
         if (inFlight == null && loop.nowMs - lastSentAtMs >= RENEW_INTERVAL_MS) send()
     }
 
-    /** Stores what is pending, then gives the ownership back; nothing is written afterwards. */
+    /**
+     * Gives the ownership back in the next transaction, which also carries what is pending, new jobs first; nothing is
+     * written afterwards. What does not fit is not lost: the workers still list the ends, and callers get no answer.
+     */
     fun release(onDone: () -> Unit) {
         if (isClosed) {
             onDone()
-        } else if (inFlight == null && pending.isEmpty()) {
-            giveBack(onDone)
-        } else {
-            loop.after(RELEASE_POLL_MS) { release(onDone) }
-        }
-    }
-
-    private fun giveBack(onDone: () -> Unit) {
-        isClosed = true
-        val freed = owner.copy(holder = "", address = "", beat = owner.beat + 1)
-        val change = RowChange(expected = mapOf(OwnerRow.KEY to ownerVersion), puts = mapOf(OwnerRow.KEY to freed.encode()))
-        tables.commit(change) { result ->
-            log.write("ownership_released", "epoch", owner.epoch, "result", result)
-            onDone()
+            return
         }
+        onReleased = onDone
+        if (inFlight == null) send()
     }
 
     private fun schedule() {
@@ -122,9 +120,12 @@
     }
 
     private fun takeBatch(): Batch {
-        val writes = pending.values.take(MAX_WRITES)
+        val isLast = onReleased != null
+        val queued = if (isLast) pending.values.sortedBy { !it.mustBeAbsent } else pending.values
+        val writes = queued.take(MAX_WRITES)
         writes.forEach { pending.remove(it.key) }
-        return Batch(writes, owner.copy(beat = owner.beat + 1), writes.associate { it.key to it.value() })
+        val next = if (isLast) owner.released() else owner.copy(beat = owner.beat + 1)
+        return Batch(writes, next.copy(unsettledMs = unsettledMs()), writes.associate { it.key to it.value() }, loop.moment())
     }
 
     private fun changeOf(batch: Batch): RowChange {
@@ -149,7 +150,7 @@
         if (isClosed) return
         when (result) {
             is ChangeResult.Committed -> onCommitted(batch, sentAt, result.version)
-            is ChangeResult.Conflict -> onConflict(batch, sentAt, result.rows)
+            is ChangeResult.Conflict -> onConflict(batch, result.rows)
             is ChangeResult.Failed -> onFailed(result)
         }
     }
@@ -166,18 +167,22 @@
         ownership.confirm(sentAt)
         inFlight = null
         for (write in batch.writes) write.onStored.forEach { it(null) }
-        if (pending.isNotEmpty()) schedule()
+        when {
+            owner.holder.isEmpty() -> onReleased()
+            onReleased != null -> send()
+            pending.isNotEmpty() -> schedule()
+        }
     }
 
     private fun onConflict(
         batch: Batch,
-        sentAt: Moment,
         rows: List<StoredRow>,
     ) {
         val row = rows.firstOrNull { it.key == OwnerRow.KEY }
         val stored = row?.let { OwnerRow.decode(it.value) }
         when {
-            stored == batch.owner -> onCommitted(batch, sentAt, checkNotNull(row).version)
+            // An earlier sending took effect; others count the ownership from that write, not from this answer.
+            stored == batch.owner -> onCommitted(batch, batch.firstSentAt, checkNotNull(row).version)
             stored == owner -> dropExisting(batch, rows)
             else -> lose("owner row held by ${stored?.holder} epoch ${stored?.epoch}")
         }
@@ -194,7 +199,7 @@
             lose("store reported a conflict without a conflicting row")
             return
         }
-        inFlight = Batch(kept, batch.owner, batch.values)
+        inFlight = Batch(kept, batch.owner, batch.values, loop.moment())
         for (write in dropped) write.onStored.forEach { it(existing.getValue(write.key)) }
         send()
     }
@@ -205,8 +210,15 @@
         loop.after(RETRY_DELAY_MS) { send() }
     }
 
+    private fun onReleased() {
+        isClosed = true
+        log.write("ownership_released", "epoch", owner.epoch, "dropped", pending.size)
+        onReleased?.invoke()
+    }
+
     private fun lose(reason: String) {
         isClosed = true
+        onReleased?.invoke()
         onLost(reason)
     }
 
@@ -214,9 +226,6 @@
         /** A transaction without an answer for this long is in trouble; an answer usually takes 5 ms. */
         const val SLOW_MS = 100L
 
-        /** Pause between two looks at whether all is stored before the ownership is given back. */
-        const val RELEASE_POLL_MS = 10L
-
         /** Pause between transactions, in which writes collect: 50 calls a second at most. */
         const val MIN_INTERVAL_MS = 20L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -7,9 +7,11 @@
 import io.corianderrock.jobs.fleet.FleetController
 import io.corianderrock.jobs.fleet.InstanceOrders
 import io.corianderrock.jobs.fleet.PoolDemand
+import io.corianderrock.jobs.fleet.Turn
 import io.corianderrock.jobs.fleet.WaveDriver
 import io.corianderrock.jobs.ownership.EarlierOwner
 import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.ownership.OwnershipKeeper
 import io.corianderrock.jobs.placement.Placer
 import io.corianderrock.jobs.placement.RunTimes
 import io.corianderrock.jobs.ports.AdviceService
@@ -28,6 +30,7 @@
 import io.corianderrock.jobs.state.JobSubmission
 import io.corianderrock.jobs.state.JobsConfiguration
 import io.corianderrock.jobs.state.MaintenanceWave
+import kotlinx.serialization.builtins.ListSerializer
 
 /** What the scheduler needs from outside. */
 public class SchedulerPorts(
@@ -82,7 +85,7 @@
 ) {
     private val loop = ports.loop
     private val log = ports.log
-    private val committer = Committer(loop, ports.tables, log, owner, ownerVersion, ::lose)
+    private val committer = Committer(loop, ports.tables, log, owner, ownerVersion, ::unsettledMs, ::lose)
     private val runTimes = RunTimes()
     private val book = JobBook(loop, committer, log)
     private val driver =
@@ -105,7 +108,7 @@
         if (earlier.isSameEntry || !earlier.existed) {
             loop.nowMs
         } else {
-            earlierOrdersEndMs(ORDER_FRESHNESS_MS) + bounds.machineLeaseMs + TURN_MARGIN_MS
+            earlier.ordersEndMs(ORDER_FRESHNESS_MS) + bounds.machineLeaseMs + TURN_MARGIN_MS
         }
     private val instanceOrders =
         InstanceOrders(loop, committer, log, owner.epoch, bounds.machineLeaseMs + TURN_MARGIN_MS, machineOrdersFromMs)
@@ -138,6 +141,7 @@
             demand.onAccepted(job)
             requestPass()
         }
+        fleet.sizer.onLearnt = { turns -> committer.put(TURNS_KEY) { storedJson.encodeToString(TURNS, turns) } }
         if (earlier.existed) load() else onLoaded()
         tick()
     }
@@ -219,12 +223,11 @@
 
     private fun mayOrderMachines(): Boolean = isLoaded && isOwnershipFresh(ORDER_FRESHNESS_MS)
 
-    /** When the earlier owner has sent its last order: it sends none later than [freshnessMs] after its last write. */
-    private fun earlierOrdersEndMs(freshnessMs: Long): Long =
-        if (earlier.hasStopped) earlier.lastWriteByMs else earlier.lastWriteByMs + freshnessMs
+    private fun unsettledMs(): Long =
+        if (earlier.existed) maxOf(0, earlier.ordersEndMs(ORDER_FRESHNESS_WORKERS_MS) - loop.nowMs) else 0
 
     private fun load() {
-        val tables = listOf(Table.JOBS, Table.PROGRESS, Table.CONTACTS, Table.WAVES, Table.INSTANCE_ORDERS, Table.INBOX)
+        val tables = listOf(Table.JOBS, Table.PROGRESS, Table.CONTACTS, Table.WAVES, Table.INSTANCE_ORDERS, Table.TURNS, Table.INBOX)
         val found = HashMap<Table, List<StoredRow>>()
         for (table in tables) {
             scan(table) { rows ->
@@ -261,9 +264,10 @@
             book.load(submission, progress[submission.id], isInherited = true)
         }
         val contacts = found.getValue(Table.CONTACTS).mapNotNull { decodeStored(ContactRow.serializer(), it.value) }
-        driver.inherit(contacts, earlierOrdersEndMs(ORDER_FRESHNESS_WORKERS_MS) + driver.longestLeaseBoundMs)
+        driver.inherit(contacts, earlier.ordersEndMs(ORDER_FRESHNESS_WORKERS_MS) + driver.longestLeaseBoundMs)
         waveDriver.load(found.getValue(Table.WAVES))
         instanceOrders.load(found.getValue(Table.INSTANCE_ORDERS))
+        found.getValue(Table.TURNS).forEach { row -> decodeStored(TURNS, row.value)?.let(fleet.sizer::load) }
         // Before anything starts: a job may have been cancelled while nobody owned.
         found.getValue(Table.INBOX).forEach(::takeFromInbox)
         onLoaded()
@@ -348,8 +352,11 @@
     }
 
     private companion object {
+        val TURNS = ListSerializer(Turn.serializer())
+        val TURNS_KEY = RowKey(Table.TURNS, "all")
+
         /** Orders to workers need a write confirmed within this time; the next owner waits for as long. */
-        const val ORDER_FRESHNESS_WORKERS_MS = 4_000L
+        const val ORDER_FRESHNESS_WORKERS_MS = OwnershipKeeper.LONGEST_ORDER_FRESHNESS_MS
 
         /** Orders to instances need a write confirmed within this time; the next owner waits for as long. */
         const val ORDER_FRESHNESS_MS = 1_500L
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -54,6 +54,9 @@
 ) {
     private val byId = LinkedHashMap<String, WorkerView>()
 
+    /** The listed worker of each instance. */
+    private val listedByMachine = HashMap<String, WorkerView>()
+
     /** Workers that an earlier owner may have left runs on and that have not answered yet. */
     private val unsettledContacts = HashMap<String, ContactRow>()
     private var settleDeadlineMs = 0L
@@ -73,6 +76,9 @@
 
     fun find(id: String): WorkerView? = byId[id]
 
+    /** The listed worker of an instance. */
+    fun listedOn(machineId: String): WorkerView? = listedByMachine[machineId]
+
     /** True while tasks of inherited jobs may be running on a worker of [pool] that has not answered. */
     fun isSettling(pool: String): Boolean =
         unsettledContacts.isNotEmpty() && loop.nowMs < settleDeadlineMs && unsettledContacts.values.any { it.pool == pool }
@@ -144,8 +150,10 @@
         }
         endEarlierLivesOf(entry)
         if (present == null || present.entry != entry) logListed(entry)
+        forgetMachineOf(worker)
         worker.entry = entry
         worker.isListed = true
+        entry.machineId?.let { listedByMachine[it] = worker }
         if (entry.isDraining) worker.drainingSinceMs = worker.drainingSinceMs ?: loop.nowMs else worker.drainingSinceMs = null
         contactIfNeeded(worker)
         onChange()
@@ -170,6 +178,11 @@
         val worker = byId[workerId] ?: return
         if (worker.isListed) log.write("worker_unlisted", "worker", workerId, "runs", worker.runs.size)
         worker.isListed = false
+        forgetMachineOf(worker)
+    }
+
+    private fun forgetMachineOf(worker: WorkerView) {
+        worker.entry.machineId?.let { listedByMachine.remove(it, worker) }
     }
 
     /** The instance of the worker was moved or maintained by our order, which ends everything on it. */
@@ -181,6 +194,7 @@
         releaseRuns(worker)
         settleContact(worker.id)
         byId.remove(worker.id)
+        forgetMachineOf(worker)
         if (worker.isContactStored || worker.isContactStoring) committer.put(contactKey(worker)) { null }
         onChange()
     }
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -0,0 +1,96 @@
+/*
+ * The owner's transactions while the store is slow and ends keep coming in.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.ports.ChangeResult
+import io.corianderrock.jobs.ports.JobTables
+import io.corianderrock.jobs.ports.ReadResult
+import io.corianderrock.jobs.ports.RowChange
+import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.Table
+import io.corianderrock.jobs.runs.Committer
+import io.corianderrock.jobs.world.SimLoop
+import io.corianderrock.jobs.world.SimTime
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.booleans.shouldBeTrue
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+
+/** Answers each transaction after [ANSWER_MS]. */
+private class SlowTables(
+    private val time: SimTime,
+) : JobTables {
+    val changes = ArrayList<RowChange>()
+
+    override fun commit(
+        change: RowChange,
+        onResult: (ChangeResult) -> Unit,
+    ) {
+        changes.add(change)
+        time.after(ANSWER_MS) { onResult(ChangeResult.Committed(changes.size.toLong())) }
+    }
+
+    override fun scan(
+        table: Table,
+        onResult: (ReadResult) -> Unit,
+    ) = Unit
+
+    override fun read(
+        key: RowKey,
+        onResult: (ReadResult) -> Unit,
+    ) = Unit
+
+    override fun publishWave(
+        number: Int,
+        isComplete: Boolean,
+        onResult: (Boolean) -> Unit,
+    ) = Unit
+}
+
+private const val ANSWER_MS = 340L
+
+private class ReleasingOwner {
+    val time = SimTime()
+    val tables = SlowTables(time)
+    val committer = Committer(SimLoop(time), tables, { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
+
+    /** Ends come in every 20 ms, stop or no stop. */
+    fun receiveEnds(left: Int = 500) {
+        if (left == 0) return
+        committer.put(RowKey(Table.PROGRESS, "job$left")) { "ended" }
+        time.after(20) { receiveEnds(left - 1) }
+    }
+
+    fun releaseTookMs(): Long {
+        var releasedAtMs = Long.MAX_VALUE
+        val startMs = time.nowMs
+        committer.release { releasedAtMs = time.nowMs }
+        time.runUntil(startMs + 5_000)
+        return releasedAtMs - startMs
+    }
+}
+
+internal class CommitterTest :
+    DescribeSpec({
+        describe("an owner that stops while the store is slow and ends come in") {
+            it("gives the ownership back in its next transaction") {
+                val owner = ReleasingOwner()
+                owner.receiveEnds()
+                owner.time.runUntil(owner.time.nowMs + 1_000)
+                owner.releaseTookMs() shouldBeLessThan 2 * ANSWER_MS + 50
+                val last = OwnerRow.decode(owner.tables.changes.last().puts.getValue(OwnerRow.KEY))
+                last?.holder shouldBe ""
+            }
+            it("stores jobs that wait for their acceptance with it") {
+                val owner = ReleasingOwner()
+                owner.receiveEnds()
+                owner.time.runUntil(owner.time.nowMs + 1_000)
+                var isAccepted = false
+                owner.committer.put(RowKey(Table.JOBS, "job"), mustBeAbsent = true, onStored = { isAccepted = true }) { "new" }
+                owner.releaseTookMs()
+                isAccepted.shouldBeTrue()
+            }
+        }
+    })
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -77,6 +77,8 @@
         4478 to "an owner that was frozen started tasks of a job cancelled meanwhile",
         11172 to "a worker that lost its runs while it was cut off was never asked again",
         11979 to "a state that was read before the job ended reached the caller after a freeze, which is allowed",
+        32535 to "tasks that last, thinly spread over one pool, kept all instances from another",
+        40436 to "an owner took its own row in a conflict for a fresh write",
         12998 to "an owner suspended between a write and its answer took the ownership for fresh",
     )
 
--- a/transport/src/main/kotlin/io/corianderrock/transport/JobPeers.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/JobPeers.kt
@@ -32,7 +32,7 @@
 )
 
 @Serializable
-internal enum class PeerAnswerKind { DONE, STATE, PENDING, UNKNOWN, NOT_DONE, UNCERTAIN, NOT_TAKEN }
+internal enum class PeerAnswerKind { DONE, STATE, PENDING, UNKNOWN, NOT_DONE, UNCERTAIN, NOT_TAKEN, NOT_OWNER }
 
 @Serializable
 internal data class PeerAnswer(
@@ -52,6 +52,7 @@
     private val client: AsyncHttpClient,
     private val ownerAddress: () -> String?,
     private val onProcessGone: (String) -> Unit,
+    private val onNotOwner: () -> Unit,
 ) : SchedulerRoute {
     override fun ask(
         request: JobRequest,
@@ -59,13 +60,14 @@
     ) {
         val address = ownerAddress()
         if (address == null) {
-            onReply(SchedulerReply.NotTaken("no owner is known", isProcessGone = false))
+            onReply(SchedulerReply.NotTaken("no owner is known"))
             return
         }
         val body = peerJson.encodeToString(PeerQuestion.serializer(), questionOf(request)).toByteArray()
         client.send("POST", "http://$address$JOBS_PATH", body, PEER_TIMEOUT_MS) { result ->
             val reply = replyOf(result)
             if (reply is SchedulerReply.NotTaken && reply.isProcessGone) onProcessGone(address)
+            if (reply is SchedulerReply.NotTaken && reply.isOwnerGone) onNotOwner()
             onReply(reply)
         }
     }
@@ -84,7 +86,7 @@
                 if (result.hasSentBytes) {
                     SchedulerReply.Lost(result.reason)
                 } else {
-                    SchedulerReply.NotTaken(result.reason, result.isRefused)
+                    SchedulerReply.NotTaken(result.reason, isProcessGone = result.isRefused)
                 }
             is HttpResult.Answer -> decode(result)
         }
@@ -106,7 +108,8 @@
             PeerAnswerKind.UNKNOWN -> SchedulerReply.Answer(CallerAnswer.Unknown)
             PeerAnswerKind.NOT_DONE -> SchedulerReply.Answer(CallerAnswer.NotDone(answer.reason, answer.retryAfterMs))
             PeerAnswerKind.UNCERTAIN -> SchedulerReply.Lost(answer.reason)
-            PeerAnswerKind.NOT_TAKEN -> SchedulerReply.NotTaken(answer.reason, isProcessGone = false)
+            PeerAnswerKind.NOT_TAKEN -> SchedulerReply.NotTaken(answer.reason)
+            PeerAnswerKind.NOT_OWNER -> SchedulerReply.NotTaken(answer.reason, isOwnerGone = true)
         }
     }
 
@@ -152,7 +155,8 @@
 
     private fun answerOf(reply: SchedulerReply): PeerAnswer =
         when (reply) {
-            is SchedulerReply.NotTaken -> PeerAnswer(PeerAnswerKind.NOT_TAKEN, reason = reply.reason)
+            is SchedulerReply.NotTaken ->
+                PeerAnswer(if (reply.isOwnerGone) PeerAnswerKind.NOT_OWNER else PeerAnswerKind.NOT_TAKEN, reason = reply.reason)
             is SchedulerReply.Lost -> PeerAnswer(PeerAnswerKind.UNCERTAIN, reason = reply.reason)
             is SchedulerReply.Answer -> answerOf(reply.answer)
         }
