Count a failed run once; metrics on an address of the settings; keep instances usable after refused orders

(2) An idle instance whose move was refused, or not sent because the ownership became uncertain, stayed set aside for its worker alone: counted as supply, never used. Change: failed runs are kept by number, so an end that is listed again changes nothing; a refused instance is usable again, one without an answer stays set aside until a list shows the outcome; the model loses answers to instance orders too. Figures: JobBookTest (with a count instead of numbers the first case ends FAILED).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -48,8 +48,7 @@
         return configuration()?.pools?.get(view.machine.pool)?.isStandby == true
     }
 
-    fun workerOf(view: MachineView): WorkerView? =
-        driver.listedOn(view.machine.id) ?: view.machine.workerId?.let(driver::find)
+    fun workerOf(view: MachineView): WorkerView? = driver.listedOn(view.machine.id) ?: view.machine.workerId?.let(driver::find)
 
     fun tick() {
         refresh()
@@ -150,8 +149,7 @@
     }
 
     /** True when no order to the instance is on its way, was refused just now or was sent lately by an earlier owner. */
-    fun isOrderable(view: MachineView): Boolean =
-        !view.isOrdered && loop.nowMs >= view.retryAtMs && !orders.isInherited(view.machine.id)
+    fun isOrderable(view: MachineView): Boolean = !view.isOrdered && loop.nowMs >= view.retryAtMs && !orders.isInherited(view.machine.id)
 
     /** Counts instances that an earlier owner may have just sent to maintenance, but for those of [known]. */
     fun inheritedMaintenanceCount(
@@ -185,7 +183,11 @@
         if (state.machines.any { it.setAside == SetAsideReason.SURPLUS }) return null
         val view = settled.minByOrNull { workerOf(it)?.runs?.size ?: 0 } ?: return null
         val worker = workerOf(view) ?: return null
-        val free = state.supply.mapNotNull(::workerOf).filter { it !== worker }.fold(Demand()) { sum, other -> sum + other.free }
+        val free =
+            state.supply
+                .mapNotNull(::workerOf)
+                .filter { it !== worker }
+                .fold(Demand()) { sum, other -> sum + other.free }
         return view.takeIf { worker.occupied.fitsIn(free) }
     }
 
@@ -214,8 +216,8 @@
         pool: String,
     ) {
         workerOf(view)?.isSetAside = true
-        val moved = { machine: Machine -> machine.copy(pool = pool, state = MachineState.MOVING, workerId = null) }
-        order(view, "move", null, pool, moved) { onAnswer -> service.move(view.machine.id, pool, token, onAnswer) }
+        val order = Order("move", moveTo = pool) { it.copy(pool = pool, state = MachineState.MOVING, workerId = null) }
+        send(view, order) { onAnswer -> service.move(view.machine.id, pool, token, onAnswer) }
     }
 
     /** Orders the maintenance of [view] for wave [waveNumber]; [onDone] gets the answer. */
@@ -224,35 +226,40 @@
         waveNumber: Int,
         onDone: (MachineAnswer) -> Unit,
     ) {
-        val maintained = { machine: Machine -> machine.copy(state = MachineState.MAINTENANCE, workerId = null) }
-        order(view, "maintain", waveNumber, null, maintained, onDone) { onAnswer -> service.maintain(view.machine.id, waveNumber, token, onAnswer) }
+        val order = Order("maintain", waveNumber = waveNumber) { it.copy(state = MachineState.MAINTENANCE, workerId = null) }
+        send(view, order, onDone) { onAnswer -> service.maintain(view.machine.id, waveNumber, token, onAnswer) }
     }
 
-    /** Sends an order, which ends the instance's worker when accepted; [after] tells what the instance is then. */
-    private fun order(
+    /** An order, which ends the instance's worker when accepted; [after] tells what the instance is then. */
+    private class Order(
+        val step: String,
+        val moveTo: String? = null,
+        val waveNumber: Int? = null,
+        val after: (Machine) -> Machine,
+    )
+
+    /** Records [order], then calls [call] to send it. */
+    private fun send(
         view: MachineView,
-        step: String,
-        waveNumber: Int?,
-        moveTo: String?,
-        after: (Machine) -> Machine,
+        order: Order,
         onDone: (MachineAnswer) -> Unit = {},
-        send: ((MachineAnswer) -> Unit) -> Unit,
+        call: ((MachineAnswer) -> Unit) -> Unit,
     ) {
         val worker = workerOf(view)
         view.isOrdered = true
-        view.movingTo = moveTo
+        view.movingTo = order.moveTo
         val onAnswer: (MachineAnswer) -> Unit = { answer ->
             orders.onAnswered(view.machine.id)
-            onOrdered(view, answer, step) {
+            onOrdered(view, answer, order.step) {
                 worker?.let { driver.onEnded(it.id) }
                 view.joinedAtMs = loop.nowMs
-                view.machine = after(view.machine)
+                view.machine = order.after(view.machine)
                 view.setAside = null
             }
             onDone(answer)
         }
-        orders.record(view.machine.id, waveNumber) {
-            if (mayOrder()) send(onAnswer) else onAnswer(MachineAnswer.Refused(UNCERTAIN_OWNERSHIP))
+        orders.record(view.machine.id, order.waveNumber) {
+            if (mayOrder()) call(onAnswer) else onAnswer(MachineAnswer.Refused(UNCERTAIN_OWNERSHIP))
         }
     }
 
@@ -268,8 +275,15 @@
         view.changedAtMs = loop.nowMs
         when (answer) {
             is MachineAnswer.Accepted -> onAccepted()
-            is MachineAnswer.Refused -> view.retryAtMs = loop.nowMs + REFUSED_RETRY_MS
-            is MachineAnswer.Lost -> view.retryAtMs = loop.nowMs + LOST_RETRY_MS
+            is MachineAnswer.Refused -> {
+                view.retryAtMs = loop.nowMs + REFUSED_RETRY_MS
+                workerOf(view)?.isSetAside = view.setAside != null
+            }
+            is MachineAnswer.Lost -> {
+                view.retryAtMs = loop.nowMs + LOST_RETRY_MS
+                // It may still be carried out and end what runs there: nothing new until a list shows the outcome.
+                if (view.setAside == null) setAside(view, SetAsideReason.SURPLUS)
+            }
         }
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobBook.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobBook.kt
@@ -109,14 +109,17 @@
         storeProgress(job)
     }
 
-    /** Counts a failed run; the job has failed when the task has no attempt left. */
-    fun taskFailed(task: TaskRun) {
+    /** Counts the failed run [runNumber] once, however often it is listed; the job has failed when the task has no attempt left. */
+    fun taskFailed(
+        task: TaskRun,
+        runNumber: Long,
+    ) {
         val job = task.stepRun.job
         job.markStarted()
         if (task.stepRun.step.isLongRunning) return
-        task.failedCount++
-        if (task.failedCount >= job.queue.maxAttempts && !job.state.isFinal) {
-            log.write("job_failed", "job", job.id, "queue", job.queue.name, "task", task.id, "attempts", task.failedCount)
+        if (!task.failedRuns.add(runNumber)) return
+        if (task.failedRuns.size >= job.queue.maxAttempts && !job.state.isFinal) {
+            log.write("job_failed", "job", job.id, "queue", job.queue.name, "task", task.id, "runs", task.failedRuns.joinToString("+"))
             finish(job, JobState.FAILED)
         }
         storeProgress(job)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -223,8 +223,7 @@
 
     private fun mayOrderMachines(): Boolean = isLoaded && isOwnershipFresh(ORDER_FRESHNESS_MS)
 
-    private fun unsettledMs(): Long =
-        if (earlier.existed) maxOf(0, earlier.ordersEndMs(ORDER_FRESHNESS_WORKERS_MS) - loop.nowMs) else 0
+    private fun unsettledMs(): Long = if (earlier.existed) maxOf(0, earlier.ordersEndMs(ORDER_FRESHNESS_WORKERS_MS) - loop.nowMs) else 0
 
     private fun load() {
         val tables = listOf(Table.JOBS, Table.PROGRESS, Table.CONTACTS, Table.WAVES, Table.INSTANCE_ORDERS, Table.TURNS, Table.INBOX)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -80,8 +80,7 @@
     fun listedOn(machineId: String): WorkerView? = listedByMachine[machineId]
 
     /** True while tasks of inherited jobs may be running on a worker of [pool] that has not answered. */
-    fun isSettling(pool: String): Boolean =
-        unsettledContacts.values.any { it.pool == pool }
+    fun isSettling(pool: String): Boolean = unsettledContacts.values.any { it.pool == pool }
 
     /** Begins to talk to workers; all stored jobs and contacts are known. */
     fun open() {
@@ -562,7 +561,7 @@
             EndKind.DONE -> if (!isLasting) taskOrGangDone(task)
             EndKind.FAILED -> {
                 task.lastFailedWorkerId = worker.id
-                book.taskFailed(task)
+                book.taskFailed(task, end.runNumber)
             }
             else -> Unit
         }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobProgress.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobProgress.kt
@@ -20,13 +20,13 @@
     public val isFinal: Boolean get() = this == COMPLETE || this == FAILED || this == CANCELLED
 }
 
-/** The stored progress of one step of one occurrence; [done] lists task indices, [failed] counts failed runs by index. */
+/** The stored progress of one step of one occurrence; [done] lists task indices, [failedRuns] the failed runs by index. */
 @Serializable
 public data class StepProgress(
     val occurrence: Int,
     val step: Int,
     val done: List<Int> = emptyList(),
-    val failed: Map<Int, Int> = emptyMap(),
+    val failedRuns: Map<Int, List<Long>> = emptyMap(),
 )
 
 /** The stored progress of a job. [finishedWallMs] is set once [state] is final. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -29,7 +29,9 @@
     var worker: WorkerView? = null
     var runNumber: Long = 0
     var lastRunNumber: Long = 0
-    var failedCount: Int = 0
+
+    /** Numbers of the runs that failed: a worker lists an end again until it is known to be stored. */
+    val failedRuns = LinkedHashSet<Long>()
     var checkpoint: String? = null
     var startedAtMs: Long = 0
     var waitingSinceMs: Long = 0
@@ -148,8 +150,8 @@
             steps =
                 occurrences.values.flatMap { it.steps }.mapNotNull { run ->
                     val done = run.tasks.filter { it.phase == TaskPhase.DONE }.map { it.id.index }
-                    val failed = run.tasks.filter { it.failedCount > 0 }.associate { it.id.index to it.failedCount }
-                    if (done.isEmpty() && failed.isEmpty()) null else StepProgress(run.occurrence, run.number, done, failed)
+                    val failedRuns = run.tasks.filter { it.failedRuns.isNotEmpty() }.associate { it.id.index to it.failedRuns.toList() }
+                    if (done.isEmpty() && failedRuns.isEmpty()) null else StepProgress(run.occurrence, run.number, done, failedRuns)
                 },
             finishedWallMs = finishedWallMs,
         )
@@ -173,6 +175,11 @@
     ) {
         val run = addOccurrence(stored.occurrence, nowMs).steps.getOrNull(stored.step) ?: return
         for (index in stored.done) run.tasks.getOrNull(index)?.let(run::markDone)
-        for ((index, count) in stored.failed) run.tasks.getOrNull(index)?.failedCount = count
+        for ((index, runNumbers) in stored.failedRuns) {
+            run.tasks
+                .getOrNull(index)
+                ?.failedRuns
+                ?.addAll(runNumbers)
+        }
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -19,7 +19,7 @@
 import io.kotest.matchers.shouldBe
 
 /** Answers each transaction after [ANSWER_MS]. */
-private class SlowTables(
+internal class SlowTables(
     private val time: SimTime,
 ) : JobTables {
     val changes = ArrayList<RowChange>()
@@ -49,7 +49,7 @@
     ) = Unit
 }
 
-private const val ANSWER_MS = 340L
+internal const val ANSWER_MS = 340L
 
 private class ReleasingOwner {
     val time = SimTime()
@@ -80,7 +80,13 @@
                 owner.receiveEnds()
                 owner.time.runUntil(owner.time.nowMs + 1_000)
                 owner.releaseTookMs() shouldBeLessThan 2 * ANSWER_MS + 50
-                val last = OwnerRow.decode(owner.tables.changes.last().puts.getValue(OwnerRow.KEY))
+                val last =
+                    OwnerRow.decode(
+                        owner.tables.changes
+                            .last()
+                            .puts
+                            .getValue(OwnerRow.KEY),
+                    )
                 last?.holder shouldBe ""
             }
             it("stores jobs that wait for their acceptance with it") {
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobBookTest.kt
@@ -0,0 +1,53 @@
+/*
+ * What the book makes of ends that a worker lists again to the next owner.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.runs.Committer
+import io.corianderrock.jobs.runs.JobBook
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobProgress
+import io.corianderrock.jobs.state.JobRun
+import io.corianderrock.jobs.state.JobState
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.Queue
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.state.StepProgress
+import io.corianderrock.jobs.world.SimLoop
+import io.corianderrock.jobs.world.SimTime
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+
+private const val STORED_RUN = 7L
+
+/** A job with two attempts a task, of which one is used up in the store. */
+private class InheritedJob {
+    private val time = SimTime()
+    private val loop = SimLoop(time)
+    private val committer = Committer(loop, SlowTables(time), { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
+    private val book = JobBook(loop, committer) { _, _ -> }
+    private val submission = JobSubmission("job", Queue("queue", "pool", maxAttempts = 2), "spec", listOf(Step(1, Demand(1_000, 100))))
+    private val progress =
+        JobProgress(JobState.ACTIVE, listOf(StepProgress(occurrence = 0, step = 0, failedRuns = mapOf(0 to listOf(STORED_RUN)))))
+    val job: JobRun = book.load(submission, progress, isInherited = true)
+
+    fun fail(runNumber: Long) = book.taskFailed(job.tasks.first(), runNumber)
+}
+
+internal class JobBookTest :
+    DescribeSpec({
+        describe("a failed run whose end was stored, but not that it was read") {
+            it("does not use up another attempt") {
+                val inherited = InheritedJob()
+                inherited.fail(STORED_RUN)
+                inherited.job.state shouldBe JobState.ACTIVE
+            }
+            it("leaves the next failure to be counted") {
+                val inherited = InheritedJob()
+                inherited.fail(STORED_RUN)
+                inherited.fail(STORED_RUN + 1)
+                inherited.job.state shouldBe JobState.FAILED
+            }
+        }
+    })
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -269,6 +269,11 @@
                 onAnswer: (MachineAnswer) -> Unit,
             ) {
                 judge.onInstanceOrder(InstanceOrder(machineId, entry.name, token, time.nowMs))
+                if (lateShare > 0 && random.nextDouble() < lateShare) {
+                    if (random.nextBoolean()) carryOut(machineId, state, pool, tookMs)
+                    entry.loop.after(700) { onAnswer(MachineAnswer.Lost("answer lost")) }
+                    return
+                }
                 val answer = carryOut(machineId, state, pool, tookMs)
                 entry.loop.after(3) { onAnswer(answer) }
             }
--- /dev/null
+++ b/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
@@ -0,0 +1,94 @@
+/*
+ * The metrics of an entry that schedules jobs, in the Prometheus client's registry.
+ */
+package io.corianderrock.transport
+
+import io.corianderrock.jobs.ports.DecisionLog
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import java.io.ByteArrayOutputStream
+
+/** Counts callers' requests and the decisions of the scheduler, and measures how long both took. */
+public class EntryMetrics {
+    private val registry = PrometheusRegistry()
+    private val writer = PrometheusTextFormatWriter.create()
+
+    private val requests =
+        Histogram
+            .builder()
+            .name("corianderrock_job_request_duration_seconds")
+            .help("Time from the receipt of a caller's request to its answer, by method and status.")
+            .labelNames("method", "status")
+            .classicUpperBounds(*REQUEST_BOUNDS_S)
+            .classicOnly()
+            .register(registry)
+
+    private val decisions =
+        Counter
+            .builder()
+            .name("corianderrock_decisions_total")
+            .help("Events of the decision log.")
+            .labelNames("event")
+            .register(registry)
+
+    private val decisionTimes =
+        Histogram
+            .builder()
+            .name("corianderrock_decision_duration_seconds")
+            .help("Times that events of the decision log report: how long a task waited, a job or a call took.")
+            .labelNames("event", "time")
+            .classicUpperBounds(*DECISION_BOUNDS_S)
+            .classicOnly()
+            .register(registry)
+
+    /** Notes a request of a caller that was answered with [status] after [tookMs]. */
+    public fun onRequest(
+        method: String,
+        status: Int,
+        tookMs: Long,
+    ): Unit = requests.labelValues(method, status.toString()).observe(tookMs / MS_PER_S)
+
+    /** Returns a log that writes to [log] and counts what it writes. */
+    public fun observing(log: DecisionLog): DecisionLog =
+        DecisionLog { event, fields ->
+            observe(event, fields)
+            log.write(event, *fields)
+        }
+
+    private fun observe(
+        event: String,
+        fields: Array<out Any?>,
+    ) {
+        decisions.labelValues(event).inc()
+        for (index in 0 until fields.size - 1 step 2) {
+            val key = fields[index]
+            val value = fields[index + 1]
+            if (key in TIMES && value is Number) decisionTimes.labelValues(event, key.toString()).observe(value.toDouble() / MS_PER_S)
+        }
+    }
+
+    /** Answers a scrape. */
+    public fun handle(request: Request): Response {
+        if (request.uri.path != PATH) return Response(Status.NOT_FOUND)
+        val out = ByteArrayOutputStream()
+        writer.write(out, registry.scrape())
+        return Response(Status.OK).header("Content-Type", writer.contentType).body(out.toString(Charsets.UTF_8))
+    }
+
+    private companion object {
+        const val PATH = "/metrics"
+        const val MS_PER_S = 1_000.0
+        val TIMES = setOf("tookMs", "waitedMs")
+
+        /** Answers usually take some milliseconds; callers wait 3 s. */
+        val REQUEST_BOUNDS_S = doubleArrayOf(0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0)
+
+        /** Tasks wait from milliseconds to half a minute. */
+        val DECISION_BOUNDS_S = doubleArrayOf(0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+    }
+}
--- /dev/null
+++ b/transport/src/test/kotlin/io/corianderrock/transport/EntryMetricsTest.kt
@@ -0,0 +1,37 @@
+/*
+ * What a scrape shows of requests and decisions.
+ */
+package io.corianderrock.transport
+
+import io.corianderrock.jobs.ports.DecisionLog
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Status
+
+internal class EntryMetricsTest :
+    DescribeSpec({
+        describe("a scrape") {
+            it("shows requests by method and status") {
+                val metrics = EntryMetrics()
+                metrics.onRequest("POST", 200, 7)
+                val text = metrics.handle(Request(Method.GET, "/metrics")).bodyString()
+                text shouldContain "corianderrock_job_request_duration_seconds_count{method=\"POST\",status=\"200\"} 1"
+            }
+            it("shows decisions and the times that they report, and passes them on") {
+                val written = ArrayList<String>()
+                val metrics = EntryMetrics()
+                metrics.observing(DecisionLog { event, _ -> written.add(event) }).write("task_started", "task", "t", "waitedMs", 30L)
+                val text = metrics.handle(Request(Method.GET, "/metrics")).bodyString()
+                text shouldContain "corianderrock_decisions_total{event=\"task_started\"} 1"
+                text shouldContain "corianderrock_decision_duration_seconds_count{event=\"task_started\",time=\"waitedMs\"} 1"
+                written shouldContainExactly listOf("task_started")
+            }
+            it("is answered at its own path only") {
+                EntryMetrics().handle(Request(Method.GET, "/")).status shouldBe Status.NOT_FOUND
+            }
+        }
+    })
