--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -26,18 +26,6 @@
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.UnansweredStart
 import io.corianderrock.jobs.state.WorkerView
-import kotlinx.serialization.Serializable
-
-/** The stored note that a worker may hold runs: which incarnation, where it is, and which of its ends are stored. */
-@Serializable
-internal data class ContactRow(
-    val workerId: String,
-    val address: String,
-    val pool: String,
-    val bornWallMs: Long,
-    val storedEnd: Long,
-    val machineId: String? = null,
-)
 
 internal class WorkerDriver(
     private val loop: EventLoop,
@@ -57,9 +45,7 @@
     /** The listed worker of each instance. */
     private val listedByMachine = HashMap<String, WorkerView>()
 
-    /** Workers that an earlier owner may have left runs on and that have not answered yet. */
-    private val unsettledContacts = HashMap<String, ContactRow>()
-    private var settleDeadlineMs = 0L
+    private val inheritedContacts = InheritedContacts(log)
 
     /** False until the stored jobs are loaded; lists of workers mean nothing before. */
     private var isOpen = false
@@ -80,7 +66,7 @@
     fun listedOn(machineId: String): WorkerView? = listedByMachine[machineId]
 
     /** True while tasks of inherited jobs may be running on a worker of [pool] that has not answered. */
-    fun isSettling(pool: String): Boolean = unsettledContacts.values.any { it.pool == pool }
+    fun isSettling(pool: String): Boolean = inheritedContacts.isSettling(pool)
 
     /** Begins to talk to workers; all stored jobs and contacts are known. */
     fun open() {
@@ -93,9 +79,8 @@
         contacts: List<ContactRow>,
         deadlineMs: Long,
     ) {
-        settleDeadlineMs = deadlineMs
+        inheritedContacts.inherit(contacts, deadlineMs)
         for (contact in contacts) {
-            unsettledContacts[contact.workerId] = contact
             val worker = byId[contact.workerId] ?: continue
             worker.isContactStored = true
             worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, deadlineMs)
@@ -136,7 +121,7 @@
         val worker = WorkerView(entry)
         worker.isListed = false
         worker.isContactStored = true
-        worker.leaseEndsAtMs = settleDeadlineMs
+        worker.leaseEndsAtMs = inheritedContacts.deadlineMs
         byId[entry.id] = worker
     }
 
@@ -507,7 +492,7 @@
         bornWallMs: Long,
     ) {
         worker.bornWallMs = bornWallMs
-        val contact = unsettledContacts[worker.id] ?: return
+        val contact = inheritedContacts.find(worker.id) ?: return
         if (contact.bornWallMs == bornWallMs) {
             worker.processedEnd = contact.storedEnd
             worker.storingEnd = contact.storedEnd
@@ -516,10 +501,7 @@
     }
 
     private fun settleContact(workerId: String) {
-        if (unsettledContacts.remove(workerId) != null) {
-            log.write("contact_settled", "worker", workerId, "left", unsettledContacts.size)
-            onChange()
-        }
+        if (inheritedContacts.settle(workerId)) onChange()
     }
 
     private fun onEnd(
@@ -779,9 +761,7 @@
             if (isSilent && loop.nowMs > worker.leaseEndsAtMs) onLeaseOver(worker)
             if (!worker.isHolding && needsHold(worker) && loop.nowMs > worker.holdAgainAtMs + STALLED_HOLD_MS) hold(worker)
         }
-        val over = unsettledContacts.keys.filter { loop.nowMs > maxOf(settleDeadlineMs, byId[it]?.leaseEndsAtMs ?: 0) }
-        if (over.isNotEmpty()) log.write("contacts_expired", "workers", over.joinToString(","))
-        over.forEach(::settleContact)
+        inheritedContacts.expired(loop.nowMs) { byId[it]?.leaseEndsAtMs }.forEach(::settleContact)
     }
 
     private fun onLeaseOver(worker: WorkerView) {
