Read the change again: one rendering of metrics, no unread state, lists built once

Found on a second reading: the text form of metrics stood in two classes; the stored epoch of an instance order was never read; the workers of a pool were gathered once for each instance that leaves it, ten times a second; a fake of the tables repeated the silent one; a field and a function of the committer shared a name. Behaviour, bounds and checks stay as they are.

--- a/daemon/src/main/kotlin/io/corianderrock/daemon/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/DaemonMetrics.kt
@@ -11,17 +11,15 @@
 import io.corianderrock.coordination.request.ServiceRuntime
 import io.corianderrock.protocol.contract.OutcomeWord
 import io.corianderrock.state.ServiceSpec
+import io.corianderrock.transport.renderText
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import java.io.ByteArrayOutputStream
 
 /** Counts requests by outcome and reads gauges from the daemon's parts when scraped. */
 public class DaemonMetrics : RequestObserver {
     private val registry = PrometheusRegistry()
-    private val writer = PrometheusTextFormatWriter.create()
 
     private val requests =
         Counter
@@ -115,11 +113,7 @@
     }
 
     /** Renders all metrics in the Prometheus text format. */
-    public fun render(): String {
-        val out = ByteArrayOutputStream()
-        writer.write(out, registry.scrape())
-        return out.toString(Charsets.UTF_8)
-    }
+    public fun render(): String = registry.renderText()
 
     private fun serviceGauge(
         name: String,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -67,7 +67,9 @@
         for (state in states) {
             if (state.surplus > 0) shrink(state, isShort)
             val leaving = state.machines.filter { it.setAside == SetAsideReason.SURPLUS }
-            for (view in leaving) empty(view, state, isShort)
+            if (leaving.isEmpty()) continue
+            val serving = state.supply.mapNotNull(::workerOf)
+            for (view in leaving) empty(view, serving, isShort)
             for (view in leaving) returnIfEmpty(view, standby)
         }
     }
@@ -75,11 +77,11 @@
     /** Moves away what can go on elsewhere; tasks that last only for the sake of a pool that lacks instances. */
     private fun empty(
         view: MachineView,
-        state: PoolState,
+        serving: List<WorkerView>,
         isShort: Boolean,
     ) {
         val worker = workerOf(view) ?: return
-        drainer.evictSaving(worker, state.supply.mapNotNull(::workerOf))
+        drainer.evictSaving(worker, serving)
         if (isShort) drainer.evictLasting(worker)
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceOrders.kt
@@ -18,7 +18,6 @@
 /** A stored order; [waveNumber] is null for a move. */
 @Serializable
 internal data class InstanceOrderRow(
-    val epoch: Long,
     val waveNumber: Int? = null,
 )
 
@@ -26,7 +25,6 @@
     private val loop: EventLoop,
     private val committer: Committer,
     private val log: DecisionLog,
-    private val epoch: Long,
     /** How long a row stays after its order was answered or given up. */
     private val keepMs: Long,
     /** From when on instances that an earlier owner has ordered may be ordered again. */
@@ -45,7 +43,7 @@
         for (row in rows) {
             val order = decodeStored(InstanceOrderRow.serializer(), row.value)
             if (order == null) log.write("instance_order_unreadable", "machine", row.key.key)
-            inherited[row.key.key] = order ?: InstanceOrderRow(0)
+            inherited[row.key.key] = order ?: InstanceOrderRow()
         }
         if (rows.isNotEmpty()) {
             log.write("instance_orders_inherited", "machines", rows.size, "forMs", inheritedUntilMs - loop.nowMs)
@@ -68,7 +66,7 @@
         send: () -> Unit,
     ) {
         answeredAtMs.remove(machineId)
-        recorded[machineId] = InstanceOrderRow(epoch, waveNumber)
+        recorded[machineId] = InstanceOrderRow(waveNumber)
         store(machineId, send)
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnershipKeeper.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnershipKeeper.kt
@@ -226,11 +226,12 @@
     private fun settleAbandoned(claimed: OwnerRow) {
         tables.read(OwnerRow.KEY) { result ->
             val stored = (result as? ReadResult.Rows)?.rows?.firstOrNull()
+            val row = stored?.let { OwnerRow.decode(it.value) }
             when {
                 result is ReadResult.Failed -> loop.after(CLAIM_RETRY_MS) { settleAbandoned(claimed) }
-                stored != null && OwnerRow.decode(stored.value) == claimed -> giveBack(claimed, stored.version)
+                stored != null && row == claimed -> giveBack(claimed, stored.version)
                 // The claim may still be on its way; it cannot take effect any more once the row has changed.
-                stored != null && OwnerRow.decode(stored.value) == known -> loop.after(CLAIM_RETRY_MS) { settleAbandoned(claimed) }
+                stored != null && row == known -> loop.after(CLAIM_RETRY_MS) { settleAbandoned(claimed) }
             }
         }
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -168,7 +168,7 @@
         inFlight = null
         for (write in batch.writes) write.onStored.forEach { it(null) }
         when {
-            owner.holder.isEmpty() -> onReleased()
+            owner.holder.isEmpty() -> finishRelease()
             onReleased != null -> send()
             pending.isNotEmpty() -> schedule()
         }
@@ -210,7 +210,7 @@
         loop.after(RETRY_DELAY_MS) { send() }
     }
 
-    private fun onReleased() {
+    private fun finishRelease() {
         isClosed = true
         log.write("ownership_released", "epoch", owner.epoch, "dropped", pending.size)
         onReleased?.invoke()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -111,7 +111,7 @@
             earlier.ordersEndMs(ORDER_FRESHNESS_MS) + bounds.machineLeaseMs + TURN_MARGIN_MS
         }
     private val instanceOrders =
-        InstanceOrders(loop, committer, log, owner.epoch, bounds.machineLeaseMs + TURN_MARGIN_MS, machineOrdersFromMs)
+        InstanceOrders(loop, committer, log, bounds.machineLeaseMs + TURN_MARGIN_MS, machineOrdersFromMs)
     private val fleet =
         FleetController(
             loop = loop,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -6,11 +6,11 @@
 import io.corianderrock.jobs.ownership.OwnerRow
 import io.corianderrock.jobs.ports.ChangeResult
 import io.corianderrock.jobs.ports.JobTables
-import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.Table
 import io.corianderrock.jobs.runs.Committer
+import io.corianderrock.jobs.world.SilentTables
 import io.corianderrock.jobs.world.SimLoop
 import io.corianderrock.jobs.world.SimTime
 import io.kotest.core.spec.style.DescribeSpec
@@ -21,7 +21,7 @@
 /** Answers each transaction after [ANSWER_MS]. */
 internal class SlowTables(
     private val time: SimTime,
-) : JobTables {
+) : JobTables by SilentTables {
     val changes = ArrayList<RowChange>()
 
     override fun commit(
@@ -31,22 +31,6 @@
         changes.add(change)
         time.after(ANSWER_MS) { onResult(ChangeResult.Committed(changes.size.toLong())) }
     }
-
-    override fun scan(
-        table: Table,
-        onResult: (ReadResult) -> Unit,
-    ) = Unit
-
-    override fun read(
-        key: RowKey,
-        onResult: (ReadResult) -> Unit,
-    ) = Unit
-
-    override fun publishWave(
-        number: Int,
-        isComplete: Boolean,
-        onResult: (Boolean) -> Unit,
-    ) = Unit
 }
 
 internal const val ANSWER_MS = 340L
--- a/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
@@ -6,17 +6,14 @@
 import io.corianderrock.jobs.ports.DecisionLog
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Histogram
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
-import java.io.ByteArrayOutputStream
 
 /** Counts callers' requests and the decisions of the scheduler, and measures how long both took. */
 public class EntryMetrics {
     private val registry = PrometheusRegistry()
-    private val writer = PrometheusTextFormatWriter.create()
 
     private val requests =
         Histogram
@@ -75,9 +72,7 @@
     /** Answers a scrape. */
     public fun handle(request: Request): Response {
         if (request.uri.path != PATH) return Response(Status.NOT_FOUND)
-        val out = ByteArrayOutputStream()
-        writer.write(out, registry.scrape())
-        return Response(Status.OK).header("Content-Type", writer.contentType).body(out.toString(Charsets.UTF_8))
+        return Response(Status.OK).header("Content-Type", METRICS_CONTENT_TYPE).body(registry.renderText())
     }
 
     private companion object {
