--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
@@ -5,6 +5,7 @@
 package io.corianderrock.jobs.entry
 
 import io.corianderrock.jobs.ports.DecisionLog
+import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.state.JobSubmission
 
 /** A request to the scheduler. */
@@ -63,10 +64,25 @@
     )
 }
 
-/** Routes the requests of this entry's callers to [scheduler], and to [store] when the scheduler gives no answer. */
+/** What an entry can reach at present. */
+public interface EntryReach {
+    /** True while the store does not answer this entry. */
+    public val isStoreLost: Boolean
+
+    /** True while neither the store nor a peer answers this entry. */
+    public val isCutOff: Boolean
+}
+
+/**
+ * Routes the requests of this entry's callers to [scheduler], and to [store] when the scheduler gives no answer. While neither
+ * can be reached, a request of which nothing was sent is refused at once, so that the caller can try another entry; one that
+ * may have been carried out is asked again until its outcome is known, since all requests are idempotent by the job's id.
+ */
 public class JobRequestRouter(
+    private val loop: EventLoop,
     private val scheduler: SchedulerClient,
     private val store: StoredJobService,
+    private val reach: EntryReach,
     private val log: DecisionLog,
 ) {
     /** Answers [request]; [onAnswer] is called once, on the event loop. */
@@ -74,32 +90,77 @@
         request: JobRequest,
         onAnswer: (CallerAnswer) -> Unit,
     ) {
-        scheduler.ask(request) { reply ->
-            when (reply) {
-                is SchedulerReply.Answer -> onAnswer(reply.answer)
-                is SchedulerReply.NotHandled -> answerFromStore(request, reply.reason, isUncertain = false, onAnswer)
-                is SchedulerReply.Unanswered -> answerFromStore(request, reply.reason, isUncertain = request is JobRequest.Submit, onAnswer)
-            }
-        }
+        val attempt = Attempt(request, onAnswer)
+        if (reach.isCutOff) attempt.refuse(UNREACHABLE, "cut off") else attempt.askScheduler()
     }
 
-    private fun answerFromStore(
-        request: JobRequest,
-        reason: String,
-        isUncertain: Boolean,
-        onAnswer: (CallerAnswer) -> Unit,
+    private inner class Attempt(
+        private val request: JobRequest,
+        private val onAnswer: (CallerAnswer) -> Unit,
     ) {
-        val answer: (CallerAnswer) -> Unit = { fromStore ->
-            val final = if (isUncertain && fromStore is CallerAnswer.NotApplied) CallerAnswer.Uncertain(fromStore.reason) else fromStore
-            log.write("answered_from_store", "request", idOf(request), "reason", reason, "answer", final)
-            onAnswer(final)
+        private val startedAtMs = loop.nowMs
+
+        /** True once the request may have been carried out without this entry knowing. */
+        private var isUncertain = false
+
+        fun askScheduler() =
+            scheduler.ask(request) { reply ->
+                when (reply) {
+                    is SchedulerReply.Answer -> onAnswer(settled(reply.answer))
+                    is SchedulerReply.NotHandled -> askStore(reply.reason)
+                    is SchedulerReply.Unanswered -> {
+                        isUncertain = isUncertain || request is JobRequest.Submit
+                        askStore(reply.reason)
+                    }
+                }
+            }
+
+        private fun askStore(reason: String) {
+            when {
+                request is JobRequest.Pending -> refuse("the scheduler cannot be reached; retry later", reason)
+                reach.isStoreLost -> retryOrRefuse(reason)
+                else -> store.answer(request) { onStoreAnswer(reason, it) }
+            }
         }
-        when (request) {
-            is JobRequest.Submit -> store.submit(request.submission, answer)
-            is JobRequest.State -> store.state(request.id, request.queueName, answer)
-            is JobRequest.Cancel -> store.cancel(request.id, answer)
-            is JobRequest.Pending -> answer(CallerAnswer.NotApplied("the scheduler cannot be reached; retry later", PENDING_RETRY_MS))
+
+        private fun onStoreAnswer(
+            reason: String,
+            fromStore: CallerAnswer,
+        ) {
+            if (fromStore is CallerAnswer.Uncertain) isUncertain = true
+            val isOpen = fromStore is CallerAnswer.Uncertain || isUncertain && fromStore is CallerAnswer.NotApplied
+            if (isOpen) {
+                retryOrRefuse(reason)
+            } else {
+                log.write("answered_from_store", "request", idOf(request), "reason", reason, "answer", fromStore)
+                onAnswer(fromStore)
+            }
         }
+
+        private fun retryOrRefuse(reason: String) {
+            when {
+                !isUncertain -> refuse(UNREACHABLE, reason)
+                loop.nowMs - startedAtMs < RESOLVE_MS -> loop.after(RETRY_INTERVAL_MS) { askScheduler() }
+                else -> finish(CallerAnswer.Uncertain(reason), reason)
+            }
+        }
+
+        fun refuse(
+            text: String,
+            reason: String,
+        ) = finish(settled(CallerAnswer.NotApplied(text, REFUSED_RETRY_MS)), reason)
+
+        private fun finish(
+            answer: CallerAnswer,
+            reason: String,
+        ) {
+            log.write("request_unserved", "request", idOf(request), "reason", reason, "answer", answer)
+            onAnswer(answer)
+        }
+
+        /** A refusal after an attempt whose outcome is open does not prove that the request was not carried out. */
+        private fun settled(answer: CallerAnswer): CallerAnswer =
+            if (isUncertain && answer is CallerAnswer.NotApplied) CallerAnswer.Uncertain(answer.reason) else answer
     }
 
     private fun idOf(request: JobRequest): String =
@@ -111,7 +172,15 @@
         }
 
     private companion object {
+        const val UNREACHABLE = "this entry reaches neither the scheduler nor the store; retry, at another entry if possible"
+
         /** Retry delay for callers, about the duration of a takeover. */
-        const val PENDING_RETRY_MS = 1_000L
+        const val REFUSED_RETRY_MS = 1_000L
+
+        /** How long an open outcome is looked for; callers wait 3 s. */
+        const val RESOLVE_MS = 2_700L
+
+        /** Pause between two attempts to find the outcome. */
+        const val RETRY_INTERVAL_MS = 200L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
@@ -32,6 +32,7 @@
             is SubmitResult.Accepted -> answer(CallerAnswer.Applied)
             is SubmitResult.Rejected -> answer(CallerAnswer.NotApplied(result.reason, result.retryAfterMs))
             is SubmitResult.Unavailable -> NOT_HANDLED
+            is SubmitResult.Unknown -> SchedulerReply.Unanswered("the ownership ended while the job was being stored")
         }
 
     private fun replyToCancel(isKnown: Boolean?): SchedulerReply =
@@ -57,6 +58,6 @@
     private fun answer(answer: CallerAnswer): SchedulerReply = SchedulerReply.Answer(answer)
 
     private companion object {
-        val NOT_HANDLED = SchedulerReply.NotHandled("the scheduler has not loaded the jobs yet or does not know this job")
+        val NOT_HANDLED = SchedulerReply.NotHandled("the scheduler has not loaded the jobs, cannot write or does not know this job")
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
@@ -52,6 +52,18 @@
 public class StoredJobService(
     private val tables: JobTables,
 ) {
+    /** Answers any [request] but [JobRequest.Pending], which only the scheduler can answer. */
+    internal fun answer(
+        request: JobRequest,
+        onAnswer: (CallerAnswer) -> Unit,
+    ): Unit =
+        when (request) {
+            is JobRequest.Submit -> submit(request.submission, onAnswer)
+            is JobRequest.State -> state(request.id, request.queueName, onAnswer)
+            is JobRequest.Cancel -> cancel(request.id, onAnswer)
+            is JobRequest.Pending -> onAnswer(CallerAnswer.NotApplied("the store does not count waiting jobs", RETRY_AFTER_MS))
+        }
+
     /** Stores [submission] with an inbox message for the scheduler. A job that is already stored is accepted as well. */
     public fun submit(
         submission: JobSubmission,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -62,6 +62,7 @@
                 .orEmpty()
                 .partition { it.isStandby }
         val standby = standbyPools.firstOrNull()?.name ?: return
+        cordonNewWorkers()
         val states = sizer.states(pools.map { it.name }, byId.values, ::capacityOf)
         for (state in states) if (state.missingWithForecast > 0) reclaimCordoned(state)
         val hasShortage = growAll(states, standby) > 0
@@ -75,6 +76,11 @@
         }
     }
 
+    /** A cordon belongs to the instance: it also holds for a worker that has started there since. */
+    private fun cordonNewWorkers() {
+        for (view in byId.values) if (view.cordonReason != null) workerOf(view)?.isCordoned = true
+    }
+
     /** Evicts tasks that can resume elsewhere; long-running ones only while some pool lacks instances. */
     private fun drain(
         view: InstanceView,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
@@ -1,5 +1,5 @@
 /*
- * Elects the owner: every entry watches the owner row and claims the ownership once the holder appears to be dead. A false
+ * Elects the owner: every entry watches the owner row and claims the ownership once the holder appears to have failed. A false
  * suspicion costs work but not safety, which rests on the new owner's fence and on its wait for the leases of workers that
  * do not answer.
  */
@@ -48,18 +48,33 @@
     private val loop: EventLoop,
     private val tables: JobTables,
     private val log: DecisionLog,
+    peers: PeerStatusClient,
+    private val directory: PeerDirectory,
+    /** False while this entry is the owner and its writes are not answered. Called from any thread. */
+    private val canWrite: () -> Boolean,
     private val onOwned: (OwnerRow, Long, EarlierOwner) -> Unit,
+    /** Called when a peer knows an owner of a later epoch while this entry still takes itself for the owner. */
+    private val onSuperseded: (OwnerSighting) -> Unit,
+    /** Called when a peer has answered while the store was lost. */
+    private val onPeerAnswered: () -> Unit,
 ) {
     @Volatile
     private var lastRow: OwnerRow? = null
+
+    @Volatile
+    private var sighting: OwnerSighting? = null
     private var unchangedSinceMs = 0L
     private var isClaiming = false
+
+    @Volatile
     private var isOwner = false
     private var isStopped = false
+    private val storeReach = StoreReach(loop)
+    private val failureDetector = OwnerFailureDetector(loop, peers, ::readRow)
+    private val inquiry = OwnerInquiry(loop, peers, directory, { isStoreLost && !isStopped }, ::onPeerStatus)
 
     /** Loop time from which a claim is due, [Long.MAX_VALUE] while none is. */
     private var claimAtMs = Long.MAX_VALUE
-    private var isSuspectedDead = false
     private val processStartMs = loop.nowMs
     private var hasReadOnce = false
     private var readAtMs = Long.MIN_VALUE / 2
@@ -72,11 +87,26 @@
         val earlier: EarlierOwner,
     )
 
-    /** The owner as last read, null while there is none. Callable from any thread. */
-    public val owner: OwnerRow? get() = lastRow?.takeIf { it.holder.isNotEmpty() }
+    /** The latest owner that was read or that a peer knows of, null while there is none. Callable from any thread. */
+    public val owner: OwnerSighting?
+        get() {
+            val row = lastRow
+            val seen = sighting
+            if (seen != null && seen.epoch > (row?.epoch ?: 0)) return seen
+            return row?.takeIf { it.holder.isNotEmpty() }?.let { OwnerSighting(it.address, it.epoch) }
+        }
 
-    /** Starts to read the owner row every [POLL_INTERVAL_MS]. */
-    public fun start(): Unit = poll()
+    /** True while the store does not answer this entry. Callable from any thread. */
+    public val isStoreLost: Boolean get() = if (isOwner) !canWrite() else storeReach.isLost
+
+    /** What this entry answers when a peer asks. Callable from any thread. */
+    public fun status(): PeerStatus = PeerStatus(owner, isOwner, canWrite = !isOwner || canWrite())
+
+    /** Starts to read the owner row every [POLL_INTERVAL_MS], and to ask peers while it cannot be read. */
+    public fun start() {
+        poll()
+        inquiry.start()
+    }
 
     /** Stops watching and claiming. A claim that was applied, or may have been, is released. */
     public fun stop() {
@@ -94,13 +124,23 @@
     /** Called when [refusedAddress] refuses connections: the owner there is suspected dead. Callable from any thread. */
     public fun suspectDead(refusedAddress: String) {
         loop.post {
-            if (!isSuspectedDead && lastRow?.address == refusedAddress && !isOwner) {
-                isSuspectedDead = true
-                readRow()
-            }
+            if (lastRow?.address == refusedAddress && !isOwner) failureDetector.suspect("connection_refused")
         }
     }
 
+    private fun onPeerStatus(status: PeerStatus) {
+        onPeerAnswered()
+        status.owner?.let(::onSighting)
+    }
+
+    private fun onSighting(seen: OwnerSighting) {
+        directory.add(seen.address)
+        if (seen.epoch <= (owner?.epoch ?: 0)) return
+        log.write("owner_sighted", "address", seen.address, "epoch", seen.epoch, "isOwner", isOwner)
+        sighting = seen
+        if (isOwner) onSuperseded(seen)
+    }
+
     /** Called when the entry last read as the owner answers that it is not: the row is read again. Callable from any thread. */
     public fun suspectHandover() {
         loop.post {
@@ -118,13 +158,18 @@
     private fun readRow() {
         if (isStopped || isOwner || isClaiming) return
         readAtMs = loop.nowMs
-        tables.read(OwnerRow.KEY) { if (it is ReadResult.Rows) onRead(it) }
+        storeReach.onReadSent()
+        tables.read(OwnerRow.KEY) { result ->
+            storeReach.onReadEnded(isAnswered = result is ReadResult.Rows)
+            if (result is ReadResult.Rows) onRead(result)
+        }
     }
 
     private fun onRead(result: ReadResult.Rows) {
         if (isOwner || isStopped || isClaiming) return
         val stored = result.rows.firstOrNull()
         val row = stored?.let { OwnerRow.decode(it.value) }
+        failureDetector.onRowRead(lastRow, row)
         if (row != lastRow || !hasReadOnce) {
             hasReadOnce = true
             if (row?.holder != lastRow?.holder || row?.epoch != lastRow?.epoch) {
@@ -132,7 +177,7 @@
             }
             lastRow = row
             unchangedSinceMs = loop.nowMs
-            isSuspectedDead = false
+            row?.let { directory.add(it.address) }
         }
         val claim = unansweredClaim
         if (claim != null &&
@@ -149,14 +194,11 @@
         row: OwnerRow?,
         version: Long,
     ) {
-        val waitedMs = loop.nowMs - unchangedSinceMs
         val reason =
             when {
                 row == null || row.holder.isEmpty() -> "unowned"
                 row.holder == name && row.address == address -> "own_earlier_process"
-                isSuspectedDead -> "connection_refused"
-                waitedMs >= TAKEOVER_AFTER_MS -> "silent"
-                else -> null
+                else -> failureDetector.failureOf(row)
             }
         if (reason == null) {
             claimAtMs = Long.MAX_VALUE
@@ -229,7 +271,7 @@
         onOwned(row, version, earlier)
     }
 
-    /** Releases [claimed] if it was applied; other entries would otherwise wait [TAKEOVER_AFTER_MS] before they claim. */
+    /** Releases [claimed] if it was applied; other entries would otherwise wait until it has been silent for long. */
     private fun releaseAbandonedClaim(claimed: OwnerRow) {
         tables.read(OwnerRow.KEY) { result ->
             val stored = (result as? ReadResult.Rows)?.rows?.firstOrNull()
@@ -258,11 +300,11 @@
         /** An owner sends no order later than this after its last confirmed write. */
         const val LONGEST_ORDER_FRESHNESS_MS = 4_000L
 
-        /** How often an entry reads the owner row. */
-        private const val POLL_INTERVAL_MS = 800L
+        /** An owner that is still running is not replaced sooner than this after its last write. */
+        const val SOONEST_TAKEOVER_MS = OwnerFailureDetector.PROBE_AFTER_MS
 
-        /** An owner row unchanged for this long, four missed renewals, is taken to have lost its holder. */
-        private const val TAKEOVER_AFTER_MS = 2_900L
+        /** How often an entry reads the owner row. */
+        private const val POLL_INTERVAL_MS = 500L
 
         /** Minimum time between reads on suspicion of a handover, which many requests may report at once. */
         private const val SUSPECTED_READ_INTERVAL_MS = 150L
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerInquiry.kt
@@ -0,0 +1,34 @@
+/*
+ * Finds the owner through peers while this entry cannot read the owner row itself.
+ */
+package io.corianderrock.jobs.ownership
+
+import io.corianderrock.jobs.ports.EventLoop
+
+/** Confined to [loop]. [onAnswer] gets what each peer answers. */
+internal class OwnerInquiry(
+    private val loop: EventLoop,
+    private val client: PeerStatusClient,
+    private val directory: PeerDirectory,
+    private val isNeeded: () -> Boolean,
+    private val onAnswer: (PeerStatus) -> Unit,
+) {
+    /** Asks some peers now and then again every [INTERVAL_MS]. */
+    fun start() {
+        if (isNeeded()) for (address in directory.next(PEERS_PER_ROUND)) ask(address)
+        loop.after(INTERVAL_MS) { start() }
+    }
+
+    private fun ask(address: String) =
+        client.ask(address) { result ->
+            if (result is PeerStatusResult.Answered) onAnswer(result.status)
+        }
+
+    private companion object {
+        /** Half of the time that a peer needs to notice a failed owner. */
+        const val INTERVAL_MS = 300L
+
+        /** Two at a time, as one of them may be out of reach of the store too. */
+        const val PEERS_PER_ROUND = 2
+    }
+}
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/PeerStatus.kt
@@ -0,0 +1,43 @@
+/*
+ * What entries tell each other about the ownership. Peers answer while the store is out of reach of one of them, so that an
+ * entry without the store still finds the owner, and a failed owner is noticed before its row has been silent for long.
+ */
+package io.corianderrock.jobs.ownership
+
+/** An owner that an entry has read from the store or was told about. [epoch] orders sightings: the highest is the latest. */
+public data class OwnerSighting(
+    val address: String,
+    val epoch: Long,
+)
+
+/** The answer of a peer. */
+public data class PeerStatus(
+    /** The latest owner that the peer knows of, null if none. */
+    val owner: OwnerSighting?,
+    /** True if the peer itself is that owner. */
+    val isOwner: Boolean,
+    /** False if the peer is the owner and its writes have not been answered for some time. */
+    val canWrite: Boolean,
+)
+
+/** The result of asking a peer. */
+public sealed interface PeerStatusResult {
+    /** The peer has answered with [status]. */
+    public data class Answered(
+        val status: PeerStatus,
+    ) : PeerStatusResult
+
+    /** The peer gave no usable answer in time. */
+    public data class Unreachable(
+        val reason: String,
+    ) : PeerStatusResult
+}
+
+/** Asks the peer at an address for its [PeerStatus]; [onResult][ask] runs on the event loop. */
+public fun interface PeerStatusClient {
+    /** Sends the question to [address]; [onResult] is called once, after the client's timeout at the latest. */
+    public fun ask(
+        address: String,
+        onResult: (PeerStatusResult) -> Unit,
+    )
+}
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -126,7 +126,7 @@
     private fun readySteps(): List<Candidate> {
         val ready = ArrayList<Candidate>()
         for (job in registry.live) {
-            if (job.isInherited && driver.isReconciling(job.queue.pool)) continue
+            if (job.mayBeKnownToEarlierOwner && driver.isReconciling(job.queue.pool)) continue
             for (occurrence in job.occurrences.values) {
                 for (run in occurrence.steps) {
                     if (run.isDone || !occurrence.isReady(run)) continue
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -30,6 +30,7 @@
         val value: () -> String?,
         val mustBeAbsent: Boolean,
         val onStored: ArrayList<(StoredRow?) -> Unit> = ArrayList(),
+        val onDropped: ArrayList<() -> Unit> = ArrayList(),
     )
 
     private class Batch(
@@ -52,22 +53,33 @@
     /** True while the current transaction is failing or its answer is overdue. */
     val isStoreUnhealthy: Boolean get() = failures > 0 || inFlight != null && loop.nowMs - lastSentAtMs > SLOW_ANSWER_MS
 
+    /**
+     * False if no write has been answered for [WRITE_LOST_MS] although one was due. Updated by [renewIfDue], so that a loop
+     * that is merely busy does not look like a lost store. Readable from any thread.
+     */
+    @Volatile
+    var canWrite: Boolean = true
+        private set
+
     /** Age of the ownership: the last committed transaction confirms it as of the time at which it was sent. */
     val ownership = Freshness(loop)
 
     /**
      * Writes the row [key] in a later transaction. [value] is evaluated when the transaction is built; null deletes the
      * row. With [mustBeAbsent] an existing row is left unchanged and passed to [onStored], which otherwise gets null. A
-     * write that is still pending for the same key is kept, and [onStored] is added to it.
+     * write that is still pending for the same key is kept, and [onStored] is added to it. [onDropped] is called instead if
+     * the ownership ends before the answer: the row may have been written or not.
      */
     fun put(
         key: RowKey,
         mustBeAbsent: Boolean = false,
+        onDropped: () -> Unit = {},
         onStored: (StoredRow?) -> Unit = {},
         value: () -> String?,
     ) {
         val write = pending.getOrPut(key) { Write(key, value, mustBeAbsent) }
         write.onStored.add(onStored)
+        write.onDropped.add(onDropped)
         schedule()
     }
 
@@ -79,7 +91,10 @@
     ) {
         val earlier = pending.remove(key)
         val write = Write(key, value, mustBeAbsent = false)
-        earlier?.let { write.onStored.addAll(it.onStored) }
+        earlier?.let {
+            write.onStored.addAll(it.onStored)
+            write.onDropped.addAll(it.onDropped)
+        }
         write.onStored.add(onStored)
         pending[key] = write
         schedule()
@@ -87,13 +102,14 @@
 
     /** Rewrites the owner row if no transaction was sent for [RENEW_INTERVAL_MS]. */
     fun renewIfDue() {
+        canWrite = ownership.ageMs < WRITE_LOST_MS
         if (inFlight == null && loop.nowMs - lastSentAtMs >= RENEW_INTERVAL_MS) send()
     }
 
     /**
      * Releases the ownership in the next transaction, which also carries pending writes, new jobs first; nothing is
      * written afterwards. Dropping the rest is safe: workers list ended runs until they are acknowledged, and callers
-     * whose jobs were not stored get no answer.
+     * whose jobs were not stored are told that the outcome is open.
      */
     fun release(onDone: () -> Unit) {
         if (isClosed) {
@@ -173,6 +189,7 @@
         owner = batch.owner
         ownerVersion = version
         ownership.confirm(sentAt)
+        canWrite = true
         inFlight = null
         for (write in batch.writes) write.onStored.forEach { it(null) }
         when {
@@ -221,15 +238,26 @@
     private fun finishRelease() {
         isClosed = true
         log.write("ownership_released", "epoch", owner.epoch, "droppedWrites", pending.size)
+        dropWrites()
         onReleased?.invoke()
     }
 
-    private fun lose(reason: String) {
+    /** Ends the ownership for [reason]: nothing is sent any more. A write in flight may still be applied. */
+    fun lose(reason: String) {
+        if (isClosed) return
         isClosed = true
+        dropWrites()
         onReleased?.invoke()
         onLost(reason)
     }
 
+    private fun dropWrites() {
+        val dropped = inFlight?.writes.orEmpty() + pending.values
+        inFlight = null
+        pending.clear()
+        for (write in dropped) write.onDropped.forEach { it() }
+    }
+
     private companion object {
         /** Age from which the answer to a transaction counts as overdue; answers usually take 5 ms. */
         const val SLOW_ANSWER_MS = 100L
@@ -237,8 +265,11 @@
         /** Least time between transactions, in which writes are batched: at most 50 transactions a second. */
         const val MIN_INTERVAL_MS = 20L
 
-        /** Interval at which an idle owner rewrites its row: a quarter of the silence after which others take over. */
-        const val RENEW_INTERVAL_MS = 700L
+        /** Interval at which an idle owner rewrites its row: well below the silence after which peers ask for it. */
+        const val RENEW_INTERVAL_MS = 400L
+
+        /** Two renewals without an answer. */
+        const val WRITE_LOST_MS = 800L
 
         /** Delay before a failed transaction is retried. */
         const val RETRY_DELAY_MS = 150L
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -56,9 +56,13 @@
         return job
     }
 
-    /** Stores [submission]. [onAccepted] is called once it is stored, also if it was stored before. */
+    /**
+     * Stores [submission]. [onAccepted] is called once it is stored, also if it was stored before; [onDropped] if the
+     * ownership ends before that is known.
+     */
     fun submit(
         submission: JobSubmission,
+        onDropped: () -> Unit,
         onAccepted: (JobRun) -> Unit,
     ) {
         val registered = jobs[submission.id]
@@ -67,7 +71,7 @@
             return
         }
         val job = registered ?: JobRun(submission, isInherited = false, loop.nowMs).also { jobs[submission.id] = it }
-        committer.put(RowKey(Table.JOBS, submission.id), mustBeAbsent = true, onStored = { existing ->
+        committer.put(RowKey(Table.JOBS, submission.id), mustBeAbsent = true, onDropped = onDropped, onStored = { existing ->
             if (!job.isStored) registerStored(job, existing)
             onAccepted(job)
         }) { storedJson.encodeToString(JobSubmission.serializer(), submission) }
@@ -77,7 +81,10 @@
         job: JobRun,
         existing: StoredRow?,
     ) {
-        if (existing != null) log.write("job_found_stored", "job", job.id)
+        if (existing != null) {
+            log.write("job_found_stored", "job", job.id)
+            job.mayBeKnownToEarlierOwner = true
+        }
         register(job)
     }
 
@@ -93,13 +100,14 @@
     /** Cancels [job] unless it is final already. [onStored] is called once its state is stored. */
     fun cancel(
         job: JobRun,
+        onDropped: () -> Unit = {},
         onStored: () -> Unit,
     ) {
         if (!job.state.isFinal) {
             log.write("job_cancelled", "job", job.id, "queue", job.queue.name, "state", job.state)
             finish(job, JobState.CANCELLED)
         }
-        storeProgress(job, onStored)
+        storeProgress(job, onDropped, onStored)
     }
 
     /** Records that a run of [task] succeeded and completes the job if this was its last task. */
@@ -180,9 +188,10 @@
 
     private fun storeProgress(
         job: JobRun,
+        onDropped: () -> Unit = {},
         onStored: () -> Unit = {},
     ) {
-        committer.put(RowKey(Table.PROGRESS, job.id), onStored = {
+        committer.put(RowKey(Table.PROGRESS, job.id), onDropped = onDropped, onStored = {
             if (job.storingState.isFinal) {
                 job.visibleState = job.storingState
                 releaseTasksIfIdle(job)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -12,6 +12,7 @@
 import io.corianderrock.jobs.ownership.EarlierOwner
 import io.corianderrock.jobs.ownership.OwnerElector
 import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.ownership.OwnerSighting
 import io.corianderrock.jobs.placement.Placer
 import io.corianderrock.jobs.placement.RunTimeEstimator
 import io.corianderrock.jobs.ports.AdviceService
@@ -63,8 +64,11 @@
         val retryAfterMs: Long,
     ) : SubmitResult
 
-    /** This scheduler is not loaded or no longer the owner; the caller has to use the store. */
+    /** Nothing was stored: this scheduler is not loaded, no longer the owner, or cannot write. */
     public data object Unavailable : SubmitResult
+
+    /** The ownership ended while the job was being stored; the same submission can be sent again to the next owner. */
+    public data object Unknown : SubmitResult
 }
 
 /**
@@ -111,7 +115,7 @@
     private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder)
     private val demand = PoolDemand(loop, registry, runTimes)
     private val instanceOrdersFromMs =
-        if (earlier.isSameEntry || !earlier.existed) {
+        if (!earlier.existed || earlier.isSameEntry && earlier.earlierOrdersWindowMs == 0L) {
             loop.nowMs
         } else {
             earlier.ordersEndMs(INSTANCE_ORDER_FRESHNESS_MS) + bounds.instanceLeaseMs + TAKEOVER_MARGIN_MS
@@ -167,13 +171,19 @@
         submission: JobSubmission,
         onResult: (SubmitResult) -> Unit,
     ) {
-        if (!isLoaded || isClosed) {
+        if (!isLoaded || isClosed || !canWrite) {
             onResult(SubmitResult.Unavailable)
             return
         }
-        registry.submit(submission) { onResult(SubmitResult.Accepted) }
+        registry.submit(submission, onDropped = { onResult(SubmitResult.Unknown) }) { onResult(SubmitResult.Accepted) }
     }
 
+    /** False while the store answers no writes. Readable from any thread. */
+    public val canWrite: Boolean get() = committer.canWrite
+
+    /** Ends this term because a peer knows the owner [next] of a later epoch. */
+    public fun supersede(next: OwnerSighting): Unit = committer.lose("superseded by epoch ${next.epoch} at ${next.address}")
+
     /** The state of the job [id] as far as it is stored. */
     public fun state(id: String): JobAnswer {
         if (!isLoaded || isClosed || !isOwnershipFresh(STATE_FRESHNESS_MS)) return JobAnswer(isAvailable = false)
@@ -183,12 +193,15 @@
         return JobAnswer(true, job.visibleState, job.queue.name)
     }
 
-    /** Cancels the job [id]. [onResult] gets true once this is stored, false if the job is not known, null if unavailable. */
+    /**
+     * Cancels the job [id]. [onResult] gets true once this is stored, false if the job is not known, null if this scheduler
+     * cannot tell that it is stored.
+     */
     public fun cancel(
         id: String,
         onResult: (Boolean?) -> Unit,
     ) {
-        if (!isLoaded || isClosed) {
+        if (!isLoaded || isClosed || !canWrite) {
             onResult(null)
             return
         }
@@ -197,7 +210,7 @@
             onResult(false)
             return
         }
-        registry.cancel(job) { onResult(true) }
+        registry.cancel(job, onDropped = { onResult(null) }) { onResult(true) }
     }
 
     /** Number of jobs in the queue [queueName] of which no task has started; null if this scheduler is unavailable. */
@@ -349,7 +362,7 @@
             val stored = (result as? ReadResult.Rows)?.rows?.firstOrNull() ?: return@read
             val submission = decodeStored(JobSubmission.serializer(), stored.value) ?: return@read
             log.write("job_from_inbox", "job", message.jobId, "version", stored.version)
-            registry.load(submission, progress = null, isInherited = false)
+            registry.load(submission, progress = null, isInherited = false).mayBeKnownToEarlierOwner = earlier.existed
             applyInboxMessage(message)
         }
     }
@@ -373,8 +386,11 @@
         /** Margin added to the time between instance orders of two owners: covers an order's timeout and network delays. */
         const val TAKEOVER_MARGIN_MS = 1_100L
 
-        /** Greatest age of the last confirmed write at which job states are answered from memory. */
-        const val STATE_FRESHNESS_MS = 2_500L
+        /**
+         * Greatest age of the last confirmed write at which job states are answered from memory: an owner that was suspended
+         * must not report states older than those that the next owner has reported.
+         */
+        const val STATE_FRESHNESS_MS = OwnerElector.SOONEST_TAKEOVER_MS - 50L
 
         /** Interval between checks of the ownership renewal, worker leases and pool sizes. */
         const val TICK_MS = 50L
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -96,12 +96,17 @@
     fun isReady(stepRun: StepRun): Boolean = stepRun.step.after.all { steps[it].isDone }
 }
 
-/** A job. [isInherited] is true when an earlier owner may have started tasks of it. */
+/** A job. [isInherited] is true when it was stored before this owner's term. */
 internal class JobRun(
     val submission: JobSubmission,
     val isInherited: Boolean,
     val acceptedAtMs: Long,
 ) {
+    /**
+     * True when an earlier owner may have started tasks of it, or may still do so: also for a job that was stored by another
+     * entry during this term, since an earlier owner that does not know yet that it was replaced reads the same inbox.
+     */
+    var mayBeKnownToEarlierOwner: Boolean = isInherited
     val id: String get() = submission.id
     val queue: Queue get() = submission.queue
     val occurrences = sortedMapOf<Int, OccurrenceRun>()
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobRequestRouterTest.kt
@@ -0,0 +1,93 @@
+/*
+ * Covers what callers are told while the scheduler or the store cannot be reached: a request of which nothing was sent is
+ * refused at once, one whose answer was lost is asked again until its outcome is known and never reported as not carried out.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.entry.CallerAnswer
+import io.corianderrock.jobs.entry.EntryReach
+import io.corianderrock.jobs.entry.JobRequest
+import io.corianderrock.jobs.entry.JobRequestRouter
+import io.corianderrock.jobs.entry.SchedulerClient
+import io.corianderrock.jobs.entry.SchedulerReply
+import io.corianderrock.jobs.entry.StoredJobService
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.Queue
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.world.SilentTables
+import io.corianderrock.jobs.world.SimLoop
+import io.corianderrock.jobs.world.SimTime
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+
+internal class JobRequestRouterTest :
+    DescribeSpec({
+        describe("while neither the scheduler nor the store can be reached") {
+            it("refuses a submission of which nothing was sent, at once and with a retry delay") {
+                val caller = Caller { SchedulerReply.NotHandled("no owner") }
+                caller.submit(runForMs = 5)
+                caller.answer
+                    .shouldBeInstanceOf<CallerAnswer.NotApplied>()
+                    .retryAfterMs
+                    .toInt() shouldBeGreaterThan 0
+            }
+            it("sends nothing while no peer answers either, so that the refusal is certain") {
+                var attempts = 0
+                val caller =
+                    Caller(isWithoutPeers = true) {
+                        attempts++
+                        SchedulerReply.Unanswered("lost")
+                    }
+                caller.submit(runForMs = 5)
+                caller.answer.shouldBeInstanceOf<CallerAnswer.NotApplied>()
+                attempts shouldBe 0
+            }
+            it("does not report a submission as refused once an answer to it was lost") {
+                var attempts = 0
+                val caller = Caller { if (attempts++ == 0) SchedulerReply.Unanswered("lost") else SchedulerReply.NotHandled("no owner") }
+                caller.submit(runForMs = 5_000)
+                caller.answer.shouldBeInstanceOf<CallerAnswer.Uncertain>()
+                attempts shouldBeGreaterThan 2
+            }
+            it("does not pass on a refusal by the next owner after an answer was lost") {
+                var attempts = 0
+                val refusal = SchedulerReply.Answer(CallerAnswer.NotApplied("full", 1_000))
+                val caller = Caller { if (attempts++ == 0) SchedulerReply.Unanswered("lost") else refusal }
+                caller.submit(runForMs = 5_000)
+                caller.answer.shouldBeInstanceOf<CallerAnswer.Uncertain>()
+            }
+            it("finds the outcome through the next owner after an answer was lost") {
+                var attempts = 0
+                val caller =
+                    Caller { if (attempts++ < 3) SchedulerReply.Unanswered("lost") else SchedulerReply.Answer(CallerAnswer.Applied) }
+                caller.submit(runForMs = 5_000)
+                caller.answer shouldBe CallerAnswer.Applied
+            }
+        }
+    })
+
+/** A caller of an entry that has lost the store; [reply] is what the scheduler says to each attempt. */
+private class Caller(
+    isWithoutPeers: Boolean = false,
+    reply: () -> SchedulerReply,
+) {
+    private val time = SimTime()
+    private val loop = SimLoop(time)
+    private val scheduler = SchedulerClient { _, onReply -> loop.after(1) { onReply(reply()) } }
+    private val lostStore =
+        object : EntryReach {
+            override val isStoreLost = true
+            override val isCutOff = isWithoutPeers
+        }
+    private val router = JobRequestRouter(loop, scheduler, StoredJobService(SilentTables), lostStore) { _, _ -> }
+    var answer: CallerAnswer? = null
+
+    fun submit(runForMs: Long) {
+        val job = JobSubmission("job", Queue("queue", "pool"), "work", listOf(Step(1, Demand(1_000, 1_000))))
+        router.handle(JobRequest.Submit(job)) { answer = it }
+        time.runUntil(time.nowMs + runForMs)
+    }
+}
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -80,6 +80,10 @@
         11979 to "a state read before the job ended reached the caller after a freeze; the checker must allow this",
         32535 to "long-running tasks spread thinly over one pool kept all its instances from another pool",
         40436 to "an owner mistook its own row in a conflict for a fresh write",
+        425 to "an owner that was suspended for a second reported states older than its successor's",
+        2879 to "a long-running task was evicted from and started again on an instance whose cordon its new worker did not have",
+        3835 to "an owner that was replaced and restarted ordered an instance within the lease of the owner before",
+        4815 to "a replaced owner and its successor both started a job that a third entry had stored",
         12998 to "an owner suspended between a write and its answer treated its ownership as freshly renewed",
     )
 
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
@@ -0,0 +1,141 @@
+/*
+ * Covers owners that fail without their connections being refused: the store turns them away, their data centre is cut off or
+ * their process is suspended. Peers must take over well before the row has been silent for long, callers of entries without
+ * the store must still be served, and an outage of the store for everyone must not start a takeover.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.entry.CallerAnswer
+import io.corianderrock.jobs.entry.JobRequest
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.Queue
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.world.JobWorld
+import io.corianderrock.jobs.world.SimEntry
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+
+/** Half of the 2.9 s after which a silent row alone replaces its holder. */
+private const val MAX_TAKEOVER_MS = 1_450L
+
+private const val FAILURE_AT_MS = 6_000L
+private const val FAILURE_FOR_MS = 6_000L
+private val SEEDS = 1..20
+
+internal class OwnerFailureTest :
+    DescribeSpec({
+        describe("an owner that fails without refusing connections") {
+            val failures =
+                mapOf<String, (SimEntry, JobWorld) -> Unit>(
+                    "is turned away by the store" to { owner, _ -> owner.isPartitionedFromStore = true },
+                    "is cut off with its data centre" to { owner, _ -> owner.setIsolated(true) },
+                    "is suspended" to { owner, world -> owner.loop.frozenUntilMs = world.time.nowMs + FAILURE_FOR_MS },
+                )
+            for ((name, failure) in failures) {
+                it("is replaced within half of the silence that a row is allowed when it $name") {
+                    SEEDS.maxOf { OwnerFailure(it, failure).takeoverMs() } shouldBeLessThan MAX_TAKEOVER_MS
+                }
+                it("violates no invariant when it $name") {
+                    SEEDS.flatMap { OwnerFailure(it, failure).run().checker.violations }.shouldBeEmpty()
+                }
+            }
+        }
+        describe("an outage of the store for all entries") {
+            it("leaves the ownership where it is") {
+                SEEDS.forEach { seed ->
+                    val failure = OwnerFailure(seed) { _, world -> world.store.isDown = true }
+                    failure.run()
+                    failure.ownersAfterwards shouldBe listOf(failure.failed)
+                }
+            }
+        }
+        describe("a caller of an entry that the store turns away together with the owner") {
+            it("has its job accepted through the next owner") {
+                SEEDS.forEach { seed ->
+                    submitDuringFailure(seed, { it.isPartitionedFromStore = true }, atMs = 2_000) shouldBe
+                        CallerAnswer.Applied
+                }
+            }
+        }
+        describe("a caller of an entry that reaches neither the store nor a peer") {
+            it("is refused at once, with a retry delay") {
+                SEEDS.forEach { seed ->
+                    submitDuringFailure(seed, { it.setIsolated(true) }, atMs = 3_000).shouldBeInstanceOf<CallerAnswer.NotApplied>()
+                }
+            }
+        }
+    })
+
+/** A world in which the owner fails at [FAILURE_AT_MS] for [FAILURE_FOR_MS]. */
+private class OwnerFailure(
+    seed: Int,
+    private val fail: (SimEntry, JobWorld) -> Unit,
+) {
+    lateinit var failed: SimEntry
+    val ownersAfterwards = ArrayList<SimEntry>()
+    private var failedAtMs = 0L
+    private var replacedAtMs: Long? = null
+    private val world =
+        JobWorld(seed, hasFaults = false, scheduleEvents = { world ->
+            world.time.after(FAILURE_AT_MS) { begin(world) }
+            world.time.after(FAILURE_AT_MS + FAILURE_FOR_MS) { end(world) }
+        })
+
+    fun run(): JobWorld = world.apply { run() }
+
+    fun takeoverMs(): Long {
+        run()
+        return replacedAtMs.shouldNotBeNull() - failedAtMs
+    }
+
+    private fun begin(world: JobWorld) {
+        failed = world.entries.first { it.scheduler != null }
+        failedAtMs = world.time.nowMs
+        fail(failed, world)
+        watch(world)
+    }
+
+    private fun watch(world: JobWorld) {
+        if (replacedAtMs == null && world.entries.any { it !== failed && it.scheduler != null }) replacedAtMs = world.time.nowMs
+        world.time.after(WATCH_INTERVAL_MS) { watch(world) }
+    }
+
+    private fun end(world: JobWorld) {
+        failed.setIsolated(false)
+        world.store.isDown = false
+        world.time.after(SETTLE_MS) { ownersAfterwards += world.entries.filter { it.scheduler != null } }
+    }
+
+    private companion object {
+        const val WATCH_INTERVAL_MS = 10L
+        const val SETTLE_MS = 3_000L
+    }
+}
+
+/** Lets [fail] happen to the owner and one peer and submits a job through that peer [atMs] later; returns its answer. */
+private fun submitDuringFailure(
+    seed: Int,
+    fail: (SimEntry) -> Unit,
+    atMs: Long,
+): CallerAnswer? {
+    var answer: CallerAnswer? = null
+    val queue = Queue("queue-a", "a", maxAttempts = 3, stretchFactor = 2.0, targetLatencyMs = 600)
+    val submission = JobSubmission("probe", queue, "work", listOf(Step(1, Demand(500, 500), 500)))
+    JobWorld(seed, hasFaults = false, scheduleEvents = { world ->
+        world.register(submission)
+        world.time.after(FAILURE_AT_MS) {
+            val owner = world.entries.first { it.scheduler != null }
+            val peer = world.entries.first { it !== owner }
+            fail(owner)
+            fail(peer)
+            world.time.after(atMs) { peer.ask(JobRequest.Submit(submission)) { answer = it } }
+            world.time.after(FAILURE_FOR_MS) { listOf(owner, peer).forEach { it.setIsolated(false) } }
+        }
+    }).run()
+    return answer
+}
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -6,12 +6,16 @@
 package io.corianderrock.jobs.world
 
 import io.corianderrock.jobs.entry.CallerAnswer
+import io.corianderrock.jobs.entry.CallerReach
 import io.corianderrock.jobs.entry.JobRequest
 import io.corianderrock.jobs.entry.JobRequestRouter
 import io.corianderrock.jobs.entry.LocalSchedulerClient
 import io.corianderrock.jobs.entry.SchedulerReply
 import io.corianderrock.jobs.entry.StoredJobService
 import io.corianderrock.jobs.ownership.OwnerElector
+import io.corianderrock.jobs.ownership.PeerDirectory
+import io.corianderrock.jobs.ownership.PeerStatusClient
+import io.corianderrock.jobs.ownership.PeerStatusResult
 import io.corianderrock.jobs.ports.AdviceAnswer
 import io.corianderrock.jobs.ports.EndKind
 import io.corianderrock.jobs.ports.Instance
@@ -42,6 +46,7 @@
     var scheduler: Scheduler? = null
     var isPartitionedFromStore = false
     var isPartitionedFromWorkers = false
+    var isPartitionedFromPeers = false
     var isUp = false
     private lateinit var router: JobRequestRouter
 
@@ -52,44 +57,47 @@
         val tables = world.store.tablesFor(this)
         val log = { event: String, fields: Array<out Any?> -> world.trace(name, event, fields) }
         val elector =
-            OwnerElector(name, name, claimDelayMs = 20, loop, tables, log = {
-                event,
-                fields,
-                ->
-                log(event, fields)
-            }) { row, version, earlier ->
-                val ports =
-                    SchedulerPorts(
-                        loop = loop,
-                        tables = tables,
-                        workers = SimWorkerLink(world, this, Random(world.random.nextInt())),
-                        instances = world.instancesFor(this),
-                        advice = { _, _, onAnswer -> onAnswer(AdviceAnswer(null, 0)) },
-                        log = { event, fields -> log(event, fields) },
-                        configuration = { world.configuration },
-                        waves = { world.waves },
-                    )
-                val activeScheduler =
-                    Scheduler(ports, SchedulerBounds(3_000, SimWorker.MAX_LEASE_MS), row, version, earlier) { onOwnershipLost() }
-                scheduler = activeScheduler
-                world.listedWorkers().forEach(activeScheduler::onWorkerListed)
-                activeScheduler.start()
-            }
+            OwnerElector(
+                name = name,
+                address = name,
+                claimDelayMs = 20,
+                loop = loop,
+                tables = tables,
+                log = { event, fields -> log(event, fields) },
+                peers = world.peersOf(this),
+                directory = PeerDirectory(name, world.entries.map { it.name }),
+                canWrite = { scheduler?.canWrite ?: true },
+                onSuperseded = { scheduler?.supersede(it) },
+                onPeerAnswered = { reach?.onPeerAnswered() },
+                onOwned = { row, version, earlier ->
+                    val ports =
+                        SchedulerPorts(
+                            loop = loop,
+                            tables = tables,
+                            workers = SimWorkerLink(world, this, Random(world.random.nextInt())),
+                            instances = world.instancesFor(this),
+                            advice = { _, _, onAnswer -> onAnswer(AdviceAnswer(null, 0)) },
+                            log = { event, fields -> log(event, fields) },
+                            configuration = { world.configuration },
+                            waves = { world.waves },
+                        )
+                    val activeScheduler =
+                        Scheduler(ports, SchedulerBounds(3_000, SimWorker.MAX_LEASE_MS), row, version, earlier) { onOwnershipLost() }
+                    scheduler = activeScheduler
+                    world.listedWorkers().forEach(activeScheduler::onWorkerListed)
+                    activeScheduler.start()
+                },
+            )
         this.elector = elector
+        val reach = CallerReach(loop) { elector.isStoreLost }
+        this.reach = reach
         val local = LocalSchedulerClient { scheduler }
         router =
             JobRequestRouter(
+                loop = loop,
+                reach = reach,
                 scheduler = { request, onReply ->
-                    val owner = world.entries.firstOrNull { it.isUp && it.scheduler != null && it.loop.frozenUntilMs <= world.time.nowMs }
-                    if (scheduler != null) {
-                        local.ask(request, onReply)
-                    } else if (owner == null) {
-                        onReply(SchedulerReply.NotHandled("no owner"))
-                    } else {
-                        owner.loop.after(
-                            1,
-                        ) { LocalSchedulerClient { owner.scheduler }.ask(request) { reply -> loop.after(1) { onReply(reply) } } }
-                    }
+                    if (scheduler != null) local.ask(request, onReply) else askOwner(request, onReply)
                 },
                 store = StoredJobService(tables),
                 log = { event, fields -> log(event, fields) },
@@ -97,13 +105,59 @@
         elector.start()
     }
 
-    private var elector: OwnerElector? = null
+    /** Forwards [request] to the owner that this entry knows of, as the peers' protocol does. */
+    private fun askOwner(
+        request: JobRequest,
+        onReply: (SchedulerReply) -> Unit,
+    ) {
+        val address = elector?.owner?.address
+        val owner = world.entries.firstOrNull { it.name == address }
+        when {
+            owner == null -> onReply(SchedulerReply.NotHandled("no owner known"))
+            !owner.isUp -> {
+                elector?.suspectDead(owner.name)
+                loop.after(1) { onReply(SchedulerReply.NotHandled("refused", isConnectionRefused = true)) }
+            }
+            !world.canReach(this, owner) -> loop.after(PEER_TIMEOUT_MS) { onReply(SchedulerReply.Unanswered("no answer")) }
+            else -> forward(owner, request, onReply)
+        }
+    }
+
+    private fun forward(
+        owner: SimEntry,
+        request: JobRequest,
+        onReply: (SchedulerReply) -> Unit,
+    ) {
+        var isAnswered = false
+        val answer = { reply: SchedulerReply ->
+            if (!isAnswered) {
+                isAnswered = true
+                if (reply is SchedulerReply.Answer) reach?.onPeerAnswered()
+                if (reply is SchedulerReply.NotHandled && reply.isNotOwner) elector?.suspectHandover()
+                onReply(reply)
+            }
+        }
+        owner.loop.after(1) {
+            LocalSchedulerClient { owner.scheduler }.ask(request) { reply -> loop.after(1) { answer(reply) } }
+        }
+        loop.after(PEER_TIMEOUT_MS) { answer(SchedulerReply.Unanswered("no answer in time")) }
+    }
+
+    private var reach: CallerReach? = null
+    var elector: OwnerElector? = null
+        private set
 
     private fun onOwnershipLost() {
         scheduler = null
         elector?.onLost()
     }
 
+    fun setIsolated(isIsolated: Boolean) {
+        isPartitionedFromStore = isIsolated
+        isPartitionedFromPeers = isIsolated
+        isPartitionedFromWorkers = isIsolated
+    }
+
     fun kill() {
         isUp = false
         loop.isKilled = true
@@ -122,6 +176,10 @@
         request: JobRequest,
         onAnswer: (CallerAnswer) -> Unit,
     ) = loop.post { router.handle(request, onAnswer) }
+
+    private companion object {
+        const val PEER_TIMEOUT_MS = 1_000L
+    }
 }
 
 internal class JobWorld(
@@ -166,6 +224,24 @@
         traces?.add("${time.nowMs} $entry $event ${fields.joinToString(" ")}")
     }
 
+    /** Peers answer at once, except that those that are frozen, down or partitioned from their peers do not. */
+    fun peersOf(entry: SimEntry): PeerStatusClient =
+        PeerStatusClient { address, onResult ->
+            val loop = entry.loop
+            val peer = entries.first { it.name == address }
+            if (peer.isUp && canReach(entry, peer)) {
+                loop.after(2) { onResult(PeerStatusResult.Answered(checkNotNull(peer.elector).status())) }
+            } else {
+                loop.after(500) { onResult(PeerStatusResult.Unreachable("no answer")) }
+            }
+        }
+
+    /** False while [peer] is frozen or one of the two is partitioned from its peers. */
+    fun canReach(
+        entry: SimEntry,
+        peer: SimEntry,
+    ): Boolean = peer.loop.frozenUntilMs <= time.nowMs && !peer.isPartitionedFromPeers && !entry.isPartitionedFromPeers
+
     fun worker(id: String): SimWorker? = workers[id]
 
     fun listedWorkers(): List<WorkerEntry> = workers.values.filter { it.isUp && it.entry.id !in unlisted }.map { it.entry }
@@ -303,9 +379,14 @@
 
     private fun submit() {
         val submission = newSubmission()
+        register(submission)
+        sendUntilAccepted(submission, attemptsLeft = 8)
+    }
+
+    /** Makes a job that a test submits by itself known to the workers and the invariant checker. */
+    fun register(submission: JobSubmission) {
         submissions.add(submission)
         checker.onSubmitted(submission)
-        sendUntilAccepted(submission, attemptsLeft = 8)
     }
 
     private fun newSubmission(): JobSubmission {
@@ -373,7 +454,7 @@
     private fun injectFault() {
         val entry = entries.random(random)
         val durationMs = random.nextLong(500, MAX_FAULT_MS)
-        when (random.nextInt(10)) {
+        when (random.nextInt(11)) {
             0, 1 -> restart(entry, durationMs)
             2 -> entries.forEach { restart(it, minOf(durationMs, 2_500)) }
             3 -> freeze(entry, durationMs)
@@ -382,6 +463,7 @@
             6 -> during(durationMs, { store.lostAnswerRatio = 0.3 }, { store.lostAnswerRatio = 0.0 })
             7 -> during(durationMs, { lateDeliveryRatio = 0.2 }, { lateDeliveryRatio = 0.0 })
             8 -> partitionWorker(durationMs)
+            9 -> isolate(entry, durationMs)
             else -> crashWorker(durationMs)
         }
     }
@@ -404,6 +486,12 @@
         time.after(maxOf(1_600, downMs)) { if (!entry.isUp) entry.boot() }
     }
 
+    /** Cuts [entry] off from the store, from its peers and from the workers, while its callers still reach it. */
+    private fun isolate(
+        entry: SimEntry,
+        durationMs: Long,
+    ) = during(durationMs, { entry.setIsolated(true) }, { entry.setIsolated(false) })
+
     private fun freeze(
         entry: SimEntry,
         durationMs: Long,
@@ -448,7 +536,7 @@
         lateDeliveryRatio = 0.0
         workers.values.forEach { it.isReachable = true }
         for (entry in entries) {
-            entry.isPartitionedFromStore = false
+            entry.setIsolated(false)
             if (!entry.isUp) entry.boot()
         }
     }
--- a/transport/src/main/kotlin/io/corianderrock/transport/PeerSchedulerClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/PeerSchedulerClient.kt
@@ -8,6 +8,8 @@
 import io.corianderrock.jobs.entry.JobRequest
 import io.corianderrock.jobs.entry.SchedulerClient
 import io.corianderrock.jobs.entry.SchedulerReply
+import io.corianderrock.jobs.ownership.PeerDirectory
+import io.corianderrock.jobs.ownership.PeerStatus
 import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.state.JobState
 import io.corianderrock.jobs.state.JobSubmission
@@ -48,6 +50,9 @@
 
 private const val JOBS_PATH = "/peer/jobs"
 
+/** Carries the address at which the sender serves its peers. */
+internal const val PEER_ADDRESS_HEADER = "Corianderrock-Peer-Address"
+
 /**
  * Forwards job requests to the entry that owns the scheduler, at the address that [ownerAddress] returns.
  *
@@ -56,6 +61,7 @@
  */
 public class PeerSchedulerClient(
     private val client: AsyncHttpClient,
+    private val ownAddress: String,
     private val ownerAddress: () -> String?,
     private val onConnectionRefused: (String) -> Unit,
     private val onNotOwner: () -> Unit,
@@ -70,7 +76,7 @@
             return
         }
         val body = peerJson.encodeToString(PeerJobRequest.serializer(), encodeRequest(request)).toByteArray()
-        client.send("POST", "http://$address$JOBS_PATH", body, PEER_TIMEOUT_MS) { result ->
+        client.send("POST", "http://$address$JOBS_PATH", body, PEER_TIMEOUT_MS, mapOf(PEER_ADDRESS_HEADER to ownAddress)) { result ->
             val reply = replyOf(result)
             if (reply is SchedulerReply.NotHandled && reply.isConnectionRefused) onConnectionRefused(address)
             if (reply is SchedulerReply.NotHandled && reply.isNotOwner) onNotOwner()
@@ -125,17 +131,27 @@
     }
 }
 
-/** Serves job requests of peers from the scheduler of this process. */
+/** Serves peers: job requests from the scheduler of this process, and questions about the owner from [status]. */
 public class PeerJobsHandler(
     private val loop: EventLoop,
     private val scheduler: SchedulerClient,
+    private val directory: PeerDirectory,
+    private val status: () -> PeerStatus,
 ) {
     /**
-     * Runs the request on the event loop and blocks for its reply, so it must not be called on that loop. Responds with
+     * Runs job requests on the event loop and blocks for the reply, so it must not be called on that loop. Responds with
      * 404 on another path and 400 on a body that cannot be decoded; all other results are encoded in a 200 response.
      */
     public fun handle(request: Request): Response {
-        if (request.uri.path != JOBS_PATH) return Response(Status.NOT_FOUND)
+        request.header(PEER_ADDRESS_HEADER)?.let(directory::add)
+        return when (request.uri.path) {
+            JOBS_PATH -> handleJob(request)
+            STATUS_PATH -> Response(Status.OK).body(encodePeerStatus(status()))
+            else -> Response(Status.NOT_FOUND)
+        }
+    }
+
+    private fun handleJob(request: Request): Response {
         val jobRequest =
             try {
                 decodeRequest(peerJson.decodeFromString(PeerJobRequest.serializer(), request.bodyString()))
