Serve all outgoing calls of an entry with one thread

The client used a thread a call: some 250 workers have a hold waiting each, and every answer woke two threads besides the loop. On 0.36 to 1.5 cores the owner fell behind, its writes with it, and peers replaced it.

AsyncHttpClient sends over Undertow's client on one I/O thread: connections a host are reused, limited to 64 and closed when idle; a call that is given up resets its connection at once (Undertow's own close is polite, which would let a late order arrive after a cut). What may have been received is told as before. OkHttp stays where calls block: upstreams and the platform's client of the daemon.

--- /dev/null
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
@@ -0,0 +1,171 @@
+/*
+ * One HTTP call on a connection of the asynchronous client.
+ */
+package io.corianderrock.transport
+
+import io.undertow.client.ClientCallback
+import io.undertow.client.ClientConnection
+import io.undertow.client.ClientExchange
+import io.undertow.client.ClientRequest
+import io.undertow.util.Headers
+import io.undertow.util.HttpString
+import io.undertow.util.Protocols
+import org.xnio.ChannelExceptionHandler
+import org.xnio.ChannelListeners
+import org.xnio.IoUtils
+import org.xnio.XnioExecutor
+import org.xnio.XnioIoThread
+import org.xnio.channels.StreamSinkChannel
+import org.xnio.channels.StreamSourceChannel
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+import java.nio.ByteBuffer
+import java.util.concurrent.TimeUnit
+
+internal class HttpCallRequest(
+    val method: String,
+    val authority: String,
+    val path: String,
+    val headers: Map<String, String>,
+    val body: ByteArray,
+)
+
+/** Confined to [ioThread]. [onResult] is called once, on that thread. */
+internal class HttpCall(
+    private val request: HttpCallRequest,
+    private val ioThread: XnioIoThread,
+    private val onResult: (HttpResult) -> Unit,
+) {
+    private var timer: XnioExecutor.Key? = null
+    private var connection: ClientConnection? = null
+    private var onReusable: (ClientConnection) -> Unit = {}
+    private val received = ByteArrayOutputStream()
+    var isDone = false
+        private set
+
+    /** Called when the call ends before it has a connection. */
+    var onAbandoned: () -> Unit = {}
+
+    fun startTimer(timeoutMs: Long) {
+        timer = ioThread.executeAfter({ fail(IOException("no complete answer within $timeoutMs ms")) }, timeoutMs, TimeUnit.MILLISECONDS)
+    }
+
+    /** Sends the request on [chosen], which is passed to [onReusable] once the response is complete. */
+    fun sendOn(
+        chosen: ClientConnection,
+        onReusable: (ClientConnection) -> Unit,
+    ) {
+        connection = chosen
+        this.onReusable = onReusable
+        chosen.sendRequest(
+            clientRequest(),
+            callback { exchange ->
+                exchange.setResponseListener(callback { read(it, it.responseChannel) })
+                if (request.body.isNotEmpty()) write(exchange.requestChannel, ByteBuffer.wrap(request.body))
+            },
+        )
+    }
+
+    /** Ends the call with [exception], unless it has ended. The request may have been received once it had a connection. */
+    fun fail(exception: IOException) {
+        if (isDone) return
+        val used = connection
+        val isRefused = used == null && exception.message?.contains("refused") == true
+        end(HttpResult.Failed(exception.toString(), hasSentBytes = used != null, isRefused = isRefused))
+        if (used == null) onAbandoned() else abort(used)
+    }
+
+    /** Resets [used]. Its own `close` would send what is pending and wait for the peer, so the connection below is closed. */
+    private fun abort(used: ClientConnection) {
+        try {
+            if (used.isOpen) IoUtils.safeClose(used.performUpgrade())
+        } catch (_: IOException) {
+            IoUtils.safeClose(used)
+        }
+    }
+
+    private fun end(result: HttpResult) {
+        isDone = true
+        timer?.remove()
+        onResult(result)
+    }
+
+    private fun clientRequest(): ClientRequest {
+        val message =
+            ClientRequest()
+                .setMethod(HttpString(request.method))
+                .setPath(request.path)
+                .setProtocol(Protocols.HTTP_1_1)
+        val fields = message.requestHeaders
+        fields.put(Headers.HOST, request.authority)
+        if (request.method == "POST") fields.put(Headers.CONTENT_TYPE, "application/json")
+        if (request.method != "GET") fields.put(Headers.CONTENT_LENGTH, request.body.size.toString())
+        for ((name, value) in request.headers) fields.put(HttpString(name), value)
+        return message
+    }
+
+    private fun callback(onCompleted: (ClientExchange) -> Unit): ClientCallback<ClientExchange> =
+        object : ClientCallback<ClientExchange> {
+            override fun completed(exchange: ClientExchange) = onCompleted(exchange)
+
+            override fun failed(e: IOException) = fail(e)
+        }
+
+    private fun write(
+        channel: StreamSinkChannel,
+        body: ByteBuffer,
+    ): Unit =
+        orFail {
+            while (body.hasRemaining()) {
+                if (channel.write(body) > 0) continue
+                channel.writeSetter.set { write(channel, body) }
+                channel.resumeWrites()
+                return@orFail
+            }
+            channel.shutdownWrites()
+            if (!channel.flush()) flushLater(channel)
+        }
+
+    private fun flushLater(channel: StreamSinkChannel) {
+        val onError = ChannelExceptionHandler<StreamSinkChannel> { _, e -> fail(e) }
+        channel.writeSetter.set(ChannelListeners.flushingChannelListener(null, onError))
+        channel.resumeWrites()
+    }
+
+    private fun read(
+        exchange: ClientExchange,
+        channel: StreamSourceChannel,
+    ): Unit =
+        orFail {
+            val pooled = exchange.connection.bufferPool.allocate()
+            pooled.use {
+                val buffer = pooled.buffer
+                while (true) {
+                    buffer.clear()
+                    val count = channel.read(buffer)
+                    if (count < 0) break
+                    if (count == 0) {
+                        channel.readSetter.set { read(exchange, channel) }
+                        channel.resumeReads()
+                        return@orFail
+                    }
+                    received.write(buffer.array(), buffer.arrayOffset(), count)
+                }
+            }
+            complete(exchange)
+        }
+
+    private fun complete(exchange: ClientExchange) {
+        if (isDone) return
+        end(HttpResult.Answer(exchange.response.responseCode, received.toByteArray()))
+        onReusable(exchange.connection)
+    }
+
+    private fun orFail(action: () -> Unit) {
+        try {
+            action()
+        } catch (e: IOException) {
+            fail(e)
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
@@ -0,0 +1,214 @@
+/*
+ * Calls of the asynchronous HTTP client against servers that answer, refuse, stay silent or break off. Whether the request may
+ * have been received decides whether it may be sent again.
+ */
+package io.corianderrock.transport
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import java.io.IOException
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+private const val OK_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+internal class AsyncHttpClientTest :
+    DescribeSpec({
+        val loop = ThreadEventLoop("client-test")
+        val client = AsyncHttpClient(loop, ClientLimits(connectTimeoutMs = 300))
+        afterSpec { loop.close() }
+
+        describe("a server that answers") {
+            it("gets later calls over the connection of the first") {
+                RawServer { it.answer(OK_ANSWER) }.use { server ->
+                    repeat(5) {
+                        client
+                            .call(server, "hello")
+                            .shouldBeInstanceOf<HttpResult.Answer>()
+                            .body
+                            .decodeToString() shouldBe "ok"
+                    }
+                    server.connectionCount.get() shouldBe 1
+                }
+            }
+            it("may send its answer in chunks") {
+                val chunks = "HTTP/1.1 409 Conflict\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
+                RawServer { it.answer(chunks) }.use { server ->
+                    val answer = client.call(server, "hello").shouldBeInstanceOf<HttpResult.Answer>()
+                    answer.status shouldBe 409
+                    answer.body.decodeToString() shouldBe "abcdefg"
+                }
+            }
+            it("gets a body that is larger than the buffers of the sockets, and sends one back") {
+                val size = 3_000_000
+                RawServer { request ->
+                    request.answer("HTTP/1.1 200 OK\r\nContent-Length: $size\r\n\r\n" + "x".repeat(size))
+                }.use { server ->
+                    client
+                        .call(server, "y".repeat(size), timeoutMs = 5_000)
+                        .shouldBeInstanceOf<HttpResult.Answer>()
+                        .body.size shouldBe size
+                    server.requestSizes.single() shouldBe size
+                }
+            }
+            it("gets no more connections than it accepts, and still all of the calls") {
+                val answers = CopyOnWriteArrayList<HttpResult>()
+                RawServer { request -> request.answer(OK_ANSWER, afterMs = 20) }.use { server ->
+                    val results = List(300) { client.start(server, "hello", timeoutMs = 5_000) }
+                    results.forEach { answers.add(it.get(6, TimeUnit.SECONDS)) }
+                    answers.filterIsInstance<HttpResult.Answer>() shouldHaveSize 300
+                    server.connectionCount.get() shouldBeLessThan 65
+                }
+            }
+        }
+        describe("a call without an answer") {
+            it("is known not to have been received where nothing listens") {
+                val port = ServerSocket(0).use { it.localPort }
+                val failed = client.call("127.0.0.1:$port", "hello").shouldBeInstanceOf<HttpResult.Failed>()
+                failed.isRefused shouldBe true
+                failed.hasSentBytes shouldBe false
+            }
+            it("may have been received where the server stays silent, and its connection is reset") {
+                RawServer { it.waitForReset() }.use { server ->
+                    val failed = client.call(server, "hello", timeoutMs = 200).shouldBeInstanceOf<HttpResult.Failed>()
+                    failed.isRefused shouldBe false
+                    failed.hasSentBytes shouldBe true
+                    server.resetSeen.get(2, TimeUnit.SECONDS) shouldBe true
+                }
+            }
+            it("may have been received where the server closes within its answer") {
+                RawServer { it.answer("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nok", isLast = true) }.use { server ->
+                    client.call(server, "hello").shouldBeInstanceOf<HttpResult.Failed>().hasSentBytes shouldBe true
+                }
+            }
+            it("does not keep later calls from a server that is sound again") {
+                val attempts = AtomicInteger()
+                RawServer { if (attempts.getAndIncrement() == 0) it.waitForReset() else it.answer(OK_ANSWER) }.use { server ->
+                    client.call(server, "hello", timeoutMs = 200).shouldBeInstanceOf<HttpResult.Failed>()
+                    client.call(server, "hello").shouldBeInstanceOf<HttpResult.Answer>()
+                }
+            }
+        }
+    })
+
+private fun AsyncHttpClient.start(
+    server: RawServer,
+    body: String,
+    timeoutMs: Long,
+): CompletableFuture<HttpResult> = start("127.0.0.1:${server.port}", body, timeoutMs)
+
+private fun AsyncHttpClient.start(
+    authority: String,
+    body: String,
+    timeoutMs: Long,
+): CompletableFuture<HttpResult> {
+    val result = CompletableFuture<HttpResult>()
+    send("POST", "http://$authority/path", body.toByteArray(), timeoutMs) { result.complete(it) }
+    return result
+}
+
+private fun AsyncHttpClient.call(
+    server: RawServer,
+    body: String,
+    timeoutMs: Long = 1_000,
+): HttpResult = call("127.0.0.1:${server.port}", body, timeoutMs)
+
+private fun AsyncHttpClient.call(
+    authority: String,
+    body: String,
+    timeoutMs: Long = 1_000,
+): HttpResult = start(authority, body, timeoutMs).get(timeoutMs + 2_000, TimeUnit.MILLISECONDS)
+
+/** One request that a [RawServer] has read. */
+private class RawRequest(
+    private val server: RawServer,
+    private val socket: Socket,
+) {
+    var isConnectionOver = false
+        private set
+
+    fun answer(
+        text: String,
+        afterMs: Long = 0,
+        isLast: Boolean = false,
+    ) {
+        if (afterMs > 0) Thread.sleep(afterMs)
+        socket.outputStream.write(text.toByteArray())
+        socket.outputStream.flush()
+        isConnectionOver = isLast
+    }
+
+    fun waitForReset() {
+        val isReset =
+            try {
+                socket.inputStream.read() >= 0
+            } catch (e: IOException) {
+                e.message?.contains("reset") == true
+            }
+        server.resetSeen.complete(isReset)
+        isConnectionOver = true
+    }
+}
+
+/** A server that reads whole requests and leaves the answer to [onRequest]. */
+private class RawServer(
+    private val onRequest: (RawRequest) -> Unit,
+) : AutoCloseable {
+    private val listener = ServerSocket(0, 400, InetAddress.getLoopbackAddress())
+    val port: Int get() = listener.localPort
+    val connectionCount = AtomicInteger()
+    val requestSizes = CopyOnWriteArrayList<Int>()
+    val resetSeen = CompletableFuture<Boolean>()
+
+    init {
+        thread(isDaemon = true) {
+            try {
+                while (true) listener.accept().let { socket -> thread(isDaemon = true) { serve(socket) } }
+            } catch (_: IOException) {
+                // The listener was closed at the end of the test.
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        connectionCount.incrementAndGet()
+        try {
+            val input = socket.inputStream.buffered()
+            while (true) {
+                val lines = generateSequence { readLine(input) }.takeWhile { it.isNotEmpty() }.toList()
+                if (lines.isEmpty()) break
+                val size = lines.first { it.startsWith("Content-Length") }.substringAfter(": ").toInt()
+                requestSizes.add(input.readNBytes(size).size)
+                val request = RawRequest(this, socket)
+                onRequest(request)
+                if (request.isConnectionOver) break
+            }
+        } catch (_: IOException) {
+            // The client has closed the connection.
+        } finally {
+            socket.close()
+        }
+    }
+
+    private fun readLine(input: InputStream): String? {
+        val line = StringBuilder()
+        while (true) {
+            val next = input.read()
+            if (next < 0) return null
+            if (next == '\n'.code) return line.toString().trimEnd('\r')
+            line.append(next.toChar())
+        }
+    }
+
+    override fun close() = listener.close()
+}
