Place only where something has changed, with estimates and failed fits remembered

Each pass went through all live jobs of all pools, computed remaining work and objective of each anew, collected the workers of each pool and asked all of them for every step of a backlog: at 800 live jobs some 4 ms of a small core every 8 ms. Ruled out: fewer passes alone (a longer delay costs each start).

Passes go over the pools in which capacity or tasks changed, over all every 200 ms; jobs are indexed by pool; estimates are kept for 250 ms; a demand that fits nowhere settles all larger ones of the pass; a pass is followed by a pause of four times its length. After an outage of the store for all the owner gets the time of one more write attempt before peers count its writes as lost (OwnerFailureTest failed by chance there).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -41,14 +41,12 @@
     }
 
     /** Returns the need of each pool with live jobs or earlier arrivals. [capacity] gives the capacity of one instance of a pool. */
-    fun needs(capacity: (String) -> Demand): Map<String, PoolNeed> {
-        val jobsByPool = registry.live.groupBy { it.queue.pool }
-        return (jobsByPool.keys + arrivals.keys).associateWith { need(it, jobsByPool[it].orEmpty(), capacity(it)) }
-    }
+    fun needs(capacity: (String) -> Demand): Map<String, PoolNeed> =
+        (registry.pools + arrivals.keys).associateWith { need(it, registry.liveIn(it), capacity(it)) }
 
     private fun need(
         pool: String,
-        jobs: List<JobRun>,
+        jobs: Collection<JobRun>,
         capacity: Demand,
     ): PoolNeed {
         var longRunning = Demand()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerFailureDetector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerFailureDetector.kt
@@ -15,6 +15,7 @@
     private var silentSinceMs = loop.nowMs
     private var lastReadMs = loop.nowMs
     private var termSeenAtMs = loop.nowMs
+    private var storeRegainedAtMs = Long.MIN_VALUE / 2
     private var isProbing = false
     private var suspicion: String? = null
 
@@ -26,6 +27,7 @@
         // While this entry could not read, the owner may not have been able to write either: it gets the time to resume.
         val hasMissedReads = loop.nowMs - lastReadMs > MAX_READ_GAP_MS
         lastReadMs = loop.nowMs
+        if (hasMissedReads) storeRegainedAtMs = loop.nowMs
         if (row?.epoch != before?.epoch) termSeenAtMs = loop.nowMs
         if (row == before && !hasMissedReads) return
         silentSinceMs = loop.nowMs
@@ -79,12 +81,14 @@
             is PeerStatusResult.Answered ->
                 when {
                     !result.status.isOwner || result.status.owner?.epoch != row.epoch -> "not_owner"
-                    // A store that is slow for everyone is no better for the next owner, so terms have a least length.
-                    !result.status.canWrite && loop.nowMs - termSeenAtMs > MIN_TERM_MS -> "cannot_write"
+                    !result.status.canWrite && mayReplaceForWrites() -> "cannot_write"
                     else -> null
                 }
         }
 
+    /** A store that is slow for everyone is no better for the next owner, and after an outage the owner's next attempt may be due. */
+    private fun mayReplaceForWrites(): Boolean = loop.nowMs - termSeenAtMs > MIN_TERM_MS && loop.nowMs - storeRegainedAtMs > RESUME_MS
+
     companion object {
         /** An owner row unchanged for this long, seven missed renewals, has lost its holder whatever the holder answers. */
         private const val TAKEOVER_AFTER_MS = 2_900L
@@ -98,6 +102,9 @@
         /** Shortest term after which an owner that cannot write is replaced. */
         private const val MIN_TERM_MS = 4_000L
 
+        /** Time that an owner has to write again once the store answers this entry: the timeout of a write and its retry delay. */
+        private const val RESUME_MS = 1_400L
+
         /** Longest time between two reads that still prove the silence of the owner rather than that of the store. */
         private const val MAX_READ_GAP_MS = 1_500L
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -9,7 +9,6 @@
 import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.runs.JobRegistry
 import io.corianderrock.jobs.runs.WorkerDriver
-import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.Step
 import io.corianderrock.jobs.state.StepRun
 import io.corianderrock.jobs.state.TaskPhase
@@ -25,13 +24,6 @@
     private val log: DecisionLog,
     private val mayOrder: () -> Boolean,
 ) {
-    private class WorkerCapacity(
-        val worker: WorkerView,
-        var free: Demand,
-        var hasServingTask: Boolean,
-        var hasBestEffortTask: Boolean,
-    )
-
     private var explainedAtMs = 0L
 
     /** By pool: since when, in loop time, every pass has left a task without capacity. */
@@ -46,36 +38,34 @@
     /** For how many milliseconds every pass has left some task of [pool] without a worker that has capacity; 0 when none is. */
     fun capacityShortageMs(pool: String): Long = capacityShortageSinceMs[pool]?.let { loop.nowMs - it } ?: 0
 
-    /** Runs one placement pass, unless the ownership was last confirmed too long ago to order starts. */
-    fun placeWaitingTasks() {
-        if (!mayOrder()) return
-        val ready = readySteps()
+    /** Runs one placement pass over [pools], unless the ownership was last confirmed too long ago to order starts. */
+    fun placeWaitingTasks(pools: Collection<String>) {
+        if (mayOrder()) pools.forEach(::placeIn)
+    }
+
+    private fun placeIn(pool: String) {
+        val ready = readySteps(pool)
         if (ready.isEmpty()) {
-            capacityShortageSinceMs.clear()
+            capacityShortageSinceMs.remove(pool)
             return
         }
-        val capacities = HashMap<String, List<WorkerCapacity>>()
-        val poolsShortOfCapacity = HashSet<String>()
-        for (candidate in ready) {
-            val stepRun = candidate.stepRun
-            val pool = stepRun.job.queue.pool
-            if (!placeStep(stepRun, capacities.getOrPut(pool) { capacitiesOf(pool) })) poolsShortOfCapacity.add(pool)
-        }
-        capacityShortageSinceMs.keys.retainAll(poolsShortOfCapacity)
-        for (pool in poolsShortOfCapacity) capacityShortageSinceMs.putIfAbsent(pool, loop.nowMs)
-        explainWaiting(ready, capacities)
+        val capacity = PoolCapacity(driver.workers.filter { it.entry.pool == pool && isUsable(it) }.map(::WorkerCapacity))
+        var isShort = false
+        for (candidate in ready) if (!placeStep(candidate.stepRun, capacity)) isShort = true
+        if (isShort) capacityShortageSinceMs.putIfAbsent(pool, loop.nowMs) else capacityShortageSinceMs.remove(pool)
+        explainWaiting(ready, capacity.workers)
     }
 
     /** Logs at most every [EXPLAIN_INTERVAL_MS] why the tasks that have waited longest are not placed. */
     private fun explainWaiting(
         ready: List<Candidate>,
-        capacities: Map<String, List<WorkerCapacity>>,
+        capacities: List<WorkerCapacity>,
     ) {
         if (loop.nowMs - explainedAtMs < EXPLAIN_INTERVAL_MS) return
         explainedAtMs = loop.nowMs
         val waiting = ready.mapNotNull { candidate -> candidate.stepRun.tasks.firstOrNull { it.phase == TaskPhase.WAITING } }
         val longest = waiting.filter { loop.nowMs - it.waitingSinceMs > EXPLAIN_AFTER_MS }.sortedBy { it.waitingSinceMs }
-        for (task in longest.take(MAX_EXPLAINED)) explain(task, capacities[task.stepRun.job.queue.pool].orEmpty(), waiting.size)
+        for (task in longest.take(MAX_EXPLAINED)) explain(task, capacities, waiting.size)
     }
 
     private fun explain(
@@ -123,29 +113,25 @@
         )
     }
 
-    private fun readySteps(): List<Candidate> {
+    private fun readySteps(pool: String): List<Candidate> {
         val ready = ArrayList<Candidate>()
-        for (job in registry.live) {
-            if (job.mayBeKnownToEarlierOwner && driver.isReconciling(job.queue.pool)) continue
+        val isReconciling = driver.isReconciling(pool)
+        for (job in registry.liveIn(pool)) {
+            if (isReconciling && job.mayBeKnownToEarlierOwner) continue
             for (occurrence in job.occurrences.values) {
                 for (run in occurrence.steps) {
-                    if (run.isDone || !occurrence.isReady(run)) continue
-                    if (run.waitingCount == 0) continue
-                    val isPastObjective = !job.isLongRunning && loop.nowMs > runTimes.objectiveDeadlineMs(job)
-                    ready.add(Candidate(run, isPastObjective, runTimes.remainingCoreMs(job)))
+                    if (run.waitingCount > 0 && !run.isDone && occurrence.isReady(run)) ready.add(candidateOf(run))
                 }
             }
         }
         return ready.sortedWith(PLACEMENT_ORDER)
     }
 
-    private fun capacitiesOf(pool: String): List<WorkerCapacity> =
-        driver.workers
-            .filter { it.entry.pool == pool && isUsable(it) }
-            .map { worker ->
-                val steps = worker.runs.values.map { it.stepRun.step }
-                WorkerCapacity(worker, worker.free, steps.any { it.responseTargetMs != null }, steps.any { it.isBestEffort })
-            }
+    private fun candidateOf(run: StepRun): Candidate {
+        val estimate = runTimes.estimate(run.job, loop.nowMs)
+        val isPastObjective = !run.job.isLongRunning && loop.nowMs > estimate.objectiveDeadlineMs
+        return Candidate(run, isPastObjective, estimate.remainingCoreMs)
+    }
 
     private fun isUsable(worker: WorkerView): Boolean =
         worker.isListed &&
@@ -159,24 +145,19 @@
     /** Assigns the waiting tasks of [stepRun]; false when one of them found no worker with capacity. */
     private fun placeStep(
         stepRun: StepRun,
-        capacities: List<WorkerCapacity>,
+        capacity: PoolCapacity,
     ): Boolean {
-        if (!fitsAnyWorker(stepRun.step, capacities)) return false
+        if (!capacity.hasRoomFor(stepRun.step.occupied)) return false
+        val capacities = capacity.workers
         if (stepRun.job.queue.needsAdvice && !ensureTickets(stepRun, capacities)) return true
         if (stepRun.step.isGang) return placeGang(stepRun, capacities)
         for (task in stepRun.tasks.filter { it.phase == TaskPhase.WAITING }) {
-            val capacity = cheapestWorker(task, capacities) ?: return false
-            assign(task, capacity)
+            val chosen = cheapestWorker(task, capacities) ?: return false
+            assign(task, chosen)
         }
         return true
     }
 
-    /** Pre-check on capacity alone: in a backlog most steps fit on no worker, and the full check is more expensive. */
-    private fun fitsAnyWorker(
-        step: Step,
-        capacities: List<WorkerCapacity>,
-    ): Boolean = capacities.any { step.occupied.fitsIn(it.free) }
-
     /** Gang scheduling: all tasks of the step start under one run number and from one checkpoint, or none does. */
     private fun placeGang(
         stepRun: StepRun,
@@ -208,8 +189,6 @@
     ) {
         val step = task.stepRun.step
         capacity.free -= step.occupied
-        capacity.hasServingTask = capacity.hasServingTask || step.responseTargetMs != null
-        capacity.hasBestEffortTask = capacity.hasBestEffortTask || step.isBestEffort
         driver.start(task, capacity.worker)
     }
 
@@ -220,9 +199,16 @@
     ): WorkerCapacity? {
         val step = task.stepRun.step
         val racks = if (step.isRackSensitive) racksOf(task.stepRun) else emptySet()
-        return capacities
-            .filter { fits(task, it, planned[it] ?: 0) }
-            .minByOrNull { cost(task, step, it, racks) }
+        var best: WorkerCapacity? = null
+        var bestCost = Double.MAX_VALUE
+        for (capacity in capacities) {
+            if (!fits(task, capacity, planned[capacity] ?: 0)) continue
+            val cost = cost(task, step, capacity, racks)
+            if (cost >= bestCost) continue
+            best = capacity
+            bestCost = cost
+        }
+        return best
     }
 
     private fun fits(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RunTimeEstimator.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RunTimeEstimator.kt
@@ -4,6 +4,7 @@
  */
 package io.corianderrock.jobs.placement
 
+import io.corianderrock.jobs.state.JobEstimate
 import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.StepRun
 
@@ -32,6 +33,16 @@
         return maxOf(stepRun.step.estimateMs, MIN_ESTIMATE_MS).toDouble()
     }
 
+    /** The estimate of [job], at most [ESTIMATE_VALID_MS] old at [nowMs]: run times change slowly, and each pass needs all of them. */
+    fun estimate(
+        job: JobRun,
+        nowMs: Long,
+    ): JobEstimate {
+        val last = job.estimate
+        if (last != null && nowMs - last.atMs < ESTIMATE_VALID_MS) return last
+        return JobEstimate(remainingCoreMs(job), objectiveDeadlineMs(job), nowMs).also { job.estimate = it }
+    }
+
     /** The expected work of the tasks of [job] that are not done, in core-milliseconds. */
     fun remainingCoreMs(job: JobRun): Double =
         job.occurrences.values.sumOf { occurrence ->
@@ -39,7 +50,7 @@
         }
 
     /** The loop time in milliseconds by which [job] must end to meet its objective, along its longest chain of steps. */
-    fun objectiveDeadlineMs(job: JobRun): Double {
+    private fun objectiveDeadlineMs(job: JobRun): Double {
         val steps =
             job.occurrences.values
                 .lastOrNull()
@@ -53,9 +64,12 @@
     fun countsAsMissed(
         job: JobRun,
         nowMs: Long,
-    ): Boolean = nowMs - job.acceptedAtMs > MISSED_OBJECTIVE_FACTOR * (objectiveDeadlineMs(job) - job.acceptedAtMs)
+    ): Boolean = nowMs - job.acceptedAtMs > MISSED_OBJECTIVE_FACTOR * (estimate(job, nowMs).objectiveDeadlineMs - job.acceptedAtMs)
 
     private companion object {
+        /** How long an estimate is used: a quarter of a short task's run time. */
+        const val ESTIMATE_VALID_MS = 250L
+
         /** A job that ends after its objective counts as late up to this multiple of it, and as missed afterwards. */
         const val MISSED_OBJECTIVE_FACTOR = 3.0
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -29,6 +29,7 @@
 ) {
     private val jobs = HashMap<String, JobRun>()
     private val liveJobs = LinkedHashMap<String, JobRun>()
+    private val liveJobsByPool = HashMap<String, LinkedHashMap<String, JobRun>>()
 
     /** Called when a job has become final, to stop its runs. Set by [WorkerDriver]. */
     var onFinal: (JobRun) -> Unit = {}
@@ -39,6 +40,12 @@
     /** Accepted jobs that are not final. */
     val live: Collection<JobRun> get() = liveJobs.values
 
+    /** The pools that have had live jobs. */
+    val pools: Set<String> get() = liveJobsByPool.keys
+
+    /** The live jobs of [pool]. */
+    fun liveIn(pool: String): Collection<JobRun> = liveJobsByPool[pool]?.values.orEmpty()
+
     fun find(id: String): JobRun? = jobs[id]
 
     /** Adds a job that is already stored, by an earlier owner or by an entry that could not reach the owner. */
@@ -93,6 +100,7 @@
         jobs[job.id] = job
         if (job.state.isFinal) return
         liveJobs[job.id] = job
+        liveJobsByPool.getOrPut(job.queue.pool) { LinkedHashMap() }[job.id] = job
         if (job.submission.times == 0) job.addOccurrence(0, loop.nowMs)
         onAccepted(job)
     }
@@ -177,6 +185,7 @@
         job.state = state
         job.finishedWallMs = loop.wallMs
         liveJobs.remove(job.id)
+        liveJobsByPool[job.queue.pool]?.remove(job.id)
         if (state != JobState.CANCELLED) logEnd(job)
         onFinal(job)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -139,6 +139,9 @@
     private var isLoaded = false
     private var isClosed = false
     private var isPlacementRequested = false
+    private val poolsToPlace = HashSet<String>()
+    private var isEveryPoolToPlace = false
+    private var lastPassMs = 0L
     private var fencedAtMs = Long.MIN_VALUE
     private val inboxFreshness = Freshness(loop)
     private var inboxReadStartedAtMs = Long.MIN_VALUE / 2
@@ -149,7 +152,7 @@
     public fun start() {
         registry.onAccepted = { job ->
             demand.onAccepted(job)
-            requestPlacement()
+            requestPlacement(job.queue.pool)
         }
         fleet.sizer.onPeakStarted = { peaks -> committer.put(DEMAND_PEAKS_KEY) { storedJson.encodeToString(DEMAND_PEAKS, peaks) } }
         if (earlier.existed) load() else onLoaded()
@@ -308,18 +311,29 @@
         inboxFreshness.confirm()
         isLoaded = true
         driver.open()
-        requestPlacement()
+        requestPlacement(null)
     }
 
-    private fun requestPlacement() {
-        if (isPlacementRequested || !isLoaded || isClosed) return
+    /** Requests a placement pass over [pool], or over all pools if null. */
+    private fun requestPlacement(pool: String?) {
+        if (!isLoaded || isClosed) return
+        if (pool == null) isEveryPoolToPlace = true else poolsToPlace.add(pool)
+        if (isPlacementRequested) return
         isPlacementRequested = true
-        loop.after(PLACEMENT_DELAY_MS) {
+        loop.after(maxOf(PLACEMENT_DELAY_MS, lastPassMs * PASS_PAUSE_FACTOR)) {
             isPlacementRequested = false
-            if (!isClosed && inboxFreshness.ageMs < INBOX_FRESHNESS_MS) placer.placeWaitingTasks()
+            if (!isClosed && inboxFreshness.ageMs < INBOX_FRESHNESS_MS) placeRequested()
         }
     }
 
+    private fun placeRequested() {
+        val startMs = loop.nowMs
+        placer.placeWaitingTasks(if (isEveryPoolToPlace) registry.pools else poolsToPlace)
+        isEveryPoolToPlace = false
+        poolsToPlace.clear()
+        lastPassMs = loop.nowMs - startMs
+    }
+
     private fun tick() {
         if (isClosed) return
         tickCount++
@@ -333,7 +347,7 @@
             }
             readInboxIfDue()
             if (tickCount % EXPIRY_TICK_INTERVAL == 0L) registry.deleteExpiredJobs()
-            requestPlacement()
+            if (tickCount % PLACEMENT_TICK_INTERVAL == 0L) requestPlacement(null)
         }
         loop.after(TICK_MS) { tick() }
     }
@@ -398,6 +412,12 @@
         /** Delay before a placement pass, which batches ended runs and arrivals: 1% of a short task's run time. */
         const val PLACEMENT_DELAY_MS = 8L
 
+        /** A pass is followed by a pause of at least this many times its length, so that passes never keep the loop from orders. */
+        const val PASS_PAUSE_FACTOR = 4L
+
+        /** Ticks between two passes over all pools, which find workers that have become usable by the passing of time: 200 ms. */
+        const val PLACEMENT_TICK_INTERVAL = 4L
+
         /** Delay before a failed scan is retried. */
         const val SCAN_RETRY_MS = 200L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -38,7 +38,8 @@
     private val epoch: Long,
     longestLeaseMs: Long,
     private val mayOrder: () -> Boolean,
-    private val onChange: () -> Unit,
+    /** Called with a pool in which capacity or waiting tasks have changed, null for all pools. */
+    private val onChange: (String?) -> Unit,
     private val onFenced: () -> Unit,
     private val observeRunTime: (String, Long) -> Unit,
 ) {
@@ -145,7 +146,7 @@
         entry.instanceId?.let { listedByInstance[it] = worker }
         if (entry.isDraining) worker.drainingSinceMs = worker.drainingSinceMs ?: loop.nowMs else worker.drainingSinceMs = null
         reconcileIfNeeded(worker)
-        onChange()
+        onChange(worker.entry.pool)
     }
 
     private fun logListed(entry: WorkerEntry) {
@@ -185,7 +186,7 @@
         byId.remove(worker.id)
         unlinkInstance(worker)
         if (worker.isLeaseRowStored || worker.isLeaseRowStoring) committer.put(leaseRowKey(worker)) { null }
-        onChange()
+        onChange(worker.entry.pool)
     }
 
     private fun reconcileIfNeeded(worker: WorkerView) {
@@ -338,7 +339,7 @@
         if (answer.refusal == StartRefusal.TICKET) task.stepRun.ticketsExpireAtMs = 0
         releaseRun(worker, task)
         if (answer.refusal == StartRefusal.OTHER_INCARNATION) worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
-        onChange()
+        onChange(worker.entry.pool)
     }
 
     private fun onStartUnanswered(
@@ -351,7 +352,7 @@
         if (!answer.mayBeCarriedOut) {
             worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
             releaseRun(worker, task)
-            onChange()
+            onChange(worker.entry.pool)
             return
         }
         worker.unansweredStarts[task.id] = UnansweredStart(task.runNumber, sentAtMs)
@@ -443,7 +444,7 @@
             is WorkerAnswer.Done -> error("worker ${worker.id} answered a hold order with Done, expected Listed, Refused or Unanswered")
         }
         if (byId[worker.id] === worker) scheduleHold(worker, answer)
-        onChange()
+        onChange(worker.entry.pool)
     }
 
     private fun onHoldRefused(
@@ -515,7 +516,7 @@
     }
 
     private fun markLeaseReconciled(workerId: String) {
-        if (inheritedLeases.markReconciled(workerId)) onChange()
+        if (inheritedLeases.markReconciled(workerId)) onChange(null)
     }
 
     private fun onRunEnded(
@@ -782,7 +783,7 @@
         if (worker.runs.isNotEmpty()) {
             log.write("lease_over", "worker", worker.id, "runs", worker.runs.size)
             releaseRuns(worker)
-            onChange()
+            onChange(worker.entry.pool)
         }
         if (!worker.isListed) removeWorker(worker)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -96,6 +96,15 @@
     fun isReady(stepRun: StepRun): Boolean = stepRun.step.after.all { steps[it].isDone }
 }
 
+/** What is expected of a job, computed at loop time [atMs]. */
+internal class JobEstimate(
+    /** Expected work of the tasks that are not done, in core-milliseconds. */
+    val remainingCoreMs: Double,
+    /** Loop time in milliseconds by which the job must end to meet its objective. */
+    val objectiveDeadlineMs: Double,
+    val atMs: Long,
+)
+
 /** A job. [isInherited] is true when it was stored before this owner's term. */
 internal class JobRun(
     val submission: JobSubmission,
@@ -107,6 +116,9 @@
      * entry during this term, since an earlier owner that does not know yet that it was replaced reads the same inbox.
      */
     var mayBeKnownToEarlierOwner: Boolean = isInherited
+
+    /** The last estimate; null before the first. */
+    var estimate: JobEstimate? = null
     val id: String get() = submission.id
     val queue: Queue get() = submission.queue
     val occurrences = sortedMapOf<Int, OccurrenceRun>()
