Refuse jobs and messages that one owner after the other would fail on

Looked for where one malformed message takes a process down. A job of 2,147,483,647 tasks was accepted and stored, and the owner makes an object of each task: out of memory, then the same in the next owner, which loads it. Negative demands added to the free capacity of a worker. Lists nested 20,000 deep in a worker's row, a worker's answer or a configuration exhausted the stack; the executor kept the error to itself, and the feed that read the row was never polled again. An exception in the owner's tick ended the tick without a line that named it, while the entry went on taking itself for the owner. Ruled out: unreadable numbers, lone surrogates, cut-off texts (1,020,000 mutated inputs decode to nothing or to usable messages).

Jobs have at most 20,000 tasks over all their times and no negative demands or times; refused with 400 and the remedy. A failed tick ends the term, so that the next one rebuilds the state; errors of the loop's actions are logged before the executor takes them.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -280,8 +280,9 @@
         val progress = rowsByTable.getValue(Table.PROGRESS).associate { it.key.key to decodeStored(JobProgress.serializer(), it.value) }
         for (row in rowsByTable.getValue(Table.JOBS)) {
             val submission = decodeStored(JobSubmission.serializer(), row.value)
-            if (submission == null) {
-                log.write("job_unreadable", "job", row.key.key)
+            val error = if (submission == null) "not a job" else submission.validationError()
+            if (submission == null || error != null) {
+                log.write("job_unreadable", "job", row.key.key, "reason", error)
                 continue
             }
             registry.load(submission, progress[submission.id], isInherited = true)
@@ -336,6 +337,18 @@
 
     private fun tick() {
         if (isClosed) return
+        try {
+            runTick()
+        } catch (e: RuntimeException) {
+            // The state may be inconsistent now. The next term rebuilds it from the store and the workers.
+            log.write("tick_failed", "epoch", owner.epoch, "error", e, "at", e.stackTrace.firstOrNull())
+            committer.lose("unexpected error in a tick: $e")
+            return
+        }
+        loop.after(TICK_MS) { tick() }
+    }
+
+    private fun runTick() {
         tickCount++
         committer.renewIfDue()
         if (isLoaded) {
@@ -349,7 +362,6 @@
             if (tickCount % EXPIRY_TICK_INTERVAL == 0L) registry.deleteExpiredJobs()
             if (tickCount % PLACEMENT_TICK_INTERVAL == 0L) requestPlacement(null)
         }
-        loop.after(TICK_MS) { tick() }
     }
 
     /** Reads the jobs and cancellations that other entries stored directly while they could not reach this one. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
@@ -37,6 +37,8 @@
     internal operator fun minus(other: Demand): Demand =
         Demand(cpuMilli - other.cpuMilli, memoryMb - other.memoryMb, gpuCount - other.gpuCount)
 
+    internal val isNegative: Boolean get() = cpuMilli < 0 || memoryMb < 0 || gpuCount < 0
+
     internal fun fitsIn(capacity: Demand): Boolean =
         cpuMilli <= capacity.cpuMilli && memoryMb <= capacity.memoryMb && gpuCount <= capacity.gpuCount
 }
@@ -75,6 +77,9 @@
     internal val occupied: Demand = if (isBestEffort) demand.copy(cpuMilli = 0) else demand
 }
 
+/** Largest number of tasks of a job: the owner holds every task of a live job in memory, at some 200 bytes. */
+private const val MAX_TASKS = 20_000L
+
 /** A job as accepted. Wall times are in milliseconds since the Unix epoch. */
 @Serializable
 public data class JobSubmission(
@@ -99,8 +104,13 @@
             steps.any { it.count < 1 } -> "a step has a count below 1; set count to at least 1"
             steps.withIndex().any { (index, step) -> step.after.any { it !in 0 until index } } ->
                 "a step's after lists a step that does not come before it; list only indices of earlier steps"
+            steps.any { it.demand.isNegative } -> "a step has a negative cpu, memMb or gpu; use zero for none"
+            times < 0 || intervalMs < 0 -> "times or intervalMs is negative; leave both out for a job that runs once"
+            taskCount > MAX_TASKS -> "the job has $taskCount tasks over all its times, at most $MAX_TASKS are allowed; submit several jobs"
             else -> null
         }
+
+    private val taskCount: Long get() = steps.sumOf { it.count.toLong() } * occurrenceCount
 }
 
 /** The identity of one task. [occurrence], [step] and [index] count from zero. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
@@ -48,6 +48,18 @@
                 }
             }
         }
+        describe("an unexpected error in the owner's regular work") {
+            it("ends its term, and another entry or a new term of its own goes on") {
+                SEEDS.forEach { seed ->
+                    val failure = OwnerFailure(seed) { _, world -> world.failingEvent = "pool" }
+                    failure
+                        .run()
+                        .checker.violations
+                        .shouldBeEmpty()
+                    failure.ownersAfterwards.size shouldBe 1
+                }
+            }
+        }
         describe("entries with different amounts of processor time") {
             it("leave the ownership to one that has no less than the failed owner") {
                 SEEDS.forEach { seed ->
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -210,6 +210,9 @@
             },
         )
     val waves = ArrayList<MaintenanceWave>()
+
+    /** The next log line of this event throws, as an unexpected error in the code around it would. */
+    var failingEvent: String? = null
     var lateDeliveryRatio = 0.0
     private val instances = LinkedHashMap<String, Instance>()
     private val workers = LinkedHashMap<String, SimWorker>()
@@ -222,6 +225,10 @@
         event: String,
         fields: Array<out Any?>,
     ) {
+        if (event == failingEvent) {
+            failingEvent = null
+            error("injected failure of the event $event")
+        }
         traces?.add("${time.nowMs} $entry $event ${fields.joinToString(" ")}")
     }
 
--- a/transport/src/main/kotlin/io/corianderrock/transport/ThreadEventLoop.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/ThreadEventLoop.kt
@@ -47,10 +47,17 @@
         try {
             action()
         } catch (e: RuntimeException) {
-            log.error("action-failed", e, "at" eq e.stackTrace.take(LOGGED_STACK_FRAMES).joinToString("<"))
+            logFailure(e)
+        } catch (e: Error) {
+            // The executor would keep it to itself.
+            logFailure(e)
+            throw e
         }
     }
 
+    private fun logFailure(failure: Throwable) =
+        log.error("action-failed", failure, "at" eq failure.stackTrace.take(LOGGED_STACK_FRAMES).joinToString("<"))
+
     override fun close() {
         executor.shutdownNow()
     }
