--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -15,72 +15,15 @@
 import io.corianderrock.jobs.ownership.OwnerSighting
 import io.corianderrock.jobs.placement.Placer
 import io.corianderrock.jobs.placement.RunTimeEstimator
-import io.corianderrock.jobs.ports.AdviceService
-import io.corianderrock.jobs.ports.DecisionLog
-import io.corianderrock.jobs.ports.EventLoop
-import io.corianderrock.jobs.ports.InstanceService
-import io.corianderrock.jobs.ports.JobTables
 import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
 import io.corianderrock.jobs.ports.WorkerEntry
-import io.corianderrock.jobs.ports.WorkerLink
 import io.corianderrock.jobs.state.JobProgress
-import io.corianderrock.jobs.state.JobState
 import io.corianderrock.jobs.state.JobSubmission
-import io.corianderrock.jobs.state.JobsConfiguration
-import io.corianderrock.jobs.state.MaintenanceWave
 import kotlinx.serialization.builtins.ListSerializer
 
-/** External services and inputs of a [Scheduler]. Their callbacks are delivered on [loop]. */
-public class SchedulerPorts(
-    public val loop: EventLoop,
-    public val tables: JobTables,
-    public val workers: WorkerLink,
-    public val instances: InstanceService,
-    public val advice: AdviceService,
-    public val log: DecisionLog,
-    public val configuration: () -> JobsConfiguration?,
-    public val waves: () -> List<MaintenanceWave>,
-)
-
-/** Time limits imposed by the platform, in milliseconds. */
-public data class SchedulerBounds(
-    /** Least time between orders of two different entries to the same instance. */
-    val instanceLeaseMs: Long = 3_000,
-    /** Longest lease that a worker accepts. */
-    val longestLeaseMs: Long = 6_000,
-)
-
-/** Result of a job submission. */
-public sealed interface SubmitResult {
-    /** The job is stored. */
-    public data object Accepted : SubmitResult
-
-    /** The job is not stored and never runs. */
-    public data class Rejected(
-        val reason: String,
-        val retryAfterMs: Long,
-    ) : SubmitResult
-
-    /** Nothing was stored: this scheduler is not loaded, no longer the owner, or cannot write. */
-    public data object Unavailable : SubmitResult
-
-    /** The ownership ended while the job was being stored; the same submission can be sent again to the next owner. */
-    public data object Unknown : SubmitResult
-}
-
-/**
- * Answer to a state query. [state] is null if the job is not known. With [isAvailable] false this scheduler cannot tell,
- * and the caller has to read the store.
- */
-public data class JobAnswer(
-    val isAvailable: Boolean,
-    val state: JobState? = null,
-    val queueName: String? = null,
-)
-
 /**
  * Schedules all jobs while its entry holds the ownership recorded in [owner]. [onLost] is called when the ownership
  * is lost, not when it is released. All methods and callbacks run on the event loop.
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerAnswers.kt
@@ -0,0 +1,34 @@
+/*
+ * Answers of a scheduler to callers' requests.
+ */
+package io.corianderrock.jobs.runs
+
+import io.corianderrock.jobs.state.JobState
+
+/** Result of a job submission. */
+public sealed interface SubmitResult {
+    /** The job is stored. */
+    public data object Accepted : SubmitResult
+
+    /** The job is not stored and never runs. */
+    public data class Rejected(
+        val reason: String,
+        val retryAfterMs: Long,
+    ) : SubmitResult
+
+    /** Nothing was stored: this scheduler is not loaded, no longer the owner, or cannot write. */
+    public data object Unavailable : SubmitResult
+
+    /** The ownership ended while the job was being stored; the same submission can be sent again to the next owner. */
+    public data object Unknown : SubmitResult
+}
+
+/**
+ * Answer to a state query. [state] is null if the job is not known. With [isAvailable] false this scheduler cannot tell,
+ * and the caller has to read the store.
+ */
+public data class JobAnswer(
+    val isAvailable: Boolean,
+    val state: JobState? = null,
+    val queueName: String? = null,
+)
