Look for the outcome of a cancellation whose answer was lost

Reading the change: a cancellation sent to the owner without an answer was refused as not carried out (503) when the store was lost too, though the owner may have carried it out. A refusal has to be true; for submissions this was so already. Cancellations are asked again like submissions; 504 if the outcome stays open. Test: JobRequestRouterTest, a lost answer and then no owner (before: NotApplied).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
@@ -109,7 +109,7 @@
                     is SchedulerReply.Answer -> onAnswer(settled(reply.answer))
                     is SchedulerReply.NotHandled -> askStore(reply.reason)
                     is SchedulerReply.Unanswered -> {
-                        isUncertain = isUncertain || request is JobRequest.Submit
+                        isUncertain = isUncertain || request is JobRequest.Submit || request is JobRequest.Cancel
                         askStore(reply.reason)
                     }
                 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobRequestRouterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobRequestRouterTest.kt
@@ -52,6 +52,12 @@
                 caller.answer.shouldBeInstanceOf<CallerAnswer.Uncertain>()
                 attempts shouldBeGreaterThan 2
             }
+            it("does not report a cancellation as refused once an answer to it was lost") {
+                var attempts = 0
+                val caller = Caller { if (attempts++ == 0) SchedulerReply.Unanswered("lost") else SchedulerReply.NotHandled("no owner") }
+                caller.cancel(runForMs = 5_000)
+                caller.answer.shouldBeInstanceOf<CallerAnswer.Uncertain>()
+            }
             it("does not pass on a refusal by the next owner after an answer was lost") {
                 var attempts = 0
                 val refusal = SchedulerReply.Answer(CallerAnswer.NotApplied("full", 1_000))
@@ -87,7 +93,16 @@
 
     fun submit(runForMs: Long) {
         val job = JobSubmission("job", Queue("queue", "pool"), "work", listOf(Step(1, Demand(1_000, 1_000))))
-        router.handle(JobRequest.Submit(job)) { answer = it }
+        ask(JobRequest.Submit(job), runForMs)
+    }
+
+    fun cancel(runForMs: Long) = ask(JobRequest.Cancel("job", "queue"), runForMs)
+
+    private fun ask(
+        request: JobRequest,
+        runForMs: Long,
+    ) {
+        router.handle(request) { answer = it }
         time.runUntil(time.nowMs + runForMs)
     }
 }
