--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/PeerStatus.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/PeerStatus.kt
@@ -33,7 +33,7 @@
     ) : PeerStatusResult
 }
 
-/** Asks the peer at an address for its [PeerStatus]; [onResult][ask] runs on the event loop. */
+/** Asks peers for their [PeerStatus]. Results are delivered on the event loop. */
 public fun interface PeerStatusClient {
     /** Sends the question to [address]; [onResult] is called once, after the client's timeout at the latest. */
     public fun ask(
