Say in names and comments what a newcomer would ask, from reading the whole change

Test names promise what the tests check; the injected error of a tick is checked to have happened; pool sizes of buffers are named; the conditions of a takeover for want of writes and of the inquiry are explained. No change of decisions.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerFailureDetector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerFailureDetector.kt
@@ -86,11 +86,14 @@
                 }
         }
 
-    /** A store that is slow for everyone is no better for the next owner, and after an outage the owner's next attempt may be due. */
+    /**
+     * False where a takeover would not help: a store that is slow for everyone is no better for the next owner, and just after
+     * an outage the holder's own next attempt is due.
+     */
     private fun mayReplaceForWrites(): Boolean = loop.nowMs - termSeenAtMs > MIN_TERM_MS && loop.nowMs - storeRegainedAtMs > RESUME_MS
 
     companion object {
-        /** An owner row unchanged for this long, seven missed renewals, has lost its holder whatever the holder answers. */
+        /** A holder whose row has been unchanged for this long, seven missed renewals, has failed whatever it answers. */
         private const val TAKEOVER_AFTER_MS = 2_900L
 
         /** Silence after which the holder is asked: one missed renewal. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerInquiry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerInquiry.kt
@@ -13,7 +13,7 @@
     private val isNeeded: () -> Boolean,
     private val onAnswer: (PeerStatus) -> Unit,
 ) {
-    /** Asks some peers now and then again every [INTERVAL_MS]. */
+    /** Asks [PEERS_PER_ROUND] peers every [INTERVAL_MS] while [isNeeded]. */
     fun start() {
         if (isNeeded()) for (address in directory.next(PEERS_PER_ROUND)) ask(address)
         loop.after(INTERVAL_MS) { start() }
@@ -28,7 +28,7 @@
         /** Half of the time that a peer needs to notice a failed owner. */
         const val INTERVAL_MS = 300L
 
-        /** Two at a time, as one of them may be out of reach of the store too. */
+        /** More than one, as a peer may be out of reach of the store too. */
         const val PEERS_PER_ROUND = 2
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/PeerDirectory.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/PeerDirectory.kt
@@ -32,7 +32,7 @@
     }
 
     private companion object {
-        /** Several times the entries that a failure of one data centre leaves, at a few kilobytes. */
+        /** Enough to hold entries outside a data centre that has failed. */
         const val MAX_PEERS = 64
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -40,7 +40,7 @@
     /** Accepted jobs that are not final. */
     val live: Collection<JobRun> get() = liveJobs.values
 
-    /** The pools that have had live jobs. */
+    /** The pools that have or had live jobs. */
     val pools: Set<String> get() = liveJobsByPool.keys
 
     /** The live jobs of [pool]. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
@@ -16,6 +16,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -52,10 +53,9 @@
             it("ends its term, and another entry or a new term of its own goes on") {
                 SEEDS.forEach { seed ->
                     val failure = OwnerFailure(seed) { _, world -> world.failingEvent = "pool" }
-                    failure
-                        .run()
-                        .checker.violations
-                        .shouldBeEmpty()
+                    val world = failure.run()
+                    world.failingEvent.shouldBeNull()
+                    world.checker.violations.shouldBeEmpty()
                     failure.ownersAfterwards.size shouldBe 1
                 }
             }
@@ -63,13 +63,7 @@
         describe("entries with different amounts of processor time") {
             it("leave the ownership to one that has no less than the failed owner") {
                 SEEDS.forEach { seed ->
-                    val failure =
-                        OwnerFailure(seed, small = {
-                            owner,
-                            world,
-                            ->
-                            world.entries.first { it !== owner }
-                        }) { owner, _ -> owner.setIsolated(true) }
+                    val failure = OwnerFailure(seed, small = ::firstPeerOf) { owner, _ -> owner.setIsolated(true) }
                     failure.takeoverMs() shouldBeLessThan MAX_TAKEOVER_MS
                     failure.ownersAfterwards.single().processorMilli shouldBe LARGE_MILLI
                 }
@@ -93,7 +87,7 @@
             }
         }
         describe("a caller of an entry that reaches neither the store nor a peer") {
-            it("is refused at once, with a retry delay") {
+            it("is told that its job was not accepted, since nothing was sent") {
                 SEEDS.forEach { seed ->
                     submitDuringFailure(seed, { it.setIsolated(true) }, atMs = 3_000).shouldBeInstanceOf<CallerAnswer.NotApplied>()
                 }
@@ -101,6 +95,11 @@
         }
     })
 
+private fun firstPeerOf(
+    owner: SimEntry,
+    world: JobWorld,
+): SimEntry = world.entries.first { it !== owner }
+
 /** A world in which the owner fails at [FAILURE_AT_MS] for [FAILURE_FOR_MS]. */
 private class OwnerFailure(
     seed: Int,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -50,6 +50,9 @@
     var isUp = false
     var processorMilli = 1_500
     private lateinit var router: JobRequestRouter
+    private var reach: CallerReach? = null
+    var elector: OwnerElector? = null
+        private set
 
     fun boot() {
         isUp = true
@@ -144,10 +147,6 @@
         loop.after(PEER_TIMEOUT_MS) { answer(SchedulerReply.Unanswered("no answer in time")) }
     }
 
-    private var reach: CallerReach? = null
-    var elector: OwnerElector? = null
-        private set
-
     private fun onOwnershipLost() {
         scheduler = null
         elector?.onLost()
--- a/transport/src/main/kotlin/io/corianderrock/transport/HostConnections.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HostConnections.kt
@@ -143,7 +143,10 @@
         /** Covers nearly all messages: orders and short lists. */
         const val BUFFER_BYTES = 4_096
 
-        val BUFFERS = DefaultByteBufferPool(false, BUFFER_BYTES, 256, 4)
+        const val MAX_POOLED_BUFFERS = 256
+        const val BUFFERS_PER_THREAD = 4
+
+        val BUFFERS = DefaultByteBufferPool(false, BUFFER_BYTES, MAX_POOLED_BUFFERS, BUFFERS_PER_THREAD)
 
         /**
          * A connection is closed with a TCP reset, which discards unsent data. Without it, a request that timed out during a
