Log which workers a pool waits for, and how long the runs of a lost worker count

Callers saw long-running tasks that did not run although their pool had capacity. The log could not tell why: while a pool waits for workers of an earlier owner no step is ready, so task_waits is not written, and neither the end of a lost worker's lease nor what the platform reports of its instance was logged.

pool_reconciling names the workers that are waited for, once a second and pool; worker_lost and worker_unlisted carry leaseLeftMs; instance_listed and instance_unlisted record what the platform's list says of an instance. No change of decisions.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -333,14 +333,38 @@
         for (instance in instances) {
             val view = byId.getOrPut(instance.id) { InstanceView(instance) }
             if (view.isOrdered || view.changedAtMs >= sentAtMs) continue
+            if (view.instance.state != instance.state || view.instance.workerId != instance.workerId) logListed(view.instance, instance)
             if (view.instance.state != InstanceState.UP && instance.state == InstanceState.UP) view.joinedAtMs = loop.nowMs
             view.instance = instance
             if (instance.state == InstanceState.UP) driver.onInstanceListed(instance.id, instance.workerId)
         }
         val listed = instances.mapTo(HashSet()) { it.id }
-        byId.keys.removeAll { it !in listed && byId.getValue(it).changedAtMs < sentAtMs }
+        val unlisted = byId.values.filter { it.instance.id !in listed && it.changedAtMs < sentAtMs }
+        for (view in unlisted) {
+            log.write("instance_unlisted", "instance", view.instance.id, "pool", view.instance.pool, "worker", view.instance.workerId)
+            byId.remove(view.instance.id)
+        }
     }
 
+    private fun logListed(
+        before: Instance,
+        listed: Instance,
+    ) = log.write(
+        "instance_listed",
+        "instance",
+        listed.id,
+        "pool",
+        listed.pool,
+        "state",
+        listed.state,
+        "worker",
+        listed.workerId,
+        "stateBefore",
+        before.state,
+        "workerBefore",
+        before.workerId,
+    )
+
     private companion object {
         const val UNCERTAIN_OWNERSHIP = "the ownership became uncertain before the order was sent"
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -26,6 +26,9 @@
 ) {
     private var explainedAtMs = 0L
 
+    /** By pool: when, in loop time, the jobs that wait for unreconciled workers were last logged. */
+    private val reconcilingLoggedAtMs = HashMap<String, Long>()
+
     /** By pool: since when, in loop time, every pass has left a task without capacity. */
     private val capacityShortageSinceMs = HashMap<String, Long>()
 
@@ -44,6 +47,7 @@
     }
 
     private fun placeIn(pool: String) {
+        if (driver.isReconciling(pool)) logReconciling(pool)
         val ready = readySteps(pool)
         if (ready.isEmpty()) {
             capacityShortageSinceMs.remove(pool)
@@ -56,6 +60,24 @@
         explainWaiting(ready, capacity.workers)
     }
 
+    /** Logs at most every [EXPLAIN_INTERVAL_MS] which workers keep the inherited jobs of [pool] from being placed. */
+    private fun logReconciling(pool: String) {
+        if (loop.nowMs - (reconcilingLoggedAtMs[pool] ?: 0) < EXPLAIN_INTERVAL_MS) return
+        reconcilingLoggedAtMs[pool] = loop.nowMs
+        val held = registry.liveIn(pool).filter { it.mayBeKnownToEarlierOwner }
+        log.write(
+            "pool_reconciling",
+            "pool",
+            pool,
+            "workers",
+            driver.unreconciledIn(pool).joinToString(","),
+            "jobs",
+            held.size,
+            "waitingTasks",
+            held.sumOf { job -> job.tasks.count { it.phase == TaskPhase.WAITING } },
+        )
+    }
+
     /** Logs at most every [EXPLAIN_INTERVAL_MS] why the tasks that have waited longest are not placed. */
     private fun explainWaiting(
         ready: List<Candidate>,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/InheritedWorkerLeases.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/InheritedWorkerLeases.kt
@@ -45,6 +45,9 @@
     /** True while tasks of inherited jobs may be running on a worker of [pool] that has not answered. */
     fun isReconciling(pool: String): Boolean = unreconciled.values.any { it.pool == pool }
 
+    /** Ids of the workers of [pool] for which [isReconciling] waits. */
+    fun unreconciledIn(pool: String): List<String> = unreconciled.values.filter { it.pool == pool }.map { it.workerId }
+
     /** Marks the runs on [workerId] as known. Returns false if the worker was not inherited or already reconciled. */
     fun markReconciled(workerId: String): Boolean {
         if (unreconciled.remove(workerId) == null) return false
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -71,6 +71,9 @@
     /** True while tasks of inherited jobs may be running on a worker of [pool] that has not answered. */
     fun isReconciling(pool: String): Boolean = inheritedLeases.isReconciling(pool)
 
+    /** Ids of the workers of [pool] for which [isReconciling] waits. */
+    fun unreconciledIn(pool: String): List<String> = inheritedLeases.unreconciledIn(pool)
+
     /** Starts to contact workers. Called once all stored jobs and leases are loaded. */
     fun open() {
         isOpen = true
@@ -166,11 +169,15 @@
     /** Called when discovery removes a worker; its runs count as lost only once its lease has expired. */
     fun onUnlisted(workerId: String) {
         val worker = byId[workerId] ?: return
-        if (worker.isListed) log.write("worker_unlisted", "worker", workerId, "runs", worker.runs.size)
+        if (worker.isListed) {
+            log.write("worker_unlisted", "worker", workerId, "runs", worker.runs.size, "leaseLeftMs", leaseLeftMs(worker))
+        }
         worker.isListed = false
         unlinkInstance(worker)
     }
 
+    private fun leaseLeftMs(worker: WorkerView): Long = maxOf(0, worker.leaseEndsAtMs - loop.nowMs)
+
     private fun unlinkInstance(worker: WorkerView) {
         worker.entry.instanceId?.let { listedByInstance.remove(it, worker) }
     }
@@ -470,7 +477,17 @@
     ) {
         worker.consecutiveLostHolds++
         if (worker.consecutiveLostHolds == 1) {
-            log.write("worker_lost", "worker", worker.id, "reason", answer.reason, "runs", worker.runs.size)
+            log.write(
+                "worker_lost",
+                "worker",
+                worker.id,
+                "reason",
+                answer.reason,
+                "runs",
+                worker.runs.size,
+                "leaseLeftMs",
+                leaseLeftMs(worker),
+            )
         }
         worker.avoidUntilMs = maxOf(worker.avoidUntilMs, loop.nowMs + AVOID_UNHEALTHY_MS)
     }
