Check long-running tasks at every moment of a simulation, and lose workers for good

JobWorldTest looked at long-running tasks only 45 s after the last fault, so it could not see one that stays away for ten seconds in between.

The checker now reports LOST when such a task is due and does not run for 3 s while a listed, reachable worker of its pool has capacity for it twice over, and no fault was active in these 3 s and the 4 s before. A task is due once its job is accepted, or 6 s after the end of its last run as the worker sees it. A worker that has crashed counts as a fault until it is back, one lost for good for 1 s; an order delayed by a fault counts until it has arrived. A wave is not due where one of its instances is lost for good. ROUTE is checked for maxPerWorker.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
@@ -26,7 +26,7 @@
     private class ObservedJob(
         val submission: JobSubmission,
     ) {
-        var isAccepted = false
+        var acceptedAtMs: Long? = null
         var cancelledAtMs: Long? = null
         var reportedFinalState: JobState? = null
         var reportedFinalAtMs = 0L
@@ -41,10 +41,16 @@
     private val acknowledgedFailures = HashMap<TaskId, Int>()
     val violations = ArrayList<String>()
     private var isLateDelivery = false
+    private val lastEndedAtMs = HashMap<TaskId, Long>()
+    private var lastDisruptedAtMs = time.nowMs
+
+    /** By long-running task: since when it is due and does not run although a worker has capacity for it twice over. */
+    private val neglectedSinceMs = HashMap<TaskId, Long>()
+    private val reportedNeglected = HashSet<TaskId>()
     val instanceOrders = ArrayList<InstanceOrder>()
     var startCount = 0
         private set
-    val acceptedCount: Int get() = jobs.values.count { it.isAccepted }
+    val acceptedCount: Int get() = jobs.values.count { it.acceptedAtMs != null }
 
     /**
      * An order that is delivered late must not extend a lease beyond the time its sender assumed, so it has to carry an
@@ -54,7 +60,7 @@
         worker: SimWorker,
         leaseMs: Long,
     ) {
-        val assumedLeaseMs = (SimWorker.MAX_LEASE_MS / MIN_WORKER_CLOCK_RATE).toLong()
+        val assumedLeaseMs = (worker.longestLeaseMs / MIN_WORKER_CLOCK_RATE).toLong()
         if (leaseMs > assumedLeaseMs) report("TWICE ${worker.entry.id} was ordered to extend its lease by $leaseMs ms")
     }
 
@@ -79,7 +85,8 @@
     }
 
     fun onAccepted(id: String) {
-        jobs.getValue(id).isAccepted = true
+        val observed = jobs.getValue(id)
+        observed.acceptedAtMs = observed.acceptedAtMs ?: time.nowMs
     }
 
     fun onCancelled(id: String) {
@@ -102,6 +109,7 @@
             val isDone = (0 until observed.submission.steps[step].count).all { TaskId(task.jobId, task.occurrence, step, it) in doneTasks }
             if (!isDone) report("ORDER $task starts before step $step is done")
         }
+        checkAntiAffinity(worker, observed.submission, task)
         if ((acknowledgedFailures[task] ?: 0) >= observed.submission.queue.maxAttempts &&
             !isLongRunning(task)
         ) {
@@ -118,17 +126,86 @@
         running[task] = worker
     }
 
+    private fun checkAntiAffinity(
+        worker: SimWorker,
+        submission: JobSubmission,
+        task: TaskId,
+    ) {
+        val max = submission.steps[task.step].maxPerWorker ?: return
+        val count = worker.runningTasks.count { it.jobId == task.jobId && it.occurrence == task.occurrence && it.step == task.step }
+        if (count >= max) report("ROUTE $task starts on ${worker.entry.id}, which runs $count tasks of its step")
+    }
+
     fun onEnd(
         run: SimWorker.Run,
         kind: EndKind,
     ) {
         running.remove(run.task)
+        lastEndedAtMs[run.task] = time.nowMs
         if (kind == EndKind.DONE) {
             endedDone.add(run.task to run.number)
             doneTasks.add(run.task)
         }
     }
 
+    /** Called when a worker ends with all its runs, of [tasks]. */
+    fun onKilled(tasks: Set<TaskId>) = tasks.forEach { lastEndedAtMs[it] = time.nowMs }
+
+    /**
+     * Checks that no long-running task that is due stays away for [NEGLECTED_MS] while one of [workers], those that are listed
+     * and reachable, has capacity for it twice over, unless a disruption was near. Called at regular intervals.
+     */
+    fun checkLongRunningTasks(
+        workers: List<SimWorker>,
+        isDisrupted: Boolean,
+    ) {
+        if (isDisrupted) lastDisruptedAtMs = time.nowMs
+        for (observed in jobs.values) {
+            if (observed.submission.steps.none { it.isLongRunning }) continue
+            for (task in tasksOf(observed.submission)) if (isLongRunning(task)) checkLongRunningTask(observed, task, workers)
+        }
+    }
+
+    private fun checkLongRunningTask(
+        observed: ObservedJob,
+        task: TaskId,
+        workers: List<SimWorker>,
+    ) {
+        if (!isDue(observed, task) || isRunning(task) || workers.none { hasCapacityTwiceOver(it, observed.submission, task) }) {
+            neglectedSinceMs.remove(task)
+            reportedNeglected.remove(task)
+            return
+        }
+        val sinceMs = neglectedSinceMs.getOrPut(task) { time.nowMs }
+        val isCalm = time.nowMs - lastDisruptedAtMs >= NEGLECTED_MS + CALM_BEFORE_MS
+        if (time.nowMs - sinceMs >= NEGLECTED_MS && isCalm && reportedNeglected.add(task)) {
+            val endedAtMs = lastEndedAtMs[task] ?: "it was accepted"
+            report("LOST $task is long-running and has not run since $endedAtMs, with capacity for it since $sinceMs")
+        }
+    }
+
+    private fun isDue(
+        observed: ObservedJob,
+        task: TaskId,
+    ): Boolean {
+        if (observed.acceptedAtMs == null || observed.cancelledAtMs != null) return false
+        val endedAtMs = lastEndedAtMs[task] ?: return true
+        return time.nowMs - endedAtMs > RESTART_GRACE_MS
+    }
+
+    private fun isRunning(task: TaskId): Boolean = running[task]?.let { it.isUp && task in it.runningTasks } == true
+
+    private fun hasCapacityTwiceOver(
+        worker: SimWorker,
+        submission: JobSubmission,
+        task: TaskId,
+    ): Boolean {
+        if (worker.entry.pool != submission.queue.pool) return false
+        val step = submission.steps[task.step]
+        val count = worker.runningTasks.count { it.jobId == task.jobId && it.occurrence == task.occurrence && it.step == task.step }
+        return count < (step.maxPerWorker ?: Int.MAX_VALUE) && (step.demand + step.demand).fitsIn(worker.free)
+    }
+
     fun onEndAcknowledged(end: EndRow) {
         if (end.kind == EndKind.DONE && !isLongRunning(end.task)) acknowledgedDone.add(end.task)
         if (end.kind == EndKind.FAILED) acknowledgedFailures.merge(end.task, 1, Int::plus)
@@ -142,7 +219,7 @@
     ) {
         val observed = jobs.getValue(id)
         if (state == null) {
-            if (observed.isAccepted) report("LOST $id is unknown although it was accepted")
+            if (observed.acceptedAtMs != null) report("LOST $id is unknown although it was accepted")
             return
         }
         if (state == JobState.COMPLETE) {
@@ -163,7 +240,7 @@
     fun checkFinalStates(stateOf: (String) -> JobState?) {
         for ((id, observed) in jobs) {
             if (observed.cancelledAtMs != null) checkStopped(observed.submission)
-            if (!observed.isAccepted) continue
+            if (observed.acceptedAtMs == null) continue
             val state = stateOf(id)
             val isLongRunning = observed.submission.steps.any { it.isLongRunning }
             if (state == null) report("LOST $id is unknown at the end")
@@ -203,6 +280,15 @@
     private companion object {
         const val CANCEL_GRACE_MS = 3_000L
 
+        /** Time after the end of a long-running task's last run from which its absence counts. */
+        const val RESTART_GRACE_MS = 6_000L
+
+        /** For this long a long-running task may be away although there is capacity for it. */
+        const val NEGLECTED_MS = 3_000L
+
+        /** A disruption within this time before an absence excuses it. */
+        const val CALM_BEFORE_MS = 4_000L
+
         /** Least time between orders of two owners to one instance. */
         const val INSTANCE_LEASE_MS = 3_000L
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -1,7 +1,7 @@
 /*
  * Seeded simulation of the job scheduler on a small fleet. Faults: entries that are killed, frozen or partitioned from
- * the store; a store that is down or loses answers; workers that crash, are partitioned or receive orders late. Callers
- * submit jobs, query their state and cancel them.
+ * the store; a store that is down or loses answers; workers that crash, are lost for good, restart under their id, are
+ * partitioned or receive orders late. Callers submit jobs, query their state and cancel them.
  */
 package io.corianderrock.jobs.world
 
@@ -49,6 +49,9 @@
     var isPartitionedFromPeers = false
     var isUp = false
     var processorMilli = 1_500
+    val isDisrupted: Boolean
+        get() =
+            !isUp || loop.frozenUntilMs > world.time.nowMs || isPartitionedFromStore || isPartitionedFromWorkers || isPartitionedFromPeers
     private lateinit var router: JobRequestRouter
     private var reach: CallerReach? = null
     var elector: OwnerElector? = null
@@ -86,7 +89,7 @@
                             waves = { world.waves },
                         )
                     val activeScheduler =
-                        Scheduler(ports, SchedulerBounds(3_000, SimWorker.MAX_LEASE_MS), row, version, earlier) { onOwnershipLost() }
+                        Scheduler(ports, SchedulerBounds(3_000, world.longestLeaseMs), row, version, earlier) { onOwnershipLost() }
                     scheduler = activeScheduler
                     world.listedWorkers().forEach(activeScheduler::onWorkerListed)
                     activeScheduler.start()
@@ -182,11 +185,22 @@
     }
 }
 
+/** The mix of jobs and faults of a simulation. */
+internal enum class Workload {
+    /** Mostly short jobs. */
+    SHORT_JOBS,
+
+    /** Many long-running steps, jobs that always fail in bursts, and workers that are lost for good or restart under their id. */
+    LONG_RUNNING_JOBS,
+}
+
 internal class JobWorld(
     seed: Int,
     val tampering: OrderTampering = object : OrderTampering {},
     private val hasFaults: Boolean = true,
-    private val instanceCount: Int = 6,
+    private val workload: Workload = Workload.SHORT_JOBS,
+    private val instanceCount: Int = if (workload == Workload.SHORT_JOBS) 6 else 14,
+    val longestLeaseMs: Long = SimWorker.MAX_LEASE_MS,
     /** Schedules further events of the test before the jobs are submitted. */
     private val scheduleEvents: (JobWorld) -> Unit = {},
     private val traces: MutableList<String>? = null,
@@ -213,9 +227,16 @@
     /** The next log line of this event throws, as an unexpected error in the code around it would. */
     var failingEvent: String? = null
     var lateDeliveryRatio = 0.0
+
+    /** Time up to which orders that were delayed by a fault may still arrive. */
+    var lateDeliveriesOverAtMs = 0L
+    private var crashesOverAtMs = 0L
     private val instances = LinkedHashMap<String, Instance>()
     private val workers = LinkedHashMap<String, SimWorker>()
     private val unlisted = HashSet<String>()
+
+    /** Instances whose worker was lost for good; true for those that the platform does not list any more. */
+    private val lostInstances = HashMap<String, Boolean>()
     private val submissions = ArrayList<JobSubmission>()
     private var workerCount = 0
 
@@ -251,13 +272,21 @@
 
     fun worker(id: String): SimWorker? = workers[id]
 
+    /** The worker that runs [task], or null. */
+    fun workerOf(task: TaskId): SimWorker? = workers.values.firstOrNull { it.isUp && task in it.runningTasks }
+
     fun listedWorkers(): List<WorkerEntry> = workers.values.filter { it.isUp && it.entry.id !in unlisted }.map { it.entry }
 
     fun runPlanOf(task: TaskId): RunPlan {
         val submission = submissions.first { it.id == task.jobId }
         val step = submission.steps[task.step]
         val isPoison = submission.spec == "poison"
-        val duration = if (step.isLongRunning) 1_000_000L else random.nextLong(50, 2_500)
+        val duration =
+            when {
+                !step.isLongRunning -> random.nextLong(50, 2_500)
+                workload == Workload.LONG_RUNNING_JOBS && random.nextInt(4) == 0 -> random.nextLong(200, 20_000)
+                else -> 1_000_000L
+            }
         return RunPlan(duration, if (isPoison || random.nextInt(20) == 0) EndKind.FAILED else EndKind.DONE, step.demand)
     }
 
@@ -280,12 +309,14 @@
         if (random.nextBoolean()) waves.add(MaintenanceWave(1, instances.keys.take(4), 30.0, 2))
         scheduleEvents(this)
         repeat(JOB_COUNT) { time.after(random.nextLong(0, SUBMISSION_WINDOW_MS)) { submit() } }
-        if (hasFaults) repeat(random.nextInt(1, 7)) { time.after(random.nextLong(500, SUBMISSION_WINDOW_MS)) { injectFault() } }
+        if (hasFaults) repeat(random.nextInt(1, 7)) { time.after(random.nextLong(500, SUBMISSION_WINDOW_MS)) { injectAnyFault() } }
         time.runUntil(time.nowMs + SUBMISSION_WINDOW_MS + MAX_FAULT_MS)
         clearFaults()
         time.runUntil(time.nowMs + RECOVERY_MS)
         checker.checkFinalStates(::finalState)
-        if (waves.isNotEmpty() && store.completeWaves.isEmpty()) checker.violations.add("MIXED the wave is not complete at the end")
+        // Instances that do not stay are not due: their part of a wave cannot be done.
+        val isWaveDue = waves.any { wave -> wave.instanceIds.none { it in lostInstances } }
+        if (isWaveDue && store.completeWaves.isEmpty()) checker.violations.add("MIXED the wave is not complete at the end")
         return checker
     }
 
@@ -310,7 +341,7 @@
         val instance = instances.getValue(instanceId)
         val id = "w-${workerCount++}"
         val entry = WorkerEntry(id, id, instance.pool, "dc", instanceId, CAPACITY, instance.labels, false, null, time.nowMs)
-        workers[id] = SimWorker(entry, time, if (random.nextBoolean()) 0.98 else 1.0, checker)
+        workers[id] = SimWorker(entry, time, if (random.nextBoolean()) 0.98 else 1.0, checker, longestLeaseMs)
         instances[instanceId] = instance.copy(state = InstanceState.UP, workerId = id)
         notifyOwners { it.onWorkerListed(entry) }
     }
@@ -321,13 +352,27 @@
 
     private fun tickWorkers() {
         workers.values.forEach { it.tick() }
+        if ((time.nowMs / TICK_MS) % CHECK_INTERVAL_TICKS == 0L) {
+            val usable = workers.values.filter { it.isUp && it.isReachable && it.entry.id !in unlisted && !it.entry.isDraining }
+            checker.checkLongRunningTasks(usable, isDisrupted())
+        }
         time.after(TICK_MS) { tickWorkers() }
     }
 
+    /** True while a fault is active; a worker that has crashed counts as one until [crashesOverAtMs]. */
+    private fun isDisrupted(): Boolean =
+        time.nowMs < crashesOverAtMs ||
+            store.isDown ||
+            store.lostAnswerRatio > 0 ||
+            lateDeliveryRatio > 0 ||
+            time.nowMs < lateDeliveriesOverAtMs ||
+            workers.values.any { it.isUp && !it.isReachable } ||
+            entries.any { it.isDisrupted }
+
     fun instancesFor(entry: SimEntry): InstanceService =
         object : InstanceService {
             override fun list(onResult: (List<Instance>?) -> Unit) {
-                val snapshot = instances.values.toList()
+                val snapshot = instances.values.filter { lostInstances[it.id] != true }
                 entry.loop.after(3) { onResult(snapshot) }
             }
 
@@ -386,8 +431,16 @@
 
     private fun submit() {
         val submission = newSubmission()
+        submit(submission) { scheduleQueries(submission) }
+    }
+
+    /** Sends [submission] until an entry has accepted it. */
+    fun submit(
+        submission: JobSubmission,
+        onAccepted: () -> Unit = {},
+    ) {
         register(submission)
-        sendUntilAccepted(submission, attemptsLeft = 8)
+        sendUntilAccepted(submission, attemptsLeft = 8, onAccepted)
     }
 
     /** Makes a job that a test submits by itself known to the workers and the invariant checker. */
@@ -399,9 +452,11 @@
     private fun newSubmission(): JobSubmission {
         val pool = if (random.nextBoolean()) "a" else "b"
         val queue = Queue("queue-$pool", pool, maxAttempts = 3, stretchFactor = 2.0, targetLatencyMs = 600)
-        val isLongRunningJob = random.nextInt(12) == 0
+        val isLongRunningJob = random.nextInt(if (workload == Workload.SHORT_JOBS) 12 else 6) == 0
         val steps =
-            if (isLongRunningJob) {
+            if (isLongRunningJob && workload == Workload.LONG_RUNNING_JOBS) {
+                listOf(longRunningStep())
+            } else if (isLongRunningJob) {
                 listOf(Step(2, Demand(1_000, 1_000), isLongRunning = true, maxUnavailable = 1))
             } else {
                 List(random.nextInt(1, 4)) {
@@ -422,9 +477,19 @@
         return JobSubmission("job${submissions.size}", queue, if (random.nextInt(25) == 0) "poison" else "work", steps)
     }
 
+    private fun longRunningStep(): Step =
+        Step(
+            count = random.nextInt(1, 6),
+            demand = Demand(random.nextInt(300, 1_500), 1_000),
+            maxPerWorker = if (random.nextBoolean()) 1 else null,
+            isLongRunning = true,
+            maxUnavailable = random.nextInt(1, 3),
+        )
+
     private fun sendUntilAccepted(
         submission: JobSubmission,
         attemptsLeft: Int,
+        onAccepted: () -> Unit,
     ) {
         if (attemptsLeft == 0) return
         val entry = entries.filter { it.isUp }.randomOrNull(random)
@@ -433,10 +498,10 @@
             if (!isAnswered && answer is CallerAnswer.Applied) {
                 isAnswered = true
                 checker.onAccepted(submission.id)
-                scheduleQueries(submission)
+                onAccepted()
             }
         }
-        time.after(3_000) { if (!isAnswered) sendUntilAccepted(submission, attemptsLeft - 1) }
+        time.after(3_000) { if (!isAnswered) sendUntilAccepted(submission, attemptsLeft - 1, onAccepted) }
     }
 
     private fun scheduleQueries(submission: JobSubmission) {
@@ -458,6 +523,71 @@
         }
     }
 
+    private fun injectAnyFault() {
+        if (workload == Workload.SHORT_JOBS || random.nextBoolean()) injectFault() else injectFaultOfWorkers()
+    }
+
+    private fun injectFaultOfWorkers() {
+        val durationMs = random.nextLong(500, MAX_FAULT_MS)
+        val worker = upWorkers().randomOrNull(random) ?: return
+        when (random.nextInt(5)) {
+            0 -> loseWorker(worker, isInstanceRemoved = random.nextBoolean())
+            1 -> rack().forEach { crashWorker(it, durationMs) }
+            2 -> {
+                val isRemoved = random.nextBoolean()
+                rack().forEach { loseWorker(it, isRemoved) }
+            }
+            3 -> restartUnderSameId(worker, durationMs)
+            else -> repeat(POISON_BURST_COUNT) { time.after(random.nextLong(0, durationMs)) { submitPoison() } }
+        }
+        if (random.nextInt(3) == 0) restart(entries.firstOrNull { it.scheduler != null } ?: entries.random(random), durationMs)
+    }
+
+    private fun upWorkers(): List<SimWorker> = workers.values.filter { it.isUp }
+
+    private fun rack(): List<SimWorker> = upWorkers().shuffled(random).take(RACK_SIZE)
+
+    private fun submitPoison() {
+        val submission = newSubmission().copy(spec = "poison", steps = listOf(Step(4, Demand(1_000, 500), 500)))
+        submit(submission)
+    }
+
+    /** Ends [worker] for good: no other worker joins on its instance, which the platform lists as down, or not at all. */
+    fun loseWorker(
+        worker: SimWorker,
+        isInstanceRemoved: Boolean,
+    ) {
+        if (lostInstances.size == MAX_LOST_INSTANCES) return
+        val instanceId = checkNotNull(worker.entry.instanceId)
+        trace("world", "worker_lost_for_good", arrayOf<Any?>(worker.entry.id, instanceId, worker.runningTasks))
+        worker.kill()
+        crashesOverAtMs = maxOf(crashesOverAtMs, time.nowMs + LOSS_MS)
+        time.after(UNLISTED_AFTER_MS) { unlistWorker(worker) }
+        val instance = instances.getValue(instanceId)
+        instances[instanceId] = instance.copy(state = InstanceState.DOWN, workerId = null)
+        lostInstances[instanceId] = isInstanceRemoved
+    }
+
+    /** Ends [worker] and starts it again [downMs] later under the same id, without any of its state. */
+    private fun restartUnderSameId(
+        worker: SimWorker,
+        downMs: Long,
+    ) {
+        trace("world", "worker_restarts", arrayOf<Any?>(worker.entry.id, downMs))
+        worker.kill()
+        crashesOverAtMs = maxOf(crashesOverAtMs, time.nowMs + downMs)
+        time.after(UNLISTED_AFTER_MS) { if (workers[worker.entry.id] === worker) unlistWorker(worker) }
+        time.after(downMs) {
+            val isReplaced = instances[worker.entry.instanceId]?.workerId != worker.entry.id
+            if (!isReplaced && workers[worker.entry.id] === worker) {
+                val entry = worker.entry.copy(bornWallMs = time.nowMs)
+                val next = SimWorker(entry, time, if (random.nextBoolean()) 0.98 else 1.0, checker, longestLeaseMs)
+                workers[entry.id] = next
+                listWorker(next)
+            }
+        }
+    }
+
     private fun injectFault() {
         val entry = entries.random(random)
         val durationMs = random.nextLong(500, MAX_FAULT_MS)
@@ -471,7 +601,7 @@
             7 -> during(durationMs, { lateDeliveryRatio = 0.2 }, { lateDeliveryRatio = 0.0 })
             8 -> partitionWorker(durationMs)
             9 -> isolate(entry, durationMs)
-            else -> crashWorker(durationMs)
+            else -> upWorkers().randomOrNull(random)?.let { crashWorker(it, durationMs) }
         }
     }
 
@@ -509,19 +639,22 @@
     }
 
     private fun partitionWorker(durationMs: Long) {
-        val worker = workers.values.filter { it.isUp }.randomOrNull(random) ?: return
+        val worker = upWorkers().randomOrNull(random) ?: return
         trace("world", "worker_partitioned", arrayOf<Any?>(worker.entry.id, durationMs))
         during(durationMs, { worker.isReachable = false }, { worker.isReachable = true })
-        time.after(minOf(durationMs, 4_500)) { if (!worker.isReachable) unlistWorker(worker) }
+        time.after(minOf(durationMs, UNLISTED_AFTER_MS)) { if (!worker.isReachable) unlistWorker(worker) }
         time.after(durationMs + 100) { if (worker.isUp) listWorker(worker) }
     }
 
-    private fun crashWorker(durationMs: Long) {
-        val worker = workers.values.filter { it.isUp }.randomOrNull(random) ?: return
+    private fun crashWorker(
+        worker: SimWorker,
+        durationMs: Long,
+    ) {
         val instanceId = checkNotNull(worker.entry.instanceId)
         trace("world", "worker_crashed", arrayOf<Any?>(worker.entry.id, instanceId, durationMs))
         worker.kill()
-        time.after(4_500) { unlistWorker(worker) }
+        crashesOverAtMs = maxOf(crashesOverAtMs, time.nowMs + durationMs)
+        time.after(UNLISTED_AFTER_MS) { unlistWorker(worker) }
         time.after(durationMs) { if (instances.getValue(instanceId).workerId == worker.entry.id) startWorker(instanceId) }
     }
 
@@ -555,5 +688,19 @@
         const val MAX_FAULT_MS = 8_000L
         const val RECOVERY_MS = 45_000L
         const val TICK_MS = 10L
+
+        /** Ticks of the workers between two checks of the long-running tasks: 100 ms. */
+        const val CHECK_INTERVAL_TICKS = 10L
+
+        /** Silence after which discovery removes a worker: three heartbeats. */
+        const val UNLISTED_AFTER_MS = 4_500L
+
+        /** For this long the loss of a worker for good counts as a disruption. */
+        const val LOSS_MS = 1_000L
+        const val RACK_SIZE = 3
+
+        /** The rest of the instances has capacity for all long-running tasks. */
+        const val MAX_LOST_INSTANCES = 3
+        const val POISON_BURST_COUNT = 15
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -24,6 +24,7 @@
     private val time: SimTime,
     private val clockRate: Double,
     private val checker: InvariantChecker,
+    val longestLeaseMs: Long = MAX_LEASE_MS,
 ) {
     class Run(
         val task: TaskId,
@@ -44,6 +45,7 @@
     var isUp = true
     var isReachable = true
     val runningTasks: Set<TaskId> get() = running.keys
+    val free: Demand get() = running.values.fold(entry.capacity) { free, run -> free - run.demand }
 
     private val clockMs: Long get() = ((time.nowMs - bootedAtMs) * clockRate).toLong()
 
@@ -55,6 +57,7 @@
 
     fun kill() {
         isUp = false
+        checker.onKilled(running.keys)
         running.clear()
     }
 
@@ -111,7 +114,7 @@
     }
 
     private fun extend(expiresAtMs: Long) {
-        expiresAtClockMs = maxOf(expiresAtClockMs, minOf(expiresAtMs, clockMs + MAX_LEASE_MS))
+        expiresAtClockMs = maxOf(expiresAtClockMs, minOf(expiresAtMs, clockMs + longestLeaseMs))
     }
 
     private fun end(
@@ -219,7 +222,12 @@
             return
         }
         if (random.nextDouble() < world.lateDeliveryRatio) {
-            world.time.after(random.nextLong(2_000, 12_000)) { if (worker.isUp) world.checker.duringLateDelivery { order(worker) } }
+            val delayMs = random.nextLong(2_000, 12_000)
+            world.lateDeliveriesOverAtMs = maxOf(world.lateDeliveriesOverAtMs, world.time.nowMs + delayMs)
+            world.time.after(delayMs) {
+                val current = world.worker(target.id)
+                if (current != null && current.isUp) world.checker.duringLateDelivery { order(current) }
+            }
             entry.loop.after(TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("answer lost", mayBeCarriedOut = true)) }
             return
         }
