Let the platform's list of instances prove that a silent worker has ended

Cause: the end of a worker was believed only from a new worker on its instance or from the end of its lease: 10 s and more where the platform allows leases of 10 s, and last write + 4 s + lease after a takeover, meanwhile for all inherited tasks of the pool. The platform lists the instance as down, or not at all, 0.1 to 0.4 s after the loss; that was dropped.

Change: a worker that does not answer has ended if two lists in a row, requested since it was last heard, show its instance down, in a move, in maintenance, with another worker or not at all. Lists are requested every 500 ms while such a worker may have runs. A worker that is cut off and runs on is listed as up, so its runs count until its lease has expired, as before. A recent start without an answer no longer holds its task back, but a new incarnation with the same id is told to stop it before it gets anything. An instance in a state that this version does not know proves nothing.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -309,7 +309,7 @@
 
     private fun refresh() {
         val isAnyInTransit = byId.values.any { it.instance.state != InstanceState.UP }
-        val intervalMs = if (isAnyInTransit) LIST_INTERVAL_TRANSIT_MS else LIST_INTERVAL_MS
+        val intervalMs = if (isAnyInTransit || driver.hasSilentWorkers) LIST_INTERVAL_TRANSIT_MS else LIST_INTERVAL_MS
         if (isListing || loop.nowMs - listedAtMs < intervalMs) return
         isListing = true
         val sentAtMs = loop.nowMs
@@ -330,6 +330,7 @@
         sentAtMs: Long,
     ) {
         hasList = true
+        driver.onInstancesListed(instances, sentAtMs)
         for (instance in instances) {
             val view = byId.getOrPut(instance.id) { InstanceView(instance) }
             if (view.isOrdered || view.changedAtMs >= sentAtMs) continue
@@ -377,7 +378,7 @@
         /** Interval between list calls. */
         const val LIST_INTERVAL_MS = 3_000L
 
-        /** Interval between list calls while some instance is not up. */
+        /** Interval between list calls while some instance is not up or some worker with runs does not answer. */
         const val LIST_INTERVAL_TRANSIT_MS = 500L
 
         /** Delay before a refused order may be retried. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
@@ -76,7 +76,7 @@
     ): PoolState {
         val wanted = maxOf(need.instanceCount, MIN_INSTANCES)
         val forecastWanted = maxOf(wanted, ceil(need.longRunningInstances + maxOf(expectedInstances, need.extrapolatedInstances)).toInt())
-        val supply = instances.filter { it.instance.state != InstanceState.DOWN && it.cordonReason == null && countsAsSupply(it) }
+        val supply = instances.filter { it.instance.state !in ABSENT_STATES && it.cordonReason == null && countsAsSupply(it) }
         val missing = maxOf(wanted - supply.size, missingForStuck(pool, supply))
         return PoolState(
             pool = pool,
@@ -166,6 +166,9 @@
     }
 
     private companion object {
+        /** States of instances that neither serve a pool nor are about to. */
+        val ABSENT_STATES = setOf(InstanceState.DOWN, InstanceState.UNKNOWN)
+
         val NO_NEED = PoolNeed(0, 0, 0, 0.0, 0.0)
 
         /** Every pool keeps one instance, so that a single short job does not wait for a move. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/InstanceService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/InstanceService.kt
@@ -5,7 +5,8 @@
 
 import io.corianderrock.jobs.state.Demand
 
-public enum class InstanceState { UP, MOVING, MAINTENANCE, DOWN }
+/** [UNKNOWN] is a state that this version does not know; nothing follows from it. */
+public enum class InstanceState { UP, MOVING, MAINTENANCE, DOWN, UNKNOWN }
 
 /** An instance as listed by the platform. [workerId] is its current worker, if any. */
 public data class Instance(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -10,6 +10,8 @@
 import io.corianderrock.jobs.ports.EndRow
 import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.Instance
+import io.corianderrock.jobs.ports.InstanceState
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.RunningRow
 import io.corianderrock.jobs.ports.StartOrder
@@ -113,6 +115,64 @@
         }
     }
 
+    /**
+     * Ends silent workers that do not run any more according to two lists in a row: their instance is down, has another
+     * worker, or is no longer listed. [instances] is a complete list that was requested at loop time [requestedAtMs].
+     */
+    fun onInstancesListed(
+        instances: List<Instance>,
+        requestedAtMs: Long,
+    ) {
+        val byInstanceId = instances.associateBy { it.id }
+        for (worker in byId.values.toList()) {
+            val instanceId = worker.entry.instanceId ?: continue
+            val isEvidence = isSilentSince(worker, requestedAtMs) && !mayRunOn(byInstanceId[instanceId], worker)
+            worker.listsWithoutWorker = if (isEvidence) worker.listsWithoutWorker + 1 else 0
+            if (worker.listsWithoutWorker < LISTS_TO_END_WORKER || !mayHaveRuns(worker)) continue
+            val state = byInstanceId[instanceId]?.state
+            log.write("worker_over", "worker", worker.id, "instance", instanceId, "instanceState", state, "runs", worker.runs.size)
+            onWorkerEnded(worker)
+        }
+    }
+
+    /** True while some worker that may have runs does not answer, so that a list of instances may tell that it has ended. */
+    val hasSilentWorkers: Boolean get() =
+        byId.values.any { it.consecutiveLostHolds > 0 && mayHaveRuns(it) }
+
+    private fun mayHaveRuns(worker: WorkerView): Boolean = worker.runs.isNotEmpty() || !worker.isReconciled
+
+    private fun isSilentSince(
+        worker: WorkerView,
+        timeMs: Long,
+    ): Boolean = worker.consecutiveLostHolds > 0 && worker.lastReportedAtMs < timeMs && worker.registeredAtMs < timeMs
+
+    private fun mayRunOn(
+        instance: Instance?,
+        worker: WorkerView,
+    ): Boolean =
+        when (instance?.state) {
+            InstanceState.UNKNOWN -> true
+            InstanceState.UP -> instance.workerId == null || instance.workerId == worker.id
+            else -> false
+        }
+
+    /** Frees the runs of [worker], which has ended. */
+    private fun onWorkerEnded(worker: WorkerView) {
+        val recentStarts = recentUnansweredStarts(worker)
+        if (recentStarts.isEmpty()) {
+            removeWorker(worker)
+            return
+        }
+        releaseRuns(worker)
+        // They may still reach a new incarnation with the same id, which then has to stop them.
+        worker.unansweredStarts.putAll(recentStarts)
+        markLeaseReconciled(worker.id)
+        onChange(worker.entry.pool)
+    }
+
+    private fun recentUnansweredStarts(worker: WorkerView): Map<TaskId, UnansweredStart> =
+        worker.unansweredStarts.filterValues { loop.nowMs - it.sentAtMs < LATE_START_WINDOW_MS }
+
     private fun addUnlisted(lease: WorkerLeaseRow) {
         val entry =
             WorkerEntry(
@@ -127,17 +187,16 @@
                 leavesInMs = null,
                 bornWallMs = lease.bornWallMs,
             )
-        val worker = WorkerView(entry)
+        val worker = newWorker(entry)
         worker.isListed = false
         worker.isLeaseRowStored = true
         worker.leaseEndsAtMs = inheritedLeases.deadlineMs
-        byId[entry.id] = worker
     }
 
     /** Called when discovery adds or changes [entry]. */
     fun onListed(entry: WorkerEntry) {
         val registered = byId[entry.id]
-        val worker = registered ?: WorkerView(entry).also { byId[entry.id] = it }
+        val worker = registered ?: newWorker(entry)
         if (registered != null && entry.bornWallMs != 0L && worker.bornWallMs != 0L && entry.bornWallMs > worker.bornWallMs) {
             onNewIncarnation(worker, entry.bornWallMs)
         }
@@ -152,6 +211,13 @@
         onChange(worker.entry.pool)
     }
 
+    private fun newWorker(entry: WorkerEntry): WorkerView {
+        val worker = WorkerView(entry)
+        worker.registeredAtMs = loop.nowMs
+        byId[entry.id] = worker
+        return worker
+    }
+
     private fun logListed(entry: WorkerEntry) {
         log.write("worker_listed", "worker", entry.id, "pool", entry.pool, "instance", entry.instanceId, "draining", entry.isDraining)
     }
@@ -708,7 +774,7 @@
         bornWallMs: Long,
     ) {
         log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", worker.unansweredStarts.size)
-        val recentStarts = worker.unansweredStarts.filterValues { loop.nowMs - it.sentAtMs < LATE_START_WINDOW_MS }
+        val recentStarts = recentUnansweredStarts(worker)
         worker.runs.values
             .filter { it.id !in recentStarts }
             .toList()
@@ -717,6 +783,8 @@
         worker.orphanedRuns.clear()
         worker.stopAnsweredAtMs.clear()
         worker.bornWallMs = bornWallMs
+        worker.registeredAtMs = loop.nowMs
+        worker.listsWithoutWorker = 0
         worker.processedEnd = 0
         worker.storingEnd = 0
         worker.storedEnd = 0
@@ -724,7 +792,10 @@
         worker.isReconciled = false
         worker.recentFailedJobIds.clear()
         // An unanswered start may still reach the new incarnation, which has no record of the fence or of stopped runs.
-        for ((taskId, start) in recentStarts) sendStop(worker, taskId, start.runNumber)
+        for ((taskId, start) in recentStarts) {
+            if (taskId !in worker.runs) worker.orphanedRuns[taskId] = start.runNumber
+            sendStop(worker, taskId, start.runNumber)
+        }
         markLeaseReconciled(worker.id)
     }
 
@@ -836,6 +907,9 @@
         /** Concurrent starts per worker: limits it to two connections, since opening connections is expensive. */
         const val MAX_ORDERS_IN_FLIGHT = 2
 
+        /** Lists of instances in a row that prove the end of a silent worker: one alone may have been made before it started. */
+        const val LISTS_TO_END_WORKER = 2
+
         /** How long a worker that refused a start for lack of capacity gets no new work. */
         const val AVOID_FULL_MS = 150L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -60,6 +60,12 @@
     /** Loop time at which the worker last reported its running and ended runs. */
     var lastReportedAtMs: Long = 0
 
+    /** Loop time since which this incarnation is registered. */
+    var registeredAtMs: Long = 0
+
+    /** Number of lists of instances in a row, requested while the worker was silent, by which it has ended. */
+    var listsWithoutWorker: Int = 0
+
     /** True while a hold, which extends the lease and requests a report, is not answered. */
     var isHoldInFlight: Boolean = false
     var nextHoldAtMs: Long = 0
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/LongRunningTaskTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/LongRunningTaskTest.kt
@@ -14,6 +14,9 @@
 
 private const val LOST_AT_MS = 8_000L
 private const val OWNER_DOWN_MS = 2_000L
+
+/** The longest lease of a platform on which lost workers keep their tasks for longer than the bound. */
+private const val LONG_LEASE_MS = 10_000L
 private const val INSTANCE_COUNT = 14
 private val SEEDS = 1..20
 
@@ -33,13 +36,20 @@
             it("runs elsewhere within the bound when the owner fails with the worker") {
                 SEEDS
                     .flatMap { seed ->
-                        violationsAfterLoss(seed) { world ->
+                        violationsAfterLoss(seed, alsoFail = { world ->
                             val owner = world.entries.first { it.scheduler != null }
                             owner.kill()
                             world.time.after(OWNER_DOWN_MS) { owner.boot() }
-                        }
+                        })
                     }.shouldBeEmpty()
             }
+            // Guards against runs that count until a lease as long as the platform allows has expired, though their instance is down.
+            it("runs elsewhere within the bound when leases are long") {
+                SEEDS.flatMap { violationsAfterLoss(it, LONG_LEASE_MS) }.shouldBeEmpty()
+            }
+            it("runs elsewhere within the bound when its instance is no longer listed") {
+                SEEDS.flatMap { violationsAfterLoss(it, LONG_LEASE_MS, isInstanceRemoved = true) }.shouldBeEmpty()
+            }
         }
     })
 
@@ -47,6 +57,7 @@
 private fun violationsAfterLoss(
     seed: Int,
     longestLeaseMs: Long = 6_000,
+    isInstanceRemoved: Boolean = false,
     alsoFail: (JobWorld) -> Unit = {},
 ): List<String> =
     JobWorld(
@@ -57,7 +68,7 @@
         scheduleEvents = { world ->
             world.submit(LONG_RUNNING_JOB)
             world.time.after(LOST_AT_MS) {
-                world.loseWorker(TASKS.firstNotNullOf(world::workerOf), isInstanceRemoved = false)
+                world.loseWorker(TASKS.firstNotNullOf(world::workerOf), isInstanceRemoved)
                 alsoFail(world)
             }
         },
