Hold back only inherited tasks that may run on a worker that has not answered

Cause: until every worker of a pool has answered a new owner, or its leases must have expired, no waiting task of an inherited job was placed in the pool, also not one that this owner knew to be nowhere.

Change: a task that this owner has started, or whose run it has adopted, is placed at once when it waits again. An earlier owner starts a task only after its last run has ended, so no second run of it can be on a worker that is silent. The same holds for all tasks of a step of which a preceding task still ran in this term. Other tasks wait as before.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -34,6 +34,8 @@
 
     private class Candidate(
         val stepRun: StepRun,
+        /** The tasks of [stepRun] that may be placed if they wait. */
+        val tasks: List<TaskRun>,
         val isPastObjective: Boolean,
         val remainingCoreMs: Double,
     )
@@ -55,7 +57,7 @@
         }
         val capacity = PoolCapacity(driver.workers.filter { it.entry.pool == pool && isUsable(it) }.map(::WorkerCapacity))
         var isShort = false
-        for (candidate in ready) if (!placeStep(candidate.stepRun, capacity)) isShort = true
+        for (candidate in ready) if (!placeStep(candidate, capacity)) isShort = true
         if (isShort) capacityShortageSinceMs.putIfAbsent(pool, loop.nowMs) else capacityShortageSinceMs.remove(pool)
         explainWaiting(ready, capacity.workers)
     }
@@ -85,7 +87,7 @@
     ) {
         if (loop.nowMs - explainedAtMs < EXPLAIN_INTERVAL_MS) return
         explainedAtMs = loop.nowMs
-        val waiting = ready.mapNotNull { candidate -> candidate.stepRun.tasks.firstOrNull { it.phase == TaskPhase.WAITING } }
+        val waiting = ready.mapNotNull { candidate -> candidate.tasks.firstOrNull { it.phase == TaskPhase.WAITING } }
         val longest = waiting.filter { loop.nowMs - it.waitingSinceMs > EXPLAIN_AFTER_MS }.sortedBy { it.waitingSinceMs }
         for (task in longest.take(MAX_EXPLAINED)) explain(task, capacities, waiting.size)
     }
@@ -139,20 +141,31 @@
         val ready = ArrayList<Candidate>()
         val isReconciling = driver.isReconciling(pool)
         for (job in registry.liveIn(pool)) {
-            if (isReconciling && job.mayBeKnownToEarlierOwner) continue
+            val isHeldBack = isReconciling && job.mayBeKnownToEarlierOwner
             for (occurrence in job.occurrences.values) {
                 for (run in occurrence.steps) {
-                    if (run.waitingCount > 0 && !run.isDone && occurrence.isReady(run)) ready.add(candidateOf(run))
+                    if (run.waitingCount == 0 || run.isDone || !occurrence.isReady(run)) continue
+                    val tasks = if (isHeldBack && !occurrence.hasBecomeReadyInTerm(run)) tasksWithKnownPlace(run) else run.tasks
+                    if (tasks.isNotEmpty()) ready.add(candidateOf(run, tasks))
                 }
             }
         }
         return ready.sortedWith(PLACEMENT_ORDER)
     }
 
-    private fun candidateOf(run: StepRun): Candidate {
+    /** The waiting tasks that cannot be running on a worker that has not answered yet; of a gang all or none. */
+    private fun tasksWithKnownPlace(run: StepRun): List<TaskRun> {
+        val known = run.tasks.filter { it.isPlaceKnown && it.phase == TaskPhase.WAITING }
+        return if (run.step.isGang && known.size < run.step.count) emptyList() else known
+    }
+
+    private fun candidateOf(
+        run: StepRun,
+        tasks: List<TaskRun>,
+    ): Candidate {
         val estimate = runTimes.estimate(run.job, loop.nowMs)
         val isPastObjective = !run.job.isLongRunning && loop.nowMs > estimate.objectiveDeadlineMs
-        return Candidate(run, isPastObjective, estimate.remainingCoreMs)
+        return Candidate(run, tasks, isPastObjective, estimate.remainingCoreMs)
     }
 
     private fun isUsable(worker: WorkerView): Boolean =
@@ -164,16 +177,17 @@
             worker.consecutiveLostHolds == 0 &&
             loop.nowMs >= worker.avoidUntilMs
 
-    /** Assigns the waiting tasks of [stepRun]; false when one of them found no worker with capacity. */
+    /** Assigns the waiting tasks of [candidate]; false when one of them found no worker with capacity. */
     private fun placeStep(
-        stepRun: StepRun,
+        candidate: Candidate,
         capacity: PoolCapacity,
     ): Boolean {
+        val stepRun = candidate.stepRun
         if (!capacity.hasRoomFor(stepRun.step.occupied)) return false
         val capacities = capacity.workers
         if (stepRun.job.queue.needsAdvice && !ensureTickets(stepRun, capacities)) return true
         if (stepRun.step.isGang) return placeGang(stepRun, capacities)
-        for (task in stepRun.tasks.filter { it.phase == TaskPhase.WAITING }) {
+        for (task in candidate.tasks.filter { it.phase == TaskPhase.WAITING }) {
             val chosen = cheapestWorker(task, capacities) ?: return false
             assign(task, chosen)
         }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -272,6 +272,7 @@
         worker: WorkerView,
     ) {
         task.phase = TaskPhase.STARTING
+        task.isPlaceKnown = true
         task.worker = worker
         task.lastRunNumber = maxOf(task.lastRunNumber + 1, (epoch - 1) * RUNS_PER_EPOCH + 1)
         task.runNumber = task.lastRunNumber
@@ -736,6 +737,7 @@
         row: RunningRow,
     ) {
         task.phase = TaskPhase.RUNNING
+        task.isPlaceKnown = true
         task.worker = worker
         task.runNumber = row.runNumber
         task.lastRunNumber = maxOf(task.lastRunNumber, row.runNumber)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -37,6 +37,12 @@
     var waitingSinceMs: Long = 0
     var lastFailedWorkerId: String? = null
 
+    /**
+     * True once this owner has started the task or has adopted its run: an earlier owner may not have left a run of it on
+     * another worker, since it starts a task only after the last run of it has ended.
+     */
+    var isPlaceKnown: Boolean = false
+
     /** True while the worker reports that the task works at its full rate. */
     var isAtWork: Boolean = false
 
@@ -94,6 +100,9 @@
 
     /** True when all steps that [stepRun] depends on are done. */
     fun isReady(stepRun: StepRun): Boolean = stepRun.step.after.all { steps[it].isDone }
+
+    /** True if [stepRun] cannot have begun before this owner's term: a task that it depends on has run in this term. */
+    fun hasBecomeReadyInTerm(stepRun: StepRun): Boolean = stepRun.step.after.any { number -> steps[number].tasks.any { it.isPlaceKnown } }
 }
 
 /** What is expected of a job, computed at loop time [atMs]. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/LongRunningTaskTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/LongRunningTaskTest.kt
@@ -11,6 +11,7 @@
 import io.corianderrock.jobs.world.JobWorld
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotContain
 
 private const val LOST_AT_MS = 8_000L
 private const val OWNER_DOWN_MS = 2_000L
@@ -18,6 +19,11 @@
 /** The longest lease of a platform on which lost workers keep their tasks for longer than the bound. */
 private const val LONG_LEASE_MS = 10_000L
 private const val INSTANCE_COUNT = 14
+
+/** Time within which another entry owns the scheduling and has asked all workers it reaches. */
+private const val TAKEOVER_MS = 3_000L
+private const val RESTART_MS = 3_000L
+private const val PARTITIONED_MS = 20_000L
 private val SEEDS = 1..20
 
 private val LONG_RUNNING_JOB =
@@ -51,6 +57,12 @@
                 SEEDS.flatMap { violationsAfterLoss(it, LONG_LEASE_MS, isInstanceRemoved = true) }.shouldBeEmpty()
             }
         }
+        describe("a long-running task that a new owner has seen running") {
+            // Guards against an unreachable worker that holds back tasks which cannot be running on it.
+            it("is restarted while another worker of its pool has not answered the new owner yet") {
+                SEEDS.map(::runsAgainBesideUnreachableWorker) shouldNotContain false
+            }
+        }
     })
 
 /** Submits a long-running job and lets the worker of one of its tasks be lost for good together with [alsoFail]. */
@@ -73,3 +85,27 @@
             }
         },
     ).run().violations.map { "seed $seed: $it" }
+
+/**
+ * Kills the owner while the worker of one task is cut off, and the worker of the other task once the next owner has adopted its
+ * run. Returns whether that task runs again soon, which is before the lease of the first worker expires.
+ */
+private fun runsAgainBesideUnreachableWorker(seed: Int): Boolean {
+    var isRunningAgain = false
+    JobWorld(
+        seed,
+        hasFaults = false,
+        instanceCount = INSTANCE_COUNT,
+        longestLeaseMs = LONG_LEASE_MS,
+        scheduleEvents = { world ->
+            world.submit(LONG_RUNNING_JOB)
+            world.time.after(LOST_AT_MS) {
+                world.workerOf(TASKS[1])?.let { world.partition(it, PARTITIONED_MS) }
+                world.entries.first { it.scheduler != null }.kill()
+            }
+            world.time.after(LOST_AT_MS + TAKEOVER_MS) { world.workerOf(TASKS[0])?.let { world.loseWorker(it, isInstanceRemoved = false) } }
+            world.time.after(LOST_AT_MS + TAKEOVER_MS + RESTART_MS) { isRunningAgain = world.workerOf(TASKS[0]) != null }
+        },
+    ).run()
+    return isRunningAgain
+}
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -639,7 +639,14 @@
     }
 
     private fun partitionWorker(durationMs: Long) {
-        val worker = upWorkers().randomOrNull(random) ?: return
+        partition(upWorkers().randomOrNull(random) ?: return, durationMs)
+    }
+
+    /** Cuts [worker], which runs on, off from all entries and from discovery. */
+    fun partition(
+        worker: SimWorker,
+        durationMs: Long,
+    ) {
         trace("world", "worker_partitioned", arrayOf<Any?>(worker.entry.id, durationMs))
         during(durationMs, { worker.isReachable = false }, { worker.isReachable = true })
         time.after(minOf(durationMs, UNLISTED_AFTER_MS)) { if (!worker.isReachable) unlistWorker(worker) }
