Estimate the clock of an idle worker from below

Cause: the worker's clock was extrapolated from its last reading at full speed, but may be 2% slow, so the end of the lease moved on with the time that the worker was idle. The platform shortens a lease to its limit, so no caller can have seen this.

Change: the estimate runs at the slowest rate. It falls behind a correct clock by 20 ms a second meanwhile, which the next answer corrects; a refused order now counts as a reading too, or a worker idle for minutes would refuse each start as expired.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -409,6 +409,8 @@
                 else -> 0L
             }
         worker.avoidUntilMs = maxOf(worker.avoidUntilMs, loop.nowMs + avoidMs)
+        // A worker that was idle for long refuses an order as expired by an estimate that has fallen behind its clock.
+        answer.workerClockMs?.let { worker.recordClock(it, loop.nowMs) }
         if (answer.refusal == StartRefusal.FENCE) onFenced()
         if (answer.refusal == StartRefusal.TICKET) task.stepRun.ticketsExpireAtMs = 0
         releaseRun(worker, task)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -101,8 +101,8 @@
         occupied -= task.stepRun.step.occupied
     }
 
-    /** The worker's clock at loop time [nowMs], extrapolated from its last reading. */
-    fun estimatedClockMs(nowMs: Long): Long = clockMs + (nowMs - clockReadAtMs)
+    /** A lower bound on the worker's clock at loop time [nowMs], from its last reading: a lease that starts there is never too long. */
+    fun estimatedClockMs(nowMs: Long): Long = clockMs + ((nowMs - clockReadAtMs) * MIN_WORKER_CLOCK_RATE).toLong()
 
     /** Records a reading of the worker's clock that was received at loop time [nowMs]. */
     fun recordClock(
