Log slow transactions of the owner and how many rows wait for the next one

While the store was slow, jobs were accepted late or not at all. The logs could not tell whether the owner's transactions were slow, whether rows queued up behind them or whether they were refused: only a refused one left a line.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -185,6 +185,8 @@
         version: Long,
     ) {
         if (failures > 0) log.write("store_regained", "failures", failures)
+        val tookMs = loop.nowMs - sentAt.loopMs
+        if (tookMs > SLOW_ANSWER_MS) log.write("commit_slow", "tookMs", tookMs, "rows", batch.writes.size, "waiting", pending.size)
         failures = 0
         owner = batch.owner
         ownerVersion = version
