Store new jobs before rows that wait, and fill transactions to the store's limit

Cause: the owner has one transaction in flight, which carried 48 rows in order of arrival. With 0.5 s a transaction the rows of ended runs queued up (commit_slow tookMs=584 rows=48 waiting=256), and a new job waited behind all of them: every submission from 9.41 s on was still unanswered after the 900 ms that an entry waits for the owner. 48 was half of what a transaction holds, as each row counted as if it had a condition.

A transaction now takes new jobs first, so that one waits for the transaction in flight and its own, and as many rows as its 100 entries hold: 98 rows without conditions. Rows without conditions keep their order, on which acknowledgements rest.

CommitterTest, before: a new job behind 300 rows was stored after 2217 ms (bound 730), transactions held 50 of 100 entries.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -107,8 +107,7 @@
     }
 
     /**
-     * Releases the ownership in the next transaction, which also carries pending writes, new jobs first; nothing is
-     * written afterwards. Dropping the rest is safe: workers list ended runs until they are acknowledged, and callers
+     * Releases the ownership in the next transaction, which also carries pending writes; nothing is written afterwards. Dropping the rest is safe: workers list ended runs until they are acknowledged, and callers
      * whose jobs were not stored are told that the outcome is open.
      */
     fun release(onDone: () -> Unit) {
@@ -139,11 +138,9 @@
     }
 
     private fun takeBatch(): Batch {
-        val isLast = onReleased != null
-        val queued = if (isLast) pending.values.sortedBy { !it.mustBeAbsent } else pending.values
-        val writes = queued.take(MAX_WRITES)
+        val writes = nextWrites()
         writes.forEach { pending.remove(it.key) }
-        val next = if (isLast) owner.released() else owner.copy(heartbeat = owner.heartbeat + 1)
+        val next = if (onReleased != null) owner.released() else owner.copy(heartbeat = owner.heartbeat + 1)
         return Batch(
             writes,
             next.copy(earlierOrdersWindowMs = earlierOrdersWindowMs()),
@@ -152,6 +149,15 @@
         )
     }
 
+    /** As many pending writes as one transaction holds: new jobs first, since their callers wait, then in order of arrival. */
+    private fun nextWrites(): List<Write> {
+        var entryCount = OWNER_ROW_ENTRIES
+        return pending.values.sortedBy { !it.mustBeAbsent }.takeWhile {
+            entryCount += if (it.mustBeAbsent) 2 else 1
+            entryCount <= MAX_ENTRIES
+        }
+    }
+
     private fun changeOf(batch: Batch): RowChange {
         val expected = HashMap<RowKey, Long>()
         expected[OwnerRow.KEY] = ownerVersion
@@ -276,7 +282,10 @@
         /** Delay before a failed transaction is retried. */
         const val RETRY_DELAY_MS = 150L
 
-        /** Writes per transaction besides the owner row; the platform accepts 100 entries, including conditions. */
-        const val MAX_WRITES = 48
+        /** Entries of one transaction that the store accepts: rows and conditions. */
+        const val MAX_ENTRIES = 100
+
+        /** The owner row and the condition on it. */
+        const val OWNER_ROW_ENTRIES = 2
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -1,6 +1,6 @@
 /*
- * Release of the ownership while the store is slow. A steady stream of new writes must not delay the release, and jobs
- * pending acceptance must be stored with it.
+ * Writes of the owner while the store is slow. Rows of ended runs that queue up must not delay the acceptance of jobs; a steady
+ * stream of new writes must not delay the release of the ownership, and jobs pending acceptance must be stored with it.
  */
 package io.corianderrock.jobs
 
@@ -36,6 +36,12 @@
 
 internal const val ANSWER_MS = 340L
 
+/** Entries of one transaction that the platform's store accepts. */
+private const val STORE_ENTRIES = 100
+
+/** Rows of three transactions. */
+private const val WAITING_ROWS = 300
+
 private class ReleasingOwner {
     val time = SimTime()
     val tables = SlowTables(time)
@@ -48,6 +54,8 @@
         time.after(20) { addWritesPeriodically(remaining - 1) }
     }
 
+    fun addProgressRows(count: Int) = repeat(count) { committer.put(RowKey(Table.PROGRESS, "ended$it")) { "ended" } }
+
     fun releaseTookMs(): Long {
         var releasedAtMs = Long.MAX_VALUE
         val startMs = time.nowMs
@@ -59,6 +67,28 @@
 
 internal class CommitterTest :
     DescribeSpec({
+        describe("an owner with more rows than fit into one transaction while the store is slow") {
+            it("stores a new job in its next transaction") {
+                val owner = ReleasingOwner()
+                owner.addProgressRows(WAITING_ROWS)
+                owner.time.runUntil(owner.time.nowMs + ANSWER_MS / 2)
+                var acceptedAtMs = Long.MAX_VALUE
+                val sentAtMs = owner.time.nowMs
+                owner.committer.put(RowKey(Table.JOBS, "job"), mustBeAbsent = true, onStored = { acceptedAtMs = owner.time.nowMs }) { "new" }
+                owner.time.runUntil(sentAtMs + 5_000)
+                acceptedAtMs - sentAtMs shouldBeLessThan 2 * ANSWER_MS + 50
+            }
+            it("fills each transaction up to the entries that the store accepts") {
+                val owner = ReleasingOwner()
+                owner.addProgressRows(WAITING_ROWS)
+                repeat(WAITING_ROWS) { owner.committer.put(RowKey(Table.JOBS, "new$it"), mustBeAbsent = true) { "new" } }
+                owner.time.runUntil(owner.time.nowMs + 20 * ANSWER_MS)
+                val entryCounts = owner.tables.changes.map { it.expected.size + it.puts.size + it.deletes.size }
+                val full = entryCounts.filter { it > 2 }.dropLast(1)
+                full.forEach { (it in STORE_ENTRIES - 1..STORE_ENTRIES).shouldBeTrue() }
+                entryCounts.sumOf { it - 2 } shouldBe 3 * WAITING_ROWS
+            }
+        }
         describe("an owner that releases its ownership while the store is slow and writes keep arriving") {
             it("releases the ownership in its next transaction") {
                 val owner = ReleasingOwner()
