Join a submission that is repeated to the write in flight for the job

A caller, or an entry whose first attempt was not answered, submits a job again while its row is on its way to the store. The second submission got a write of its own, on the condition that the row is absent; by then it was there, so the next transaction failed and all its rows were sent once more.

A write on the condition that its row is absent never differs from one in flight for the same row, so the caller joins that.

CommitterTest, before: the row was written twice (expected 1, was 2).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -67,8 +67,9 @@
     /**
      * Writes the row [key] in a later transaction. [value] is evaluated when the transaction is built; null deletes the
      * row. With [mustBeAbsent] an existing row is left unchanged and passed to [onStored], which otherwise gets null. A
-     * write that is still pending for the same key is kept, and [onStored] is added to it. [onDropped] is called instead if
-     * the ownership ends before the answer: the row may have been written or not.
+     * write that is still pending for the same key is kept, and [onStored] is added to it; so is one in flight with
+     * [mustBeAbsent], since a second one would only conflict with it. [onDropped] is called instead if the ownership ends
+     * before the answer: the row may have been written or not.
      */
     fun put(
         key: RowKey,
@@ -77,7 +78,9 @@
         onStored: (StoredRow?) -> Unit = {},
         value: () -> String?,
     ) {
-        val write = pending.getOrPut(key) { Write(key, value, mustBeAbsent) }
+        val write =
+            inFlight?.writes?.firstOrNull { mustBeAbsent && it.mustBeAbsent && it.key == key }
+                ?: pending.getOrPut(key) { Write(key, value, mustBeAbsent) }
         write.onStored.add(onStored)
         write.onDropped.add(onDropped)
         schedule()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -89,6 +89,22 @@
                 entryCounts.sumOf { it - 2 } shouldBe 3 * WAITING_ROWS
             }
         }
+        describe("a job that is submitted again while it is being stored") {
+            it("is accepted with the write in flight, and not written twice") {
+                val owner = ReleasingOwner()
+                val acceptedAtMs = ArrayList<Long>()
+                val submit = {
+                    owner.committer.put(RowKey(Table.JOBS, "job"), mustBeAbsent = true, onStored = { acceptedAtMs.add(owner.time.nowMs) }) { "new" }
+                }
+                submit()
+                owner.time.runUntil(owner.time.nowMs + ANSWER_MS / 2)
+                submit()
+                owner.time.runUntil(owner.time.nowMs + 5 * ANSWER_MS)
+                acceptedAtMs.size shouldBe 2
+                acceptedAtMs.distinct().size shouldBe 1
+                owner.tables.changes.count { RowKey(Table.JOBS, "job") in it.puts } shouldBe 1
+            }
+        }
         describe("an owner that releases its ownership while the store is slow and writes keep arriving") {
             it("releases the ownership in its next transaction") {
                 val owner = ReleasingOwner()
