Store no job around the scheduler while the store is slow

Cause: an entry whose submission the owner did not answer within 900 ms, or that heard that it cannot write, stored the job in a transaction of its own. A store 72 times slower carries 4 transactions a second; 33 entries sent 30 and more. The store refused what waited over a second (status 429), the owner's transactions among it, so every entry went on to write around the owner: the overload kept itself up until the store was sound again.

The owner stores up to 49 jobs in one transaction. While reads of the owner row, which every entry makes twice a second, take ten times as long as usual, an entry asks the owner again until its caller's time is over, and then refuses. Submissions are idempotent by the job's id. Reads and cancellations go to the store as before.

JobRequestRouterTest, before: no answer within 5 s, since the store never answers there.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/CallerReach.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/CallerReach.kt
@@ -6,9 +6,10 @@
 
 import io.corianderrock.jobs.ports.EventLoop
 
-/** [isLost] tells whether the store answers this entry. Readable from any thread. */
+/** [isLost] tells whether the store answers this entry, [isSlow] whether it takes long. Readable from any thread. */
 public class CallerReach(
     private val loop: EventLoop,
+    private val isSlow: () -> Boolean,
     private val isLost: () -> Boolean,
 ) : EntryReach {
     @Volatile
@@ -16,6 +17,8 @@
 
     override val isStoreLost: Boolean get() = isLost()
 
+    override val isStoreSlow: Boolean get() = isSlow()
+
     override val isCutOff: Boolean get() = isStoreLost && loop.nowMs - peerAnsweredAtMs > PEER_ANSWER_MS
 
     /** Records that a peer has answered this entry, as owner or about the owner. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
@@ -69,6 +69,9 @@
     /** True while the store does not answer this entry. */
     public val isStoreLost: Boolean
 
+    /** True while the store answers this entry, but takes many times as long as usual. */
+    public val isStoreSlow: Boolean
+
     /** True while neither the store nor a peer answers this entry. */
     public val isCutOff: Boolean
 }
@@ -77,6 +80,9 @@
  * Routes the requests of this entry's callers to [scheduler], and to [store] when the scheduler gives no answer. While neither
  * can be reached, a request of which nothing was sent is refused at once, so that the caller can try another entry; one that
  * may have been carried out is asked again until its outcome is known, since all requests are idempotent by the job's id.
+ *
+ * While the store is slow, no job is stored around the scheduler, which stores many in one transaction: one for each job, from
+ * all entries, would leave the scheduler no share of the few transactions that the store still carries.
  */
 public class JobRequestRouter(
     private val loop: EventLoop,
@@ -119,6 +125,7 @@
             when {
                 request is JobRequest.Pending -> refuse("the scheduler cannot be reached; retry later", reason)
                 reach.isStoreLost -> retryOrRefuse(reason)
+                reach.isStoreSlow && request is JobRequest.Submit -> retryWhileTimeRemains(reason)
                 else -> store.answer(request) { onStoreAnswer(reason, it) }
             }
         }
@@ -138,10 +145,14 @@
         }
 
         private fun retryOrRefuse(reason: String) {
+            if (isUncertain) retryWhileTimeRemains(reason) else refuse(UNREACHABLE, reason)
+        }
+
+        private fun retryWhileTimeRemains(reason: String) {
             when {
-                !isUncertain -> refuse(UNREACHABLE, reason)
                 loop.nowMs - startedAtMs < RESOLVE_MS -> loop.after(RETRY_INTERVAL_MS) { askScheduler() }
-                else -> finish(CallerAnswer.Uncertain(reason), reason)
+                isUncertain -> finish(CallerAnswer.Uncertain(reason), reason)
+                else -> refuse("the scheduler cannot be reached and the store is slow; retry later", reason)
             }
         }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
@@ -99,6 +99,9 @@
     /** True while the store does not answer this entry. Callable from any thread. */
     public val isStoreLost: Boolean get() = if (isOwner) !canWrite() else storeReach.isLost
 
+    /** True while the store answers this entry, but slowly. The owner counts as having a sound store. Callable from any thread. */
+    public val isStoreSlow: Boolean get() = !isOwner && storeReach.isSlow
+
     /** What this entry answers when a peer asks. Callable from any thread. */
     public fun status(): PeerStatus = PeerStatus(owner, isOwner, canWrite = !isOwner || canWrite())
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/StoreReach.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/StoreReach.kt
@@ -1,23 +1,29 @@
 /*
- * Tells whether this entry reaches the store, from the outcome of its regular reads.
+ * Tells whether this entry reaches the store and how soon it answers, from the outcome of its regular reads.
  */
 package io.corianderrock.jobs.ownership
 
 import io.corianderrock.jobs.ports.EventLoop
 
-/** Updated on the event loop; [isLost] is readable from any thread. */
+/** Updated on the event loop; [isLost] and [isSlow] are readable from any thread. */
 internal class StoreReach(
     private val loop: EventLoop,
 ) {
     @Volatile
     private var hasFailed = false
 
+    @Volatile
+    private var wasSlow = false
+
     /** When the oldest read since the last answer was sent, in loop time; null if none is waiting. */
     @Volatile
     private var waitingSinceMs: Long? = null
 
     /** True from a failed or overdue read to the next answer. */
-    val isLost: Boolean get() = hasFailed || (waitingSinceMs?.let { loop.nowMs - it > OVERDUE_MS } ?: false)
+    val isLost: Boolean get() = hasFailed || isWaitingFor(OVERDUE_MS)
+
+    /** True while a read takes [SLOW_MS], from then until the answer to a read that took less. */
+    val isSlow: Boolean get() = wasSlow || isWaitingFor(SLOW_MS)
 
     fun onReadSent() {
         if (waitingSinceMs == null) waitingSinceMs = loop.nowMs
@@ -25,11 +31,17 @@
 
     fun onReadEnded(isAnswered: Boolean) {
         hasFailed = !isAnswered
+        wasSlow = isWaitingFor(SLOW_MS)
         waitingSinceMs = null
     }
 
+    private fun isWaitingFor(durationMs: Long): Boolean = waitingSinceMs?.let { loop.nowMs - it > durationMs } ?: false
+
     private companion object {
         /** Above the 240 ms of a store that is sixty times slower than usual. */
         const val OVERDUE_MS = 500L
+
+        /** Ten times what a read usually takes. */
+        const val SLOW_MS = 50L
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobRequestRouterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobRequestRouterTest.kt
@@ -1,5 +1,5 @@
 /*
- * Covers what callers are told while the scheduler or the store cannot be reached: a request of which nothing was sent is
+ * Covers what callers are told while the scheduler or the store cannot be reached or is slow: a request of which nothing was sent is
  * refused at once, one whose answer was lost is asked again until its outcome is known and never reported as not carried out.
  */
 package io.corianderrock.jobs
@@ -73,22 +73,43 @@
                 caller.answer shouldBe CallerAnswer.Applied
             }
         }
+        describe("while the store answers slowly") {
+            it("asks the scheduler again and stores no job around it") {
+                var attempts = 0
+                val caller =
+                    Caller(isSlowOnly = true) {
+                        if (attempts++ < 3) SchedulerReply.Unanswered("late") else SchedulerReply.Answer(CallerAnswer.Applied)
+                    }
+                caller.submit(runForMs = 5_000)
+                caller.answer shouldBe CallerAnswer.Applied
+            }
+            it("refuses a submission that no scheduler has taken by the end of the caller's time") {
+                val caller = Caller(isSlowOnly = true) { SchedulerReply.NotHandled("no owner") }
+                caller.submit(runForMs = 3_000)
+                caller.answer.shouldBeInstanceOf<CallerAnswer.NotApplied>()
+            }
+        }
     })
 
-/** A caller of an entry that has lost the store; [reply] is what the scheduler says to each attempt. */
+/**
+ * A caller of an entry that has lost the store, or with [isSlowOnly] of one whose store is slow; [reply] is what the scheduler
+ * says to each attempt. The store never answers.
+ */
 private class Caller(
     isWithoutPeers: Boolean = false,
+    isSlowOnly: Boolean = false,
     reply: () -> SchedulerReply,
 ) {
     private val time = SimTime()
     private val loop = SimLoop(time)
     private val scheduler = SchedulerClient { _, onReply -> loop.after(1) { onReply(reply()) } }
-    private val lostStore =
+    private val reach =
         object : EntryReach {
-            override val isStoreLost = true
+            override val isStoreLost = !isSlowOnly
+            override val isStoreSlow = isSlowOnly
             override val isCutOff = isWithoutPeers
         }
-    private val router = JobRequestRouter(loop, scheduler, StoredJobService(SilentTables), lostStore) { _, _ -> }
+    private val router = JobRequestRouter(loop, scheduler, StoredJobService(SilentTables), reach) { _, _ -> }
     var answer: CallerAnswer? = null
 
     fun submit(runForMs: Long) {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -93,7 +93,7 @@
                 },
             )
         this.elector = elector
-        val reach = CallerReach(loop) { elector.isStoreLost }
+        val reach = CallerReach(loop, isSlow = { elector.isStoreSlow }) { elector.isStoreLost }
         this.reach = reach
         val local = LocalSchedulerClient { scheduler }
         router =
