Do not take a store that is slow for one that is lost

Cause: `canWrite` turned false once the last confirmed transaction had been sent 800 ms ago. With 0.46 s a transaction the one after it is confirmed 0.92 s after that, so an owner whose transactions all succeed told its callers, every other moment, that it cannot write.

It now takes a transaction that was refused, or one without an answer for 800 ms, besides. A busy owner always has one on its way, so a store that no longer answers shows as soon as before; OwnerFailureTest bounds that.

CommitterTest, before: false with answers of 500 ms.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -51,11 +51,12 @@
     private var onReleased: (() -> Unit)? = null
 
     /** True while the current transaction is failing or its answer is overdue. */
-    val isStoreUnhealthy: Boolean get() = failures > 0 || inFlight != null && loop.nowMs - lastSentAtMs > SLOW_ANSWER_MS
+    val isStoreUnhealthy: Boolean get() = failures > 0 || isAnswerOverdue(SLOW_ANSWER_MS)
 
     /**
-     * False if no write has been answered for [WRITE_LOST_MS] although one was due. Updated by [renewIfDue], so that a loop
-     * that is merely busy does not look like a lost store. Readable from any thread.
+     * False if no write has been answered for [WRITE_LOST_MS] and the current one was refused or is overdue by as long: a store
+     * that takes most of that time for each transaction still carries them. Updated by [renewIfDue], so that a loop that is
+     * merely busy does not look like a lost store. Readable from any thread.
      */
     @Volatile
     var canWrite: Boolean = true
@@ -105,7 +106,7 @@
 
     /** Rewrites the owner row if no transaction was sent for [RENEW_INTERVAL_MS]. */
     fun renewIfDue() {
-        canWrite = ownership.ageMs < WRITE_LOST_MS
+        canWrite = ownership.ageMs < WRITE_LOST_MS || failures == 0 && !isAnswerOverdue(WRITE_LOST_MS)
         if (inFlight == null && loop.nowMs - lastSentAtMs >= RENEW_INTERVAL_MS) send()
     }
 
@@ -122,6 +123,8 @@
         if (inFlight == null) send()
     }
 
+    private fun isAnswerOverdue(afterMs: Long): Boolean = inFlight != null && loop.nowMs - lastSentAtMs > afterMs
+
     private fun schedule() {
         if (isScheduled || inFlight != null) return
         isScheduled = true
@@ -279,7 +282,7 @@
         /** Interval at which an idle owner rewrites its row: well below the silence after which peers ask for it. */
         const val RENEW_INTERVAL_MS = 400L
 
-        /** Two renewals without an answer. */
+        /** Two renewals without an answer; also the longest wait for the answer to one transaction. */
         const val WRITE_LOST_MS = 800L
 
         /** Delay before a failed transaction is retried. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -19,9 +19,10 @@
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 
-/** Answers each transaction after [ANSWER_MS]. */
+/** Answers each transaction after [answerMs]. */
 internal class SlowTables(
     private val time: SimTime,
+    private val answerMs: Long = ANSWER_MS,
 ) : JobTables by SilentTables {
     val changes = ArrayList<RowChange>()
 
@@ -30,7 +31,7 @@
         onResult: (ChangeResult) -> Unit,
     ) {
         changes.add(change)
-        time.after(ANSWER_MS) { onResult(ChangeResult.Committed(changes.size.toLong())) }
+        time.after(answerMs) { onResult(ChangeResult.Committed(changes.size.toLong())) }
     }
 }
 
@@ -39,12 +40,18 @@
 /** Entries of one transaction that the platform's store accepts. */
 private const val STORE_ENTRIES = 100
 
+/** Two transactions take longer than the 800 ms after which a store without an answer counts as lost; one does not. */
+private const val SLOW_ANSWER_MS = 500L
+private const val TICK_MS = 50L
+
 /** Rows of three transactions. */
 private const val WAITING_ROWS = 300
 
-private class ReleasingOwner {
+private class ReleasingOwner(
+    answerMs: Long = ANSWER_MS,
+) {
     val time = SimTime()
-    val tables = SlowTables(time)
+    val tables = SlowTables(time, answerMs)
     val committer = Committer(SimLoop(time), tables, { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
 
     /** Adds a write every 20 ms, also after the release has begun. */
@@ -56,6 +63,17 @@
 
     fun addProgressRows(count: Int) = repeat(count) { committer.put(RowKey(Table.PROGRESS, "ended$it")) { "ended" } }
 
+    /** Renews the ownership as the scheduler's ticks do; false if the store counted as lost at any of them. */
+    fun couldAlwaysWrite(forMs: Long): Boolean {
+        var couldWrite = true
+        repeat((forMs / TICK_MS).toInt()) {
+            committer.renewIfDue()
+            couldWrite = couldWrite && committer.canWrite
+            time.runUntil(time.nowMs + TICK_MS)
+        }
+        return couldWrite
+    }
+
     fun releaseTookMs(): Long {
         var releasedAtMs = Long.MAX_VALUE
         val startMs = time.nowMs
@@ -89,6 +107,13 @@
                 entryCounts.sumOf { it - 2 } shouldBe 3 * WAITING_ROWS
             }
         }
+        describe("an owner whose transactions all succeed, but slowly") {
+            it("can write") {
+                val owner = ReleasingOwner(answerMs = SLOW_ANSWER_MS)
+                owner.addWritesPeriodically()
+                owner.couldAlwaysWrite(forMs = 10 * SLOW_ANSWER_MS).shouldBeTrue()
+            }
+        }
         describe("a job that is submitted again while it is being stored") {
             it("is accepted with the write in flight, and not written twice") {
                 val owner = ReleasingOwner()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
@@ -1,5 +1,5 @@
 /*
- * In-memory store with the faults of the platform's store: unreachable for all entries or for one, lost answers, and
+ * In-memory store with the faults of the platform's store: unreachable for all entries or for one, slow, lost answers, and
  * writes that are applied seconds later.
  */
 package io.corianderrock.jobs.world
@@ -22,6 +22,10 @@
     private var version = 0L
     var isDown = false
     var lostAnswerRatio = 0.0
+
+    /** Further delay of each answer and the time that each transaction keeps the next one waiting; above zero the store is slow. */
+    var slowMs = 0L
+    private var busyUntilMs = 0L
     val completeWaves = HashSet<Int>()
 
     fun apply(change: RowChange): ChangeResult {
@@ -53,6 +57,10 @@
                 loop.after(TIMEOUT_MS) { onResult(ChangeResult.Failed("no answer", mayHaveApplied = true)) }
                 return
             }
+            if (slowMs > 0) {
+                commitSlowly(change, onResult)
+                return
+            }
             val isLost = random.nextDouble() < lostAnswerRatio
             val applyDelayMs = if (isLost && random.nextBoolean()) random.nextLong(500, 5_000) else random.nextLong(1, 4)
             time.after(applyDelayMs) {
@@ -62,6 +70,31 @@
             if (isLost) loop.after(TIMEOUT_MS) { onResult(ChangeResult.Failed("answer lost", mayHaveApplied = true)) }
         }
 
+        /** Applies transactions one after another; refuses them while more than a second of them waits. */
+        private fun commitSlowly(
+            change: RowChange,
+            onResult: (ChangeResult) -> Unit,
+        ) {
+            val startMs = maxOf(busyUntilMs, time.nowMs)
+            if (startMs - time.nowMs > MAX_WAITING_MS) {
+                loop.after(slowMs) { onResult(ChangeResult.Failed("overloaded", mayHaveApplied = false)) }
+                return
+            }
+            busyUntilMs = startMs + slowMs
+            var isAnswered = false
+            val answer = { result: ChangeResult ->
+                if (!isAnswered) {
+                    isAnswered = true
+                    onResult(result)
+                }
+            }
+            time.after(busyUntilMs - time.nowMs) {
+                val result = apply(change)
+                loop.after(slowMs) { answer(result) }
+            }
+            loop.after(TIMEOUT_MS) { answer(ChangeResult.Failed("no answer", mayHaveApplied = true)) }
+        }
+
         override fun scan(
             table: Table,
             onResult: (ReadResult) -> Unit,
@@ -79,7 +112,7 @@
             if (isUnreachable()) {
                 loop.after(TIMEOUT_MS) { onResult(ReadResult.Failed("no answer")) }
             } else {
-                time.after(2) {
+                time.after(2 + slowMs) {
                     val result = rows()
                     loop.after(2) { onResult(result) }
                 }
@@ -101,6 +134,9 @@
 
     private companion object {
         const val TIMEOUT_MS = 900L
+
+        /** Waiting transactions beyond which the platform's store refuses more. */
+        const val MAX_WAITING_MS = 1_000L
     }
 }
 
