Keep small entries waiting after a small owner too

Cause: entries with less processor time than the last holder claim 600 ms later. Once a small entry is the holder, no entry has less, and the ownership stays where the first claim comes from; most entries are small.

The row now keeps the largest processor time that a holder has had. Any entry still claims where no larger one does.

A small owner that does not fail still keeps its term.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
@@ -43,7 +43,7 @@
 public class OwnerElector(
     private val name: String,
     private val address: String,
-    /** Processor time of this entry, in thousandths of a core. Entries with less than the last holder claim later. */
+    /** Processor time of this entry, in thousandths of a core. Entries with less than some holder has had claim later. */
     private val processorMilli: Int,
     private val loop: EventLoop,
     private val tables: JobTables,
@@ -231,7 +231,8 @@
         isClaiming = true
         val earlier = earlierOwner(row)
         val earlierOrdersWindowMs = maxOf(0, earlier.ordersEndMs(LONGEST_ORDER_FRESHNESS_MS) - loop.nowMs)
-        val next = OwnerRow(name, address, (row?.epoch ?: 0) + 1, 1, earlierOrdersWindowMs, processorMilli)
+        val largestProcessorMilli = maxOf(processorMilli, row?.processorMilli ?: 0)
+        val next = OwnerRow(name, address, (row?.epoch ?: 0) + 1, 1, earlierOrdersWindowMs, largestProcessorMilli)
         val change = RowChange(expected = mapOf(OwnerRow.KEY to version), puts = mapOf(OwnerRow.KEY to next.encode()))
         val sinceLastMs = loop.nowMs - unchangedSinceMs
         tables.commit(change) { result ->
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerRow.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerRow.kt
@@ -14,8 +14,8 @@
 /**
  * [holder] and [address] are empty while there is no owner. [epoch] rises with each claim, [heartbeat] with each write of
  * the holder. For [earlierOrdersWindowMs] after the write, owners before the holder may still send orders, since they may
- * not know yet that they have lost the ownership. [processorMilli] is the processor time of the holder, in thousandths of a core,
- * zero if not known; it is kept when the holder releases the row.
+ * not know yet that they have lost the ownership. [processorMilli] is the largest processor time that a holder has had so far, in
+ * thousandths of a core, zero if not known; it is kept when the holder releases the row.
  */
 @Serializable
 public data class OwnerRow(
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
@@ -69,6 +69,15 @@
                 }
             }
         }
+        describe("an owner with little processor time that fails") {
+            it("is replaced by an entry with as much as the owners before it had") {
+                SEEDS.forEach { seed ->
+                    val failure = SmallOwnerFailure(seed)
+                    failure.run()
+                    failure.ownersAfterwards.single().processorMilli shouldBe LARGE_MILLI
+                }
+            }
+        }
         describe("an outage of the store for all entries") {
             it("leaves the ownership where it is") {
                 SEEDS.forEach { seed ->
@@ -156,6 +165,41 @@
     }
 }
 
+/** The only large entry is cut off, so that a small one becomes the owner; it is back when that one is cut off too. */
+private class SmallOwnerFailure(
+    seed: Int,
+) {
+    val ownersAfterwards = ArrayList<SimEntry>()
+    private val world =
+        JobWorld(seed, hasFaults = false, scheduleEvents = { world ->
+            world.time.after(RESTART_AT_MS) { restartSmall(world) }
+            isolateOwner(world, FAILURE_AT_MS)
+            isolateOwner(world, FAILURE_AT_MS + 2 * FAILURE_FOR_MS)
+            world.time.after(FAILURE_AT_MS + 3 * FAILURE_FOR_MS) {
+                ownersAfterwards += world.entries.filter { it.scheduler != null && !it.isPartitionedFromStore }
+            }
+        })
+
+    fun run() = world.run()
+
+    private fun restartSmall(world: JobWorld) {
+        for (entry in world.entries.filter { it.scheduler == null }) {
+            entry.kill()
+            entry.processorMilli = SMALL_MILLI
+            entry.boot()
+        }
+    }
+
+    private fun isolateOwner(
+        world: JobWorld,
+        atMs: Long,
+    ) = world.time.after(atMs) {
+        val owner = world.entries.first { it.scheduler != null }
+        owner.setIsolated(true)
+        world.time.after(FAILURE_FOR_MS) { owner.setIsolated(false) }
+    }
+}
+
 /** Lets [fail] happen to the owner and one peer and submits a job through that peer [atMs] later; returns its answer. */
 private fun submitDuringFailure(
     seed: Int,
