--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -51,11 +51,12 @@
     private var onReleased: (() -> Unit)? = null
 
     /** True while the current transaction is failing or its answer is overdue. */
-    val isStoreUnhealthy: Boolean get() = failures > 0 || inFlight != null && loop.nowMs - lastSentAtMs > SLOW_ANSWER_MS
+    val isStoreUnhealthy: Boolean get() = failures > 0 || isAnswerOverdue(SLOW_ANSWER_MS)
 
     /**
-     * False if no write has been answered for [WRITE_LOST_MS] although one was due. Updated by [renewIfDue], so that a loop
-     * that is merely busy does not look like a lost store. Readable from any thread.
+     * False if no write has been answered for [WRITE_LOST_MS] and the current one was refused or is overdue by as long: a store
+     * that takes most of that time for each transaction still carries them. Updated by [renewIfDue], so that a loop that is
+     * merely busy does not look like a lost store. Readable from any thread.
      */
     @Volatile
     var canWrite: Boolean = true
@@ -67,8 +68,9 @@
     /**
      * Writes the row [key] in a later transaction. [value] is evaluated when the transaction is built; null deletes the
      * row. With [mustBeAbsent] an existing row is left unchanged and passed to [onStored], which otherwise gets null. A
-     * write that is still pending for the same key is kept, and [onStored] is added to it. [onDropped] is called instead if
-     * the ownership ends before the answer: the row may have been written or not.
+     * write that is still pending for the same key is kept, and [onStored] is added to it; so is one in flight with
+     * [mustBeAbsent], since a second one would only conflict with it. [onDropped] is called instead if the ownership ends
+     * before the answer: the row may have been written or not.
      */
     fun put(
         key: RowKey,
@@ -77,7 +79,9 @@
         onStored: (StoredRow?) -> Unit = {},
         value: () -> String?,
     ) {
-        val write = pending.getOrPut(key) { Write(key, value, mustBeAbsent) }
+        val write =
+            inFlight?.writes?.firstOrNull { mustBeAbsent && it.mustBeAbsent && it.key == key }
+                ?: pending.getOrPut(key) { Write(key, value, mustBeAbsent) }
         write.onStored.add(onStored)
         write.onDropped.add(onDropped)
         schedule()
@@ -102,13 +106,12 @@
 
     /** Rewrites the owner row if no transaction was sent for [RENEW_INTERVAL_MS]. */
     fun renewIfDue() {
-        canWrite = ownership.ageMs < WRITE_LOST_MS
+        canWrite = ownership.ageMs < WRITE_LOST_MS || failures == 0 && !isAnswerOverdue(WRITE_LOST_MS)
         if (inFlight == null && loop.nowMs - lastSentAtMs >= RENEW_INTERVAL_MS) send()
     }
 
     /**
-     * Releases the ownership in the next transaction, which also carries pending writes, new jobs first; nothing is
-     * written afterwards. Dropping the rest is safe: workers list ended runs until they are acknowledged, and callers
+     * Releases the ownership in the next transaction, which also carries pending writes; nothing is written afterwards. Dropping the rest is safe: workers list ended runs until they are acknowledged, and callers
      * whose jobs were not stored are told that the outcome is open.
      */
     fun release(onDone: () -> Unit) {
@@ -120,6 +123,8 @@
         if (inFlight == null) send()
     }
 
+    private fun isAnswerOverdue(afterMs: Long): Boolean = inFlight != null && loop.nowMs - lastSentAtMs > afterMs
+
     private fun schedule() {
         if (isScheduled || inFlight != null) return
         isScheduled = true
@@ -139,11 +144,9 @@
     }
 
     private fun takeBatch(): Batch {
-        val isLast = onReleased != null
-        val queued = if (isLast) pending.values.sortedBy { !it.mustBeAbsent } else pending.values
-        val writes = queued.take(MAX_WRITES)
+        val writes = nextWrites()
         writes.forEach { pending.remove(it.key) }
-        val next = if (isLast) owner.released() else owner.copy(heartbeat = owner.heartbeat + 1)
+        val next = if (onReleased != null) owner.released() else owner.copy(heartbeat = owner.heartbeat + 1)
         return Batch(
             writes,
             next.copy(earlierOrdersWindowMs = earlierOrdersWindowMs()),
@@ -152,6 +155,15 @@
         )
     }
 
+    /** As many pending writes as one transaction holds: new jobs first, since their callers wait, then in order of arrival. */
+    private fun nextWrites(): List<Write> {
+        var entryCount = OWNER_ROW_ENTRIES
+        return pending.values.sortedBy { !it.mustBeAbsent }.takeWhile {
+            entryCount += if (it.mustBeAbsent) 2 else 1
+            entryCount <= MAX_ENTRIES
+        }
+    }
+
     private fun changeOf(batch: Batch): RowChange {
         val expected = HashMap<RowKey, Long>()
         expected[OwnerRow.KEY] = ownerVersion
@@ -185,6 +197,8 @@
         version: Long,
     ) {
         if (failures > 0) log.write("store_regained", "failures", failures)
+        val tookMs = loop.nowMs - sentAt.loopMs
+        if (tookMs > SLOW_ANSWER_MS) log.write("commit_slow", "tookMs", tookMs, "rows", batch.writes.size, "waiting", pending.size)
         failures = 0
         owner = batch.owner
         ownerVersion = version
@@ -268,13 +282,16 @@
         /** Interval at which an idle owner rewrites its row: well below the silence after which peers ask for it. */
         const val RENEW_INTERVAL_MS = 400L
 
-        /** Two renewals without an answer. */
+        /** Two renewals without an answer; also the longest wait for the answer to one transaction. */
         const val WRITE_LOST_MS = 800L
 
         /** Delay before a failed transaction is retried. */
         const val RETRY_DELAY_MS = 150L
 
-        /** Writes per transaction besides the owner row; the platform accepts 100 entries, including conditions. */
-        const val MAX_WRITES = 48
+        /** Entries of one transaction that the store accepts: rows and conditions. */
+        const val MAX_ENTRIES = 100
+
+        /** The owner row and the condition on it. */
+        const val OWNER_ROW_ENTRIES = 2
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -1,6 +1,6 @@
 /*
- * Release of the ownership while the store is slow. A steady stream of new writes must not delay the release, and jobs
- * pending acceptance must be stored with it.
+ * Writes of the owner while the store is slow. Rows of ended runs that queue up must not delay the acceptance of jobs; a steady
+ * stream of new writes must not delay the release of the ownership, and jobs pending acceptance must be stored with it.
  */
 package io.corianderrock.jobs
 
@@ -19,9 +19,10 @@
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 
-/** Answers each transaction after [ANSWER_MS]. */
+/** Answers each transaction after [answerMs]. */
 internal class SlowTables(
     private val time: SimTime,
+    private val answerMs: Long = ANSWER_MS,
 ) : JobTables by SilentTables {
     val changes = ArrayList<RowChange>()
 
@@ -30,15 +31,27 @@
         onResult: (ChangeResult) -> Unit,
     ) {
         changes.add(change)
-        time.after(ANSWER_MS) { onResult(ChangeResult.Committed(changes.size.toLong())) }
+        time.after(answerMs) { onResult(ChangeResult.Committed(changes.size.toLong())) }
     }
 }
 
 internal const val ANSWER_MS = 340L
 
-private class ReleasingOwner {
+/** Entries of one transaction that the platform's store accepts. */
+private const val STORE_ENTRIES = 100
+
+/** Two transactions take longer than the 800 ms after which a store without an answer counts as lost; one does not. */
+private const val SLOW_ANSWER_MS = 500L
+private const val TICK_MS = 50L
+
+/** Rows of three transactions. */
+private const val WAITING_ROWS = 300
+
+private class ReleasingOwner(
+    answerMs: Long = ANSWER_MS,
+) {
     val time = SimTime()
-    val tables = SlowTables(time)
+    val tables = SlowTables(time, answerMs)
     val committer = Committer(SimLoop(time), tables, { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
 
     /** Adds a write every 20 ms, also after the release has begun. */
@@ -48,6 +61,19 @@
         time.after(20) { addWritesPeriodically(remaining - 1) }
     }
 
+    fun addProgressRows(count: Int) = repeat(count) { committer.put(RowKey(Table.PROGRESS, "ended$it")) { "ended" } }
+
+    /** Renews the ownership as the scheduler's ticks do; false if the store counted as lost at any of them. */
+    fun couldAlwaysWrite(forMs: Long): Boolean {
+        var couldWrite = true
+        repeat((forMs / TICK_MS).toInt()) {
+            committer.renewIfDue()
+            couldWrite = couldWrite && committer.canWrite
+            time.runUntil(time.nowMs + TICK_MS)
+        }
+        return couldWrite
+    }
+
     fun releaseTookMs(): Long {
         var releasedAtMs = Long.MAX_VALUE
         val startMs = time.nowMs
@@ -59,6 +85,51 @@
 
 internal class CommitterTest :
     DescribeSpec({
+        describe("an owner with more rows than fit into one transaction while the store is slow") {
+            it("stores a new job in its next transaction") {
+                val owner = ReleasingOwner()
+                owner.addProgressRows(WAITING_ROWS)
+                owner.time.runUntil(owner.time.nowMs + ANSWER_MS / 2)
+                var acceptedAtMs = Long.MAX_VALUE
+                val sentAtMs = owner.time.nowMs
+                owner.committer.put(RowKey(Table.JOBS, "job"), mustBeAbsent = true, onStored = { acceptedAtMs = owner.time.nowMs }) { "new" }
+                owner.time.runUntil(sentAtMs + 5_000)
+                acceptedAtMs - sentAtMs shouldBeLessThan 2 * ANSWER_MS + 50
+            }
+            it("fills each transaction up to the entries that the store accepts") {
+                val owner = ReleasingOwner()
+                owner.addProgressRows(WAITING_ROWS)
+                repeat(WAITING_ROWS) { owner.committer.put(RowKey(Table.JOBS, "new$it"), mustBeAbsent = true) { "new" } }
+                owner.time.runUntil(owner.time.nowMs + 20 * ANSWER_MS)
+                val entryCounts = owner.tables.changes.map { it.expected.size + it.puts.size + it.deletes.size }
+                val full = entryCounts.filter { it > 2 }.dropLast(1)
+                full.forEach { (it in STORE_ENTRIES - 1..STORE_ENTRIES).shouldBeTrue() }
+                entryCounts.sumOf { it - 2 } shouldBe 3 * WAITING_ROWS
+            }
+        }
+        describe("an owner whose transactions all succeed, but slowly") {
+            it("can write") {
+                val owner = ReleasingOwner(answerMs = SLOW_ANSWER_MS)
+                owner.addWritesPeriodically()
+                owner.couldAlwaysWrite(forMs = 10 * SLOW_ANSWER_MS).shouldBeTrue()
+            }
+        }
+        describe("a job that is submitted again while it is being stored") {
+            it("is accepted with the write in flight, and not written twice") {
+                val owner = ReleasingOwner()
+                val acceptedAtMs = ArrayList<Long>()
+                val submit = {
+                    owner.committer.put(RowKey(Table.JOBS, "job"), mustBeAbsent = true, onStored = { acceptedAtMs.add(owner.time.nowMs) }) { "new" }
+                }
+                submit()
+                owner.time.runUntil(owner.time.nowMs + ANSWER_MS / 2)
+                submit()
+                owner.time.runUntil(owner.time.nowMs + 5 * ANSWER_MS)
+                acceptedAtMs.size shouldBe 2
+                acceptedAtMs.distinct().size shouldBe 1
+                owner.tables.changes.count { RowKey(Table.JOBS, "job") in it.puts } shouldBe 1
+            }
+        }
         describe("an owner that releases its ownership while the store is slow and writes keep arriving") {
             it("releases the ownership in its next transaction") {
                 val owner = ReleasingOwner()
