--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -111,8 +111,9 @@
     }
 
     /**
-     * Releases the ownership in the next transaction, which also carries pending writes; nothing is written afterwards. Dropping the rest is safe: workers list ended runs until they are acknowledged, and callers
-     * whose jobs were not stored are told that the outcome is open.
+     * Releases the ownership in the next transaction, which also carries pending writes; nothing is written afterwards. Dropping
+     * the rest is safe: workers list ended runs until they are acknowledged, and callers whose jobs were not stored are told that
+     * the outcome is open.
      */
     fun release(onDone: () -> Unit) {
         if (isClosed) {
