--- a/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -92,7 +92,11 @@
                 owner.time.runUntil(owner.time.nowMs + ANSWER_MS / 2)
                 var acceptedAtMs = Long.MAX_VALUE
                 val sentAtMs = owner.time.nowMs
-                owner.committer.put(RowKey(Table.JOBS, "job"), mustBeAbsent = true, onStored = { acceptedAtMs = owner.time.nowMs }) { "new" }
+                owner.committer.put(
+                    RowKey(Table.JOBS, "job"),
+                    mustBeAbsent = true,
+                    onStored = { acceptedAtMs = owner.time.nowMs },
+                ) { "new" }
                 owner.time.runUntil(sentAtMs + 5_000)
                 acceptedAtMs - sentAtMs shouldBeLessThan 2 * ANSWER_MS + 50
             }
@@ -119,7 +123,11 @@
                 val owner = ReleasingOwner()
                 val acceptedAtMs = ArrayList<Long>()
                 val submit = {
-                    owner.committer.put(RowKey(Table.JOBS, "job"), mustBeAbsent = true, onStored = { acceptedAtMs.add(owner.time.nowMs) }) { "new" }
+                    owner.committer.put(
+                        RowKey(Table.JOBS, "job"),
+                        mustBeAbsent = true,
+                        onStored = { acceptedAtMs.add(owner.time.nowMs) },
+                    ) { "new" }
                 }
                 submit()
                 owner.time.runUntil(owner.time.nowMs + ANSWER_MS / 2)
