Answer what a stopping entry has read before it ends

Cause: an entry served for 0.7 of its grace period and then ended, whatever it had read by then. Callers are asked to close their connections, but one that was idle meanwhile can bring a request in the last moment.

Then the entry accepts no connection, reads what is on its way, and closes the server before it ends. A request counts as in flight until its response has been written.

--- a/transport/src/main/kotlin/io/corianderrock/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpServer.kt
@@ -20,6 +20,7 @@
 import java.net.BindException
 import java.net.InetSocketAddress
 import java.nio.ByteBuffer
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Listen address: an IP address and a port, where port 0 selects a free port. */
@@ -79,11 +80,37 @@
     /** The number of requests that were passed to the handler and are not yet answered. */
     public val inFlightCount: Int get() = inFlight.get()
 
+    /**
+     * Waits up to [timeoutMs] milliseconds until no request is in flight, then closes the server with all its connections. Returns
+     * the number of requests that were left without an answer. Blocks the calling thread.
+     */
+    public fun closeWhenIdle(timeoutMs: Long): Int {
+        val deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
+        awaitIdle(deadlineNs)
+        undertow.listenerInfo.forEach { it.suspend() }
+        // A connection that was accepted before may have a request on its way.
+        TimeUnit.MILLISECONDS.sleep(LAST_REQUESTS_MS)
+        awaitIdle(deadlineNs)
+        val unfinishedCount = inFlightCount
+        close()
+        return unfinishedCount
+    }
+
+    private fun awaitIdle(deadlineNs: Long) {
+        while (inFlightCount > 0 && System.nanoTime() < deadlineNs) TimeUnit.MILLISECONDS.sleep(IDLE_POLL_MS)
+    }
+
     override fun close() {
         undertow.stop()
     }
 
     public companion object {
+        /** Interval between checks for requests in flight. */
+        private const val IDLE_POLL_MS = 10L
+
+        /** How long a server that closes still reads from its connections. */
+        private const val LAST_REQUESTS_MS = 50L
+
         /** Starts a server for an http4k [handler]. Throws [ListenException] if the address cannot be bound. */
         public fun start(
             address: ListenAddress,
@@ -168,12 +195,13 @@
         method: Method,
         body: ByteArray,
     ) {
-        try {
-            val response = handler.handle(requestOf(exchange, method, body), UndertowCallerConnection(exchange))
-            respond(exchange, response)
-        } finally {
+        // The request is in flight until its response has been written, which may take longer than the handler.
+        exchange.addExchangeCompleteListener { _, next ->
             inFlight.decrementAndGet()
+            next.proceed()
         }
+        val response = handler.handle(requestOf(exchange, method, body), UndertowCallerConnection(exchange))
+        respond(exchange, response)
     }
 
     private fun headersOf(exchange: HttpServerExchange): HeaderLookup = HeaderLookup { exchange.requestHeaders.getFirst(it) }
