--- a/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -61,6 +61,11 @@
         time.after(20) { addWritesPeriodically(remaining - 1) }
     }
 
+    fun submit(
+        id: String,
+        onAccepted: () -> Unit = {},
+    ) = committer.put(RowKey(Table.JOBS, id), mustBeAbsent = true, onStored = { onAccepted() }) { "new" }
+
     fun addProgressRows(count: Int) = repeat(count) { committer.put(RowKey(Table.PROGRESS, "ended$it")) { "ended" } }
 
     /** Renews the ownership as the scheduler's ticks do; false if the store counted as lost at any of them. */
@@ -92,14 +97,14 @@
                 owner.time.runUntil(owner.time.nowMs + ANSWER_MS / 2)
                 var acceptedAtMs = Long.MAX_VALUE
                 val sentAtMs = owner.time.nowMs
-                owner.committer.put(RowKey(Table.JOBS, "job"), mustBeAbsent = true, onStored = { acceptedAtMs = owner.time.nowMs }) { "new" }
+                owner.submit("job") { acceptedAtMs = owner.time.nowMs }
                 owner.time.runUntil(sentAtMs + 5_000)
                 acceptedAtMs - sentAtMs shouldBeLessThan 2 * ANSWER_MS + 50
             }
             it("fills each transaction up to the entries that the store accepts") {
                 val owner = ReleasingOwner()
                 owner.addProgressRows(WAITING_ROWS)
-                repeat(WAITING_ROWS) { owner.committer.put(RowKey(Table.JOBS, "new$it"), mustBeAbsent = true) { "new" } }
+                repeat(WAITING_ROWS) { owner.submit("new$it") }
                 owner.time.runUntil(owner.time.nowMs + 20 * ANSWER_MS)
                 val entryCounts = owner.tables.changes.map { it.expected.size + it.puts.size + it.deletes.size }
                 val full = entryCounts.filter { it > 2 }.dropLast(1)
@@ -118,12 +123,9 @@
             it("is accepted with the write in flight, and not written twice") {
                 val owner = ReleasingOwner()
                 val acceptedAtMs = ArrayList<Long>()
-                val submit = {
-                    owner.committer.put(RowKey(Table.JOBS, "job"), mustBeAbsent = true, onStored = { acceptedAtMs.add(owner.time.nowMs) }) { "new" }
-                }
-                submit()
+                owner.submit("job") { acceptedAtMs.add(owner.time.nowMs) }
                 owner.time.runUntil(owner.time.nowMs + ANSWER_MS / 2)
-                submit()
+                owner.submit("job") { acceptedAtMs.add(owner.time.nowMs) }
                 owner.time.runUntil(owner.time.nowMs + 5 * ANSWER_MS)
                 acceptedAtMs.size shouldBe 2
                 acceptedAtMs.distinct().size shouldBe 1
