Judge the speed of the store by each read when reads overlap

Cause: how long a read had taken was counted from the oldest read that was waiting. An entry that watches a silent owner row reads it while an earlier read is on its way; the answer to the first reset that time, and the second counted as quick.

Each read is now timed by itself. StoreReachTest, before: not slow after two reads of 200 ms that overlapped.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
@@ -160,10 +160,11 @@
 
     private fun readRow() {
         if (isStopped || isOwner || isClaiming) return
-        readAtMs = loop.nowMs
+        val sentAtMs = loop.nowMs
+        readAtMs = sentAtMs
         storeReach.onReadSent()
         tables.read(OwnerRow.KEY) { result ->
-            storeReach.onReadEnded(isAnswered = result is ReadResult.Rows)
+            storeReach.onReadEnded(isAnswered = result is ReadResult.Rows, tookMs = loop.nowMs - sentAtMs)
             if (result is ReadResult.Rows) onRead(result)
         }
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/StoreReach.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/StoreReach.kt
@@ -22,16 +22,20 @@
     /** True from a failed or overdue read to the next answer. */
     val isLost: Boolean get() = hasFailed || isWaitingFor(OVERDUE_MS)
 
-    /** True while a read takes [SLOW_MS], from then until the answer to a read that took less. */
+    /** True once a read has taken [SLOW_MS], until the answer to one that took less. */
     val isSlow: Boolean get() = wasSlow || isWaitingFor(SLOW_MS)
 
     fun onReadSent() {
         if (waitingSinceMs == null) waitingSinceMs = loop.nowMs
     }
 
-    fun onReadEnded(isAnswered: Boolean) {
+    /** Records the end of a read that took [tookMs]. Reads may overlap. */
+    fun onReadEnded(
+        isAnswered: Boolean,
+        tookMs: Long,
+    ) {
         hasFailed = !isAnswered
-        wasSlow = isWaitingFor(SLOW_MS)
+        wasSlow = tookMs > SLOW_MS
         waitingSinceMs = null
     }
 
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoreReachTest.kt
@@ -0,0 +1,52 @@
+/*
+ * Covers how an entry tells a slow store from a sound one by its reads of the owner row, of which several may be waiting.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.ownership.StoreReach
+import io.corianderrock.jobs.world.SimLoop
+import io.corianderrock.jobs.world.SimTime
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.booleans.shouldBeFalse
+import io.kotest.matchers.booleans.shouldBeTrue
+
+private const val SLOW_READ_MS = 200L
+private const val USUAL_READ_MS = 5L
+
+internal class StoreReachTest :
+    DescribeSpec({
+        describe("a store that answers each read slowly") {
+            it("is slow from the first read, before its answer") {
+                val reads = Reads()
+                reads.read(SLOW_READ_MS)
+                reads.time.runUntil(reads.time.nowMs + SLOW_READ_MS / 2)
+                reads.reach.isSlow.shouldBeTrue()
+            }
+            it("stays slow after the answers to two reads that overlapped") {
+                val reads = Reads()
+                reads.read(SLOW_READ_MS)
+                reads.time.runUntil(reads.time.nowMs + SLOW_READ_MS / 2)
+                reads.read(SLOW_READ_MS)
+                reads.time.runUntil(reads.time.nowMs + 2 * SLOW_READ_MS)
+                reads.reach.isSlow.shouldBeTrue()
+            }
+            it("is no longer slow after an answer as soon as usual") {
+                val reads = Reads()
+                reads.read(SLOW_READ_MS)
+                reads.time.runUntil(reads.time.nowMs + 2 * SLOW_READ_MS)
+                reads.read(USUAL_READ_MS)
+                reads.time.runUntil(reads.time.nowMs + SLOW_READ_MS)
+                reads.reach.isSlow.shouldBeFalse()
+            }
+        }
+    })
+
+private class Reads {
+    val time = SimTime()
+    val reach = StoreReach(SimLoop(time))
+
+    fun read(tookMs: Long) {
+        reach.onReadSent()
+        time.after(tookMs) { reach.onReadEnded(isAnswered = true, tookMs = tookMs) }
+    }
+}
