Write the later of two values that wait for one row

A worker could get runs without a stored lease row, so that the next owner would not ask it before it starts their tasks again (TWICE). Found by reading; no caller is known to have seen it.

Cause: a second write for a row that waits to be written joined the first and kept its value. A worker that is removed and listed again under its id while a transaction is in flight joined the deletion of its own row.

Change: the pending write keeps its place and callbacks and takes the later value. CommitterTest failed before (the row was deleted).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -27,7 +27,7 @@
 ) {
     private class Write(
         val key: RowKey,
-        val value: () -> String?,
+        var value: () -> String?,
         val mustBeAbsent: Boolean,
         val onStored: ArrayList<(StoredRow?) -> Unit> = ArrayList(),
         val onDropped: ArrayList<() -> Unit> = ArrayList(),
@@ -68,9 +68,9 @@
     /**
      * Writes the row [key] in a later transaction. [value] is evaluated when the transaction is built; null deletes the
      * row. With [mustBeAbsent] an existing row is left unchanged and passed to [onStored], which otherwise gets null. A
-     * write that is still pending for the same key is kept, and [onStored] is added to it; so is one in flight with
-     * [mustBeAbsent], since a second one would only conflict with it. [onDropped] is called instead if the ownership ends
-     * before the answer: the row may have been written or not.
+     * write that is still pending for the same key keeps its place, writes the later [value] and calls [onStored] as well; one in
+     * flight with [mustBeAbsent] is joined, since a second one would only conflict with it. [onDropped] is called instead if the
+     * ownership ends before the answer: the row may have been written or not.
      */
     fun put(
         key: RowKey,
@@ -81,7 +81,7 @@
     ) {
         val write =
             inFlight?.writes?.firstOrNull { mustBeAbsent && it.mustBeAbsent && it.key == key }
-                ?: pending.getOrPut(key) { Write(key, value, mustBeAbsent) }
+                ?: pending.getOrPut(key) { Write(key, value, mustBeAbsent) }.also { if (!it.mustBeAbsent) it.value = value }
         write.onStored.add(onStored)
         write.onDropped.add(onDropped)
         schedule()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -132,6 +132,17 @@
                 owner.tables.changes.count { RowKey(Table.JOBS, "job") in it.puts } shouldBe 1
             }
         }
+        describe("a row that is written again while its deletion waits") {
+            // Guards against a worker that gets runs without a stored row, so that the next owner does not ask it.
+            it("has the later value") {
+                val owner = ReleasingOwner()
+                val key = RowKey(Table.WORKER_LEASES, "worker")
+                owner.committer.put(key) { null }
+                owner.committer.put(key) { "row" }
+                owner.time.runUntil(owner.time.nowMs + 2 * ANSWER_MS)
+                owner.tables.changes.mapNotNull { it.puts[key] } shouldBe listOf("row")
+            }
+        }
         describe("an owner that releases its ownership while the store is slow and writes keep arriving") {
             it("releases the ownership in its next transaction") {
                 val owner = ReleasingOwner()
