Show a start whose worker has no stored lease row, and one that a restarted worker is not told to stop

Two failing tests of the driver of workers, for review; no change of the product code.

A worker is removed while a transaction is in flight, and listed again under its id before the deletion of its lease row is sent: the row of the new view joins the pending deletion, and the start is sent without a stored row (expected [true, true], was [true, false]). The next owner does not know of that run.

A silent worker is ended by two lists while a start on it has neither been answered nor timed out: the start is forgotten, and the new incarnation with the same id is not told to stop it (no stop was sent).

--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
@@ -0,0 +1,180 @@
+/*
+ * A worker that ends and starts again under its id within moments, while orders and rows of its last incarnation are on their way.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.Instance
+import io.corianderrock.jobs.ports.InstanceState
+import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.StartOrder
+import io.corianderrock.jobs.ports.StopOrder
+import io.corianderrock.jobs.ports.Table
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.ports.WorkerLink
+import io.corianderrock.jobs.runs.Committer
+import io.corianderrock.jobs.runs.JobRegistry
+import io.corianderrock.jobs.runs.WorkerDriver
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.Queue
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.state.TaskRun
+import io.corianderrock.jobs.world.SimLoop
+import io.corianderrock.jobs.world.SimTime
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+
+private const val WORKER = "w"
+private const val INSTANCE = "i"
+private const val POOL = "pool"
+private const val LONGEST_LEASE_MS = 6_000L
+private const val ORDER_TIMEOUT_MS = 700L
+
+/** Time in which a worker that is up answers. */
+private const val SETTLE_MS = 50L
+
+/** Time in which a transaction of the slow store is on its way and has not been answered. */
+private const val IN_FLIGHT_MS = 100L
+private val CAPACITY = Demand(8_000, 32_000)
+
+/** An owner with one worker, whose answers the test controls, and one job with one task. */
+private class OwnerOfOneWorker : WorkerLink {
+    val time = SimTime()
+    private val loop = SimLoop(time)
+    private val tables = SlowTables(time)
+    val committer = Committer(loop, tables, { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
+    private val registry = JobRegistry(loop, committer) { _, _ -> }
+    val driver =
+        WorkerDriver(
+            loop,
+            this,
+            committer,
+            registry,
+            log = { _, _ -> },
+            epoch = 1,
+            longestLeaseMs = LONGEST_LEASE_MS,
+            mayOrder = { true },
+            onChange = {},
+            onFenced = {},
+            observeRunTime = { _, _ -> },
+        )
+    private val startedAtMs = time.nowMs
+    private var bornWallMs = time.nowMs
+    var isUp = true
+
+    /** For each start order whether the row that records runs on the worker was stored when it was sent. */
+    val wasRowStoredAtStart = ArrayList<Boolean>()
+    val stoppedRuns = ArrayList<Long>()
+    val task: TaskRun
+
+    init {
+        val submission = JobSubmission("job", Queue("queue", POOL), "spec", listOf(Step(1, Demand(1_000, 100))))
+        task = registry.load(submission, progress = null, isInherited = false).tasks.first()
+        driver.onListed(entry())
+        driver.open()
+        pass(SETTLE_MS)
+    }
+
+    fun pass(durationMs: Long) = time.runUntil(time.nowMs + durationMs)
+
+    fun startTask() = driver.start(task, checkNotNull(driver.find(WORKER)))
+
+    /** Lists the worker in a new incarnation with the same id. */
+    fun startAgain() {
+        isUp = true
+        bornWallMs = time.nowMs
+        driver.onListed(entry())
+        pass(SETTLE_MS)
+    }
+
+    fun listInstanceAsDown() =
+        driver.onInstancesListed(
+            listOf(Instance(INSTANCE, POOL, InstanceState.DOWN, "dc", emptyList(), CAPACITY, workerId = null)),
+            requestedAtMs = time.nowMs,
+        )
+
+    private fun entry() = WorkerEntry(WORKER, WORKER, POOL, "dc", INSTANCE, CAPACITY, emptyList(), false, null, bornWallMs)
+
+    override fun start(
+        entry: WorkerEntry,
+        order: StartOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        val key = RowKey(Table.WORKER_LEASES, WORKER)
+        val last = tables.changes.lastOrNull { key in it.puts || key in it.deletes }
+        wasRowStoredAtStart.add(last != null && key in last.puts)
+        if (isUp) {
+            loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs())) }
+        } else {
+            loop.after(ORDER_TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("no answer", mayBeCarriedOut = true)) }
+        }
+    }
+
+    override fun stop(
+        entry: WorkerEntry,
+        order: StopOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        stoppedRuns.add(order.runNumber)
+        loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs())) }
+    }
+
+    override fun hold(
+        entry: WorkerEntry,
+        order: HoldOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        val delayMs = if (isUp && order.waitMs > 0) order.waitMs.toLong() else 1L
+        loop.after(delayMs) {
+            onAnswer(
+                if (isUp) {
+                    WorkerAnswer.Listed(clockMs(), bornWallMs, emptyList(), emptyList())
+                } else {
+                    WorkerAnswer.Unanswered("connection refused", mayBeCarriedOut = false)
+                },
+            )
+        }
+    }
+
+    private fun clockMs() = time.nowMs - startedAtMs
+}
+
+internal class WorkerDriverTest :
+    DescribeSpec({
+        describe("a worker that is removed and listed again under its id") {
+            // Guards against a start that no stored row records: the next owner would not wait for its run (TWICE).
+            it("gets a start only once its new row is stored") {
+                val owner = OwnerOfOneWorker()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.committer.put(RowKey(Table.PROGRESS, "other")) { "row" }
+                owner.pass(IN_FLIGHT_MS)
+                owner.driver.onWorkerTerminated(WORKER)
+                owner.startAgain()
+                owner.startTask()
+                owner.pass(6 * ANSWER_MS)
+                owner.wasRowStoredAtStart shouldBe listOf(true, true)
+            }
+        }
+        describe("a worker that ends, by the platform's list, while a start is on its way") {
+            // Guards against a start that reaches the new incarnation while the task runs elsewhere (TWICE).
+            it("is told to stop that run when it starts again under its id") {
+                val owner = OwnerOfOneWorker()
+                owner.isUp = false
+                owner.startTask()
+                val run = owner.task.runNumber
+                owner.pass(ANSWER_MS + IN_FLIGHT_MS)
+                owner.wasRowStoredAtStart.size shouldBe 1
+                owner.listInstanceAsDown()
+                owner.pass(IN_FLIGHT_MS)
+                owner.listInstanceAsDown()
+                owner.task.worker shouldBe null
+                owner.startAgain()
+                owner.stoppedRuns shouldContain run
+            }
+        }
+    })
