Leave a share of each transaction to rows other than new jobs

While more jobs arrive than a slow store takes, rows of workers, progress and acknowledged ends would wait without end behind new jobs: nothing would start on new workers. Found by review, not seen; new jobs now leave 32 of the 98 entries to other rows that wait. The bounds of CommitterTest and SlowStoreTest hold.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -156,13 +156,15 @@
         )
     }
 
-    /** As many pending writes as one transaction holds: new jobs first, since their callers wait, then in order of arrival. */
+    /**
+     * As many pending writes as one transaction holds: new jobs first, since their callers wait, then in order of arrival. New jobs
+     * leave a share to other rows, without which nothing starts on new workers and no end is acknowledged.
+     */
     private fun nextWrites(): List<Write> {
-        var entryCount = OWNER_ROW_ENTRIES
-        return pending.values.sortedBy { !it.mustBeAbsent }.takeWhile {
-            entryCount += if (it.mustBeAbsent) 2 else 1
-            entryCount <= MAX_ENTRIES
-        }
+        val (newJobs, others) = pending.values.partition { it.mustBeAbsent }
+        val reserved = minOf(others.size, RESERVED_ENTRIES)
+        val first = newJobs.take((MAX_ENTRIES - OWNER_ROW_ENTRIES - reserved) / ENTRIES_PER_NEW_JOB)
+        return first + others.take(MAX_ENTRIES - OWNER_ROW_ENTRIES - first.size * ENTRIES_PER_NEW_JOB)
     }
 
     private fun changeOf(batch: Batch): RowChange {
@@ -292,6 +294,12 @@
         /** Entries of one transaction that the store accepts: rows and conditions. */
         const val MAX_ENTRIES = 100
 
+        /** Entries that new jobs leave to other rows. */
+        const val RESERVED_ENTRIES = 32
+
+        /** The row and the condition that it is absent. */
+        const val ENTRIES_PER_NEW_JOB = 2
+
         /** The owner row and the condition on it. */
         const val OWNER_ROW_ENTRIES = 2
     }
