Place known tasks only once an earlier owner may not order any more

An owner that was replaced while cut off from the store may order for 4 s after its last write. It could learn the end of a run from an answer that it still waits for, and start the task, or the next step, on a worker that only it reaches, while its successor starts it elsewhere (TWICE). They now wait until those 4 s are over; LongRunningTaskTest still holds its bounds.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -142,6 +142,7 @@
         val isReconciling = driver.isReconciling(pool)
         for (job in registry.liveIn(pool)) {
             val isHeldBack = isReconciling && job.mayBeKnownToEarlierOwner
+            if (isHeldBack && driver.mayEarlierOwnerOrder) continue
             for (occurrence in job.occurrences.values) {
                 for (run in occurrence.steps) {
                     if (run.waitingCount == 0 || run.isDone || !occurrence.isReady(run)) continue
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -73,6 +73,9 @@
     /** True while tasks of inherited jobs may be running on a worker of [pool] that has not answered. */
     fun isReconciling(pool: String): Boolean = inheritedLeases.isReconciling(pool)
 
+    /** True while an earlier owner may still start tasks on workers that it reaches and this one does not. */
+    val mayEarlierOwnerOrder: Boolean get() = loop.nowMs < inheritedLeases.deadlineMs - worstCaseLeaseMs
+
     /** Ids of the workers of [pool] for which [isReconciling] waits. */
     fun unreconciledIn(pool: String): List<String> = inheritedLeases.unreconciledIn(pool)
 
