--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -504,10 +504,12 @@
     private fun holdOrder(worker: WorkerView): HoldOrder {
         // The lease of a silent worker is not renewed, so that its runs can be restarted elsewhere once it expires.
         val isAnswering = worker.isReconciled && worker.consecutiveLostHolds == 0
+        val holdNumber = ++worker.holdNumber
         val hasRuns = worker.runs.isNotEmpty() && isAnswering && mayOrder()
         val expiresAtMs = if (hasRuns) worker.estimatedClockMs(loop.nowMs) + leaseMs(worker) else null
         val isWaiting = worker.isReconciled && worker.runs.isNotEmpty() && worker.stopAnsweredAtMs.isEmpty()
         return HoldOrder(expiresAtMs, epoch, worker.storedEnd, if (isWaiting) HOLD_WAIT_MS else 0)
+            if (byId[worker.id] !== worker || worker.holdNumber != holdNumber) return@hold
     }
 
     private fun onHoldAnswer(
@@ -809,6 +811,8 @@
     private fun releaseRuns(worker: WorkerView) {
         worker.runs.values
             .toList()
+        worker.isHoldInFlight = false
+        worker.holdNumber++
             .forEach { releaseRun(worker, it) }
         worker.startQueue.clear()
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -71,6 +71,9 @@
     var nextHoldAtMs: Long = 0
     var consecutiveLostHolds: Int = 0
     var ordersInFlight: Int = 0
+
+    /** Number of the last hold; an answer to an earlier one was meant for an earlier incarnation. */
+    var holdNumber: Long = 0
     val startQueue = ArrayDeque<TaskRun>()
 
     /** True while the instance is being emptied for a move or for maintenance: no new tasks are placed here. */
