Remember each start that may arrive late until it cannot

Each start is now remembered from when it is sent until it is answered, or for 13 s if the answer is lost, and stopped first thing in a new incarnation.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -161,20 +161,20 @@
 
     /** Frees the runs of [worker], which has ended. */
     private fun onWorkerEnded(worker: WorkerView) {
-        val recentStarts = recentUnansweredStarts(worker)
-        if (recentStarts.isEmpty()) {
+        if (recentLateStarts(worker).isEmpty()) {
             removeWorker(worker)
             return
         }
+        // Kept registered: a recent start may still reach a new incarnation with the same id, which then has to stop it.
         releaseRuns(worker)
-        // They may still reach a new incarnation with the same id, which then has to stop them.
-        worker.unansweredStarts.putAll(recentStarts)
         markLeaseReconciled(worker.id)
         onChange(worker.entry.pool)
     }
 
-    private fun recentUnansweredStarts(worker: WorkerView): Map<TaskId, UnansweredStart> =
-        worker.unansweredStarts.filterValues { loop.nowMs - it.sentAtMs < LATE_START_WINDOW_MS }
+    private fun recentLateStarts(worker: WorkerView): Map<TaskId, UnansweredStart> {
+        worker.possibleLateStarts.values.removeAll { loop.nowMs - it.sentAtMs >= LATE_START_WINDOW_MS }
+        return worker.possibleLateStarts.toMap()
+    }
 
     private fun addUnlisted(lease: WorkerLeaseRow) {
         val entry =
@@ -334,14 +334,26 @@
         val sentAtMs = loop.nowMs
         worker.recordLeaseSent(order.expiresAtWorkerMs)
         worker.ordersInFlight++
+        worker.possibleLateStarts[task.id] = UnansweredStart(order.runNumber, sentAtMs)
         link.start(worker.entry, order) { answer ->
             worker.ordersInFlight--
+            forgetLateStart(worker, task.id, order.runNumber, answer)
             onStartAnswer(worker, task, order.runNumber, sentAtMs, answer)
             sendQueuedStarts(worker)
         }
         ensureHoldInFlight(worker)
     }
 
+    private fun forgetLateStart(
+        worker: WorkerView,
+        task: TaskId,
+        runNumber: Long,
+        answer: WorkerAnswer,
+    ) {
+        val mayArriveLate = answer is WorkerAnswer.Unanswered && answer.mayBeCarriedOut
+        if (!mayArriveLate && worker.possibleLateStarts[task]?.runNumber == runNumber) worker.possibleLateStarts.remove(task)
+    }
+
     /**
      * Duration of the next lease. Long-running tasks get a long lease, to survive the loss of an owner; short tasks end by
      * themselves, and a short lease lets them be restarted sooner after the worker is lost.
@@ -492,24 +504,24 @@
     private fun sendHold(worker: WorkerView) {
         if (byId[worker.id] !== worker) return
         worker.isHoldInFlight = true
+        val holdNumber = ++worker.holdNumber
         val order = holdOrder(worker)
         val sentAtMs = loop.nowMs
         order.expiresAtWorkerMs?.let(worker::recordLeaseSent)
         link.hold(worker.entry, order) { answer ->
+            if (byId[worker.id] !== worker || worker.holdNumber != holdNumber) return@hold
             worker.isHoldInFlight = false
-            if (byId[worker.id] === worker) onHoldAnswer(worker, order, sentAtMs, answer)
+            onHoldAnswer(worker, order, sentAtMs, answer)
         }
     }
 
     private fun holdOrder(worker: WorkerView): HoldOrder {
         // The lease of a silent worker is not renewed, so that its runs can be restarted elsewhere once it expires.
         val isAnswering = worker.isReconciled && worker.consecutiveLostHolds == 0
-        val holdNumber = ++worker.holdNumber
         val hasRuns = worker.runs.isNotEmpty() && isAnswering && mayOrder()
         val expiresAtMs = if (hasRuns) worker.estimatedClockMs(loop.nowMs) + leaseMs(worker) else null
         val isWaiting = worker.isReconciled && worker.runs.isNotEmpty() && worker.stopAnsweredAtMs.isEmpty()
         return HoldOrder(expiresAtMs, epoch, worker.storedEnd, if (isWaiting) HOLD_WAIT_MS else 0)
-            if (byId[worker.id] !== worker || worker.holdNumber != holdNumber) return@hold
     }
 
     private fun onHoldAnswer(
@@ -783,7 +795,7 @@
         bornWallMs: Long,
     ) {
         log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", worker.unansweredStarts.size)
-        val recentStarts = recentUnansweredStarts(worker)
+        val recentStarts = recentLateStarts(worker)
         worker.runs.values
             .filter { it.id !in recentStarts }
             .toList()
@@ -799,6 +811,8 @@
         worker.storedEnd = 0
         worker.acknowledgedEnd = 0
         worker.isReconciled = false
+        worker.isHoldInFlight = false
+        worker.holdNumber++
         worker.recentFailedJobIds.clear()
         // An unanswered start may still reach the new incarnation, which has no record of the fence or of stopped runs.
         for ((taskId, start) in recentStarts) {
@@ -811,8 +825,6 @@
     private fun releaseRuns(worker: WorkerView) {
         worker.runs.values
             .toList()
-        worker.isHoldInFlight = false
-        worker.holdNumber++
             .forEach { releaseRun(worker, it) }
         worker.startQueue.clear()
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -42,6 +42,9 @@
     /** Starts whose answer was lost: they may still be carried out, also by a new incarnation. */
     val unansweredStarts = HashMap<TaskId, UnansweredStart>()
 
+    /** The last start of each task that was sent here and may still arrive, also at a new incarnation that knows of no stop. */
+    val possibleLateStarts = HashMap<TaskId, UnansweredStart>()
+
     /** Loop time at which the stop of a task was answered: a report requested later without the run proves that it ended. */
     val stopAnsweredAtMs = HashMap<TaskId, Long>()
 
@@ -68,12 +71,12 @@
 
     /** True while a hold, which extends the lease and requests a report, is not answered. */
     var isHoldInFlight: Boolean = false
-    var nextHoldAtMs: Long = 0
-    var consecutiveLostHolds: Int = 0
-    var ordersInFlight: Int = 0
 
     /** Number of the last hold; an answer to an earlier one was meant for an earlier incarnation. */
     var holdNumber: Long = 0
+    var nextHoldAtMs: Long = 0
+    var consecutiveLostHolds: Int = 0
+    var ordersInFlight: Int = 0
     val startQueue = ArrayDeque<TaskRun>()
 
     /** True while the instance is being emptied for a move or for maintenance: no new tasks are placed here. */
