Give up a task that crashes worker after worker

Callers saw: jobs that shared a worker with a deadly task were done late or not at all, and the deadly task was started without end (BUDGET).

Cause: a crash is no end, and only runs that end as failed counted as attempts. All runs of a crashed worker were released together, 19 at once, and best fit started them together again on one worker, so that innocent tasks travelled with the deadly one.

Change: a run during which its worker crashed is recorded with the job's progress, by number as failed runs are, so that the count survives a takeover. A crash is a worker that is replaced on its instance, is in a new incarnation, or whose address another worker has; one that only fell silent counts once that is seen, and not at all if it answers again or was draining. Tasks that shared a crash part where they can. After two crashes a task runs where it endangers the fewest runs, and nothing is placed beside it; after three its job is shown as failed. A long-running task that has run for 10 s is cleared, so that ordinary crashes do not add up under it. An end by a move or a maintenance is no crash.

The checker of the simulations now knows BUDGET of crashes and jobs that are shown as failed without a cause, also at the end of a history.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -128,6 +128,10 @@
             inPool.count { it.consecutiveLostHolds > 0 },
             "withOrphanedRuns",
             inPool.count { it.orphanedRuns.isNotEmpty() },
+            "reserved",
+            capacities.count { it.isReserved },
+            "crashes",
+            task.crashedRuns.size,
             "cpu",
             task.stepRun.step.occupied.cpuMilli,
             "memoryMb",
@@ -226,6 +230,7 @@
     ) {
         val step = task.stepRun.step
         capacity.free -= step.occupied
+        if (task.isCrashSuspect) capacity.isReserved = true
         driver.start(task, capacity.worker)
     }
 
@@ -254,7 +259,7 @@
         plannedCount: Int,
     ): Boolean {
         val step = task.stepRun.step
-        if (!step.occupied.fitsIn(capacity.free)) return false
+        if (capacity.isReserved || !step.occupied.fitsIn(capacity.free)) return false
         if (step.requiredLabel != null && step.requiredLabel !in capacity.worker.entry.labels) return false
         // A best-effort task would slow down a task with a response time target on the same worker.
         if (step.isBestEffort && capacity.hasServingTask || step.responseTargetMs != null && capacity.hasBestEffortTask) return false
@@ -280,6 +285,8 @@
             cost += REMOTE_RACK_COST
         }
         if (task.lastFailedWorkerId == capacity.worker.id) cost += FAILED_WORKER_COST
+        if (task.crashedRuns.isNotEmpty() && capacity.hasCrashedTask) cost += CRASHED_TOGETHER_COST
+        if (task.isCrashSuspect) cost += capacity.worker.runs.size * ENDANGERED_RUN_COST
         return cost
     }
 
@@ -335,6 +342,12 @@
         /** Exceeds any cost of unused capacity: the worker may have caused the task's last failure. */
         const val FAILED_WORKER_COST = 3.0
 
+        /** Exceeds any cost of unused capacity: tasks that shared a crash part, so that the next one tells which of them caused it. */
+        const val CRASHED_TOGETHER_COST = 3.0
+
+        /** Exceeds any cost of unused capacity: the worker of a crash suspect may crash with all runs on it. */
+        const val ENDANGERED_RUN_COST = 3.0
+
         /** Maximum number of workers in one advice request; the advice service spends one period on each. */
         const val MAX_ADVISED_WORKERS = 30
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
@@ -12,6 +12,12 @@
 ) {
     var free: Demand = worker.free
 
+    /** True while a crash suspect runs here: no further task is placed beside it. */
+    var isReserved: Boolean = worker.runs.values.any { it.isCrashSuspect }
+
+    /** True if a task runs here under which a worker has crashed before. */
+    val hasCrashedTask: Boolean get() = worker.runs.values.any { it.crashedRuns.isNotEmpty() }
+
     /** Assigned tasks are among the worker's runs at once, so these need no update during the pass. */
     val hasServingTask: Boolean get() = worker.runs.values.any { it.stepRun.step.responseTargetMs != null }
     val hasBestEffortTask: Boolean get() = worker.runs.values.any { it.stepRun.step.isBestEffort }
@@ -30,7 +36,7 @@
      */
     fun hasRoomFor(demand: Demand): Boolean {
         if (unplaceable.any { it.fitsIn(demand) }) return false
-        if (workers.any { demand.fitsIn(it.free) }) return true
+        if (workers.any { !it.isReserved && demand.fitsIn(it.free) }) return true
         unplaceable.removeAll { demand.fitsIn(it) }
         unplaceable.add(demand)
         return false
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -146,6 +146,30 @@
         storeProgress(job)
     }
 
+    /**
+     * Records that the worker crashed during the run [runNumber] of [task]. The job fails after [MAX_CRASHES] crashes under one
+     * of its tasks, as further starts would only cost more workers.
+     */
+    fun taskCrashed(
+        task: TaskRun,
+        runNumber: Long,
+    ) {
+        val job = task.stepRun.job
+        if (job.state.isFinal || !task.crashedRuns.add(runNumber)) return
+        if (task.crashedRuns.size >= MAX_CRASHES) {
+            log.write("job_crashes_workers", "job", job.id, "task", task.id, "runs", task.crashedRuns.joinToString("+"))
+            finish(job, JobState.FAILED)
+        }
+        storeProgress(job)
+    }
+
+    /** Clears the crashes counted for [task], which has run long enough not to be their cause. */
+    fun clearCrashes(task: TaskRun) {
+        if (task.crashedRuns.isEmpty()) return
+        task.crashedRuns.clear()
+        storeProgress(task.stepRun.job)
+    }
+
     /** Adds the occurrences of recurring jobs that are due by the wall clock. */
     fun addDueOccurrences() {
         for (job in liveJobs.values) {
@@ -218,6 +242,9 @@
     }
 
     private companion object {
+        /** Crashes under one task after which its job fails. Before the last one the task runs apart from other suspects. */
+        const val MAX_CRASHES = 3
+
         /** Callers may query a job for 120 s after it became final; a quarter more allows for slow clocks. */
         const val RETENTION_MS = 150_000L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -51,6 +51,7 @@
     private val listedByInstance = HashMap<String, WorkerView>()
 
     private val inheritedLeases = InheritedWorkerLeases(log)
+    private val crashes = CrashTracker(registry, log)
 
     /** False until the stored jobs are loaded; before that, listed runs cannot be matched to their jobs. */
     private var isOpen = false
@@ -114,7 +115,7 @@
         val replaced = byId.values.filter { it.entry.instanceId == instanceId && it.id != workerId && !it.isReconciled && !it.isListed }
         for (worker in replaced) {
             log.write("worker_over", "worker", worker.id, "instance", instanceId, "currentWorker", workerId)
-            removeWorker(worker)
+            removeEndedWorker(worker)
         }
     }
 
@@ -134,7 +135,8 @@
             if (worker.listsWithoutWorker < LISTS_TO_END_WORKER || !mayHaveRuns(worker)) continue
             val state = byInstanceId[instanceId]?.state
             log.write("worker_over", "worker", worker.id, "instance", instanceId, "instanceState", state, "runs", worker.runs.size)
-            onWorkerEnded(worker)
+            // A move or a maintenance ends a worker as ordered.
+            onWorkerEnded(worker, isCrash = state != InstanceState.MOVING && state != InstanceState.MAINTENANCE)
         }
     }
 
@@ -159,16 +161,21 @@
             else -> false
         }
 
-    /** Frees the runs of [worker], which has ended. */
-    private fun onWorkerEnded(worker: WorkerView) {
+    /** Frees the runs of [worker], which has ended; if that [isCrash], it counts under them. */
+    private fun onWorkerEnded(
+        worker: WorkerView,
+        isCrash: Boolean,
+    ) {
+        val interrupted = crashes.interruptedRunsOf(worker)
         if (recentLateStarts(worker).isEmpty()) {
             removeWorker(worker)
-            return
+        } else {
+            // Kept registered: a recent start may still reach a new incarnation with the same id, which then has to stop it.
+            releaseRuns(worker)
+            markLeaseReconciled(worker.id)
+            onChange(worker.entry.pool)
         }
-        // Kept registered: a recent start may still reach a new incarnation with the same id, which then has to stop it.
-        releaseRuns(worker)
-        markLeaseReconciled(worker.id)
-        onChange(worker.entry.pool)
+        if (isCrash) crashes.onEnded(worker, interrupted)
     }
 
     private fun recentLateStarts(worker: WorkerView): Map<TaskId, UnansweredStart> {
@@ -204,6 +211,7 @@
             onNewIncarnation(worker, entry.bornWallMs)
         }
         removeEarlierWorkers(entry)
+        if (registered == null) crashes.onAppeared(worker)
         if (registered == null || registered.entry != entry) logListed(entry)
         unlinkInstance(worker)
         worker.entry = entry
@@ -231,7 +239,7 @@
         for (other in byId.values.filter { it.id != entry.id && it.entry.instanceId == instanceId }) {
             if (other.entry.bornWallMs != 0L && entry.bornWallMs != 0L && other.entry.bornWallMs > entry.bornWallMs) continue
             log.write("worker_replaced", "worker", other.id, "replacedBy", entry.id, "instance", instanceId)
-            removeWorker(other)
+            removeEndedWorker(other)
         }
     }
 
@@ -256,6 +264,13 @@
         byId[workerId]?.let(::removeWorker)
     }
 
+    /** Removes a worker that has ended without an order of this owner, and counts that as a crash under the runs on it. */
+    private fun removeEndedWorker(worker: WorkerView) {
+        val interrupted = crashes.interruptedRunsOf(worker)
+        removeWorker(worker)
+        crashes.onEnded(worker, interrupted)
+    }
+
     private fun removeWorker(worker: WorkerView) {
         releaseRuns(worker)
         markLeaseReconciled(worker.id)
@@ -549,7 +564,7 @@
         if (answer.refusal == StartRefusal.OTHER_INCARNATION) {
             // Another worker answers at this address, so this one has ended.
             log.write("worker_over", "worker", worker.id, "address", worker.entry.address, "runs", worker.runs.size)
-            removeWorker(worker)
+            removeEndedWorker(worker)
             return
         }
         if (worker.consecutiveLostHolds == 1) {
@@ -592,6 +607,7 @@
         if (worker.bornWallMs != 0L && lists.bornWallMs > worker.bornWallMs) onNewIncarnation(worker, lists.bornWallMs)
         if (worker.bornWallMs == 0L) recordIncarnation(worker, lists.bornWallMs)
         if (lists.bornWallMs < worker.bornWallMs) return
+        crashes.onAnswered(worker)
         lists.ended
             .filter { it.number > worker.processedEnd }
             .sortedBy { it.number }
@@ -739,6 +755,7 @@
     ) {
         if (row.checkpoint.isNotEmpty()) task.checkpoint = row.checkpoint
         task.isAtWork = row.percent == FULL_PERCENT
+        crashes.onRunning(task, loop.nowMs)
         if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts && task !in worker.startQueue) {
             task.phase = TaskPhase.RUNNING
             task.stepRun.job.markStarted()
@@ -795,6 +812,7 @@
         bornWallMs: Long,
     ) {
         log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", worker.unansweredStarts.size)
+        val interrupted = crashes.interruptedRunsOf(worker)
         val recentStarts = recentLateStarts(worker)
         worker.runs.values
             .filter { it.id !in recentStarts }
@@ -819,6 +837,7 @@
             if (taskId !in worker.runs) worker.orphanedRuns[taskId] = start.runNumber
             sendStop(worker, taskId, start.runNumber)
         }
+        crashes.onEnded(worker, interrupted)
         markLeaseReconciled(worker.id)
     }
 
@@ -893,7 +912,9 @@
     private fun onLeaseExpired(worker: WorkerView) {
         if (worker.runs.isNotEmpty()) {
             log.write("lease_over", "worker", worker.id, "runs", worker.runs.size)
+            val interrupted = crashes.interruptedRunsOf(worker)
             releaseRuns(worker)
+            crashes.onLeaseExpired(worker, interrupted)
             onChange(worker.entry.pool)
         }
         if (!worker.isListed) removeWorker(worker)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobProgress.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobProgress.kt
@@ -22,8 +22,8 @@
 }
 
 /**
- * The stored progress of one step of one occurrence: the indices of its done tasks, and the numbers of failed runs by task
- * index.
+ * The stored progress of one step of one occurrence: the indices of its done tasks, and by task index the numbers of the
+ * runs that failed and of those during which their worker crashed.
  */
 @Serializable
 public data class StepProgress(
@@ -31,7 +31,10 @@
     val step: Int,
     @SerialName("done") val doneTaskIndices: List<Int> = emptyList(),
     val failedRuns: Map<Int, List<Long>> = emptyMap(),
-)
+    val crashedRuns: Map<Int, List<Long>> = emptyMap(),
+) {
+    internal val isEmpty: Boolean get() = doneTaskIndices.isEmpty() && failedRuns.isEmpty() && crashedRuns.isEmpty()
+}
 
 /** The stored progress of a job. [finishedWallMs] is the wall time of its end, zero until [state] is final. */
 @Serializable
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -32,6 +32,12 @@
 
     /** Numbers of the failed runs, kept so that an end counts once: a worker reports it until it is acknowledged as stored. */
     val failedRuns = LinkedHashSet<Long>()
+
+    /** Numbers of the runs during which their worker crashed. */
+    val crashedRuns = LinkedHashSet<Long>()
+
+    /** True if the task may be what crashed its workers, so that it must not take other tasks with it once more. */
+    val isCrashSuspect: Boolean get() = crashedRuns.size >= CRASHES_BEFORE_ISOLATION
     var checkpoint: String? = null
     var startedAtMs: Long = 0
     var waitingSinceMs: Long = 0
@@ -48,6 +54,11 @@
 
     val occupiesWorker: Boolean
         get() = phase == TaskPhase.STARTING || phase == TaskPhase.RUNNING || phase == TaskPhase.STOPPING
+
+    private companion object {
+        /** A single crash is more likely the worker's own than that of one of the many tasks on it. */
+        const val CRASHES_BEFORE_ISOLATION = 2
+    }
 }
 
 /** One step of one occurrence; [number] is its index among the job's steps. */
@@ -178,7 +189,8 @@
                 occurrences.values.flatMap { it.steps }.mapNotNull { run ->
                     val done = run.tasks.filter { it.phase == TaskPhase.DONE }.map { it.id.index }
                     val failedRuns = run.tasks.filter { it.failedRuns.isNotEmpty() }.associate { it.id.index to it.failedRuns.toList() }
-                    if (done.isEmpty() && failedRuns.isEmpty()) null else StepProgress(run.occurrence, run.number, done, failedRuns)
+                    val crashedRuns = run.tasks.filter { it.crashedRuns.isNotEmpty() }.associate { it.id.index to it.crashedRuns.toList() }
+                    StepProgress(run.occurrence, run.number, done, failedRuns, crashedRuns).takeUnless { it.isEmpty }
                 },
             finishedWallMs = finishedWallMs,
         )
@@ -208,5 +220,11 @@
                 ?.failedRuns
                 ?.addAll(runNumbers)
         }
+        for ((index, runNumbers) in stored.crashedRuns) {
+            run.tasks
+                .getOrNull(index)
+                ?.crashedRuns
+                ?.addAll(runNumbers)
+        }
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
@@ -39,6 +39,9 @@
     private val acknowledgedDone = HashSet<TaskId>()
     private val doneTasks = HashSet<TaskId>()
     private val acknowledgedFailures = HashMap<TaskId, Int>()
+    private val failedEnds = HashMap<TaskId, Int>()
+    private val crashes = HashMap<TaskId, Int>()
+    private val startsAfterThirdCrash = HashMap<TaskId, Int>()
     val violations = ArrayList<String>()
     private var isLateDelivery = false
     private val lastEndedAtMs = HashMap<TaskId, Long>()
@@ -94,6 +97,22 @@
         observed.cancelledAtMs = observed.cancelledAtMs ?: time.nowMs
     }
 
+    /** Called before [worker] crashes, with its runs still on it. */
+    fun onWorkerCrashed(worker: SimWorker) = worker.runningTasks.forEach { crashes.merge(it, 1, Int::plus) }
+
+    /** Number of workers that have crashed under any task of the job [id]. */
+    fun crashCount(id: String): Int = crashes.filterKeys { it.jobId == id }.values.sum()
+
+    /** Jobs that were reported failed although none of their tasks has failed as often as it may. */
+    fun crashFailedJobs(): List<String> =
+        jobs
+            .filterValues { it.reportedFinalState == JobState.FAILED }
+            .filterValues { job -> tasksOf(job.submission).none { (failedEnds[it] ?: 0) >= job.submission.queue.maxAttempts } }
+            .keys
+            .toList()
+
+    fun reportedFinalState(id: String): JobState? = jobs.getValue(id).reportedFinalState
+
     fun onStart(
         worker: SimWorker,
         order: StartOrder,
@@ -115,6 +134,11 @@
         ) {
             report("BUDGET $task starts with no attempt left")
         }
+        if ((crashes[task] ?: 0) >= CRASHES_BEFORE_BUDGET &&
+            startsAfterThirdCrash.merge(task, 1, Int::plus) == STARTS_OVER_BUDGET
+        ) {
+            report("BUDGET $task starts again although ${crashes[task]} workers have crashed under it")
+        }
         val cancelledAtMs = observed.cancelledAtMs
         if (cancelledAtMs != null &&
             !isLateDelivery &&
@@ -142,6 +166,7 @@
     ) {
         running.remove(run.task)
         lastEndedAtMs[run.task] = time.nowMs
+        if (kind == EndKind.FAILED) failedEnds.merge(run.task, 1, Int::plus)
         if (kind == EndKind.DONE) {
             endedDone.add(run.task to run.number)
             doneTasks.add(run.task)
@@ -226,6 +251,9 @@
             val isDone = tasksOf(observed.submission).all { it in doneTasks }
             if (!isDone) report("MIXED $id is reported complete with unfinished tasks")
         }
+        if (state == JobState.FAILED && tasksOf(observed.submission).none { isFailureCause(it, observed.submission.queue.maxAttempts) }) {
+            report("LOST $id is reported failed without a cause")
+        }
         val isContradiction = observed.reportedFinalState != null && state != observed.reportedFinalState
         if (isContradiction && (state.isFinal || askedAtMs > observed.reportedFinalAtMs)) {
             report("LOST $id was reported ${observed.reportedFinalState}, then $state")
@@ -243,12 +271,17 @@
             if (observed.acceptedAtMs == null) continue
             val state = stateOf(id)
             val isLongRunning = observed.submission.steps.any { it.isLongRunning }
-            if (state == null) report("LOST $id is unknown at the end")
+            if (state == null) report("LOST $id is unknown at the end") else onStateReported(id, state, time.nowMs)
             if (!isLongRunning && state?.isFinal == false) report("LOST $id is still $state at the end")
             if (isLongRunning && state == JobState.ACTIVE) checkLongRunning(observed.submission)
         }
     }
 
+    private fun isFailureCause(
+        task: TaskId,
+        maxAttempts: Int,
+    ): Boolean = (failedEnds[task] ?: 0) >= maxAttempts || (crashes[task] ?: 0) >= CRASHES_BEFORE_GIVING_UP
+
     private fun checkStopped(submission: JobSubmission) {
         for (task in tasksOf(submission)) {
             val worker = running[task] ?: continue
@@ -289,6 +322,15 @@
         /** A disruption within this time before an absence excuses it. */
         const val CALM_BEFORE_MS = 4_000L
 
+        /** Crashes under a task from which on its job may be given up. */
+        const val CRASHES_BEFORE_GIVING_UP = 2
+
+        /** Crashes under a task after which its starts are counted. */
+        const val CRASHES_BEFORE_BUDGET = 3
+
+        /** The start after these crashes that breaks the budget. */
+        const val STARTS_OVER_BUDGET = 3
+
         /** Least time between orders of two owners to one instance. */
         const val INSTANCE_LEASE_MS = 3_000L
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -22,6 +22,8 @@
 import io.corianderrock.jobs.ports.InstanceOrderAnswer
 import io.corianderrock.jobs.ports.InstanceService
 import io.corianderrock.jobs.ports.InstanceState
+import io.corianderrock.jobs.ports.StartOrder
+import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.runs.Scheduler
 import io.corianderrock.jobs.runs.SchedulerBounds
@@ -185,6 +187,9 @@
     }
 }
 
+/** The spec of a job whose first task crashes each worker that starts it. */
+internal const val DEADLY_SPEC = "deadly"
+
 /** The mix of jobs and faults of a simulation. */
 internal enum class Workload {
     /** Mostly short jobs. */
@@ -287,7 +292,21 @@
                 workload == Workload.LONG_RUNNING_JOBS && random.nextInt(4) == 0 -> random.nextLong(200, 20_000)
                 else -> 1_000_000L
             }
-        return RunPlan(duration, if (isPoison || random.nextInt(20) == 0) EndKind.FAILED else EndKind.DONE, step.demand)
+        val end = if (isPoison || random.nextInt(20) == 0) EndKind.FAILED else EndKind.DONE
+        return RunPlan(duration, end, step.demand, crashesWorker = submission.spec == DEADLY_SPEC && task.index == 0)
+    }
+
+    /** Carries out [order] on [worker], which may crash the worker. */
+    fun start(
+        worker: SimWorker,
+        order: StartOrder,
+    ): WorkerAnswer {
+        val plan = runPlanOf(order.task)
+        val answer = worker.start(order, plan)
+        if (plan.crashesWorker && answer is WorkerAnswer.Done) {
+            time.after(CRASH_DELAY_MS) { if (worker.isUp && order.task in worker.runningTasks) crashWorker(worker, CRASHED_FOR_MS) }
+        }
+        return answer
     }
 
     fun run(): InvariantChecker {
@@ -560,6 +579,7 @@
         if (lostInstances.size == MAX_LOST_INSTANCES) return
         val instanceId = checkNotNull(worker.entry.instanceId)
         trace("world", "worker_lost_for_good", arrayOf<Any?>(worker.entry.id, instanceId, worker.runningTasks))
+        checker.onWorkerCrashed(worker)
         worker.kill()
         crashesOverAtMs = maxOf(crashesOverAtMs, time.nowMs + LOSS_MS)
         time.after(UNLISTED_AFTER_MS) { unlistWorker(worker) }
@@ -574,6 +594,7 @@
         downMs: Long,
     ) {
         trace("world", "worker_restarts", arrayOf<Any?>(worker.entry.id, downMs))
+        checker.onWorkerCrashed(worker)
         worker.kill()
         crashesOverAtMs = maxOf(crashesOverAtMs, time.nowMs + downMs)
         time.after(UNLISTED_AFTER_MS) { if (workers[worker.entry.id] === worker) unlistWorker(worker) }
@@ -659,6 +680,7 @@
     ) {
         val instanceId = checkNotNull(worker.entry.instanceId)
         trace("world", "worker_crashed", arrayOf<Any?>(worker.entry.id, instanceId, durationMs))
+        checker.onWorkerCrashed(worker)
         worker.kill()
         crashesOverAtMs = maxOf(crashesOverAtMs, time.nowMs + durationMs)
         time.after(UNLISTED_AFTER_MS) { unlistWorker(worker) }
@@ -690,6 +712,12 @@
 
     private companion object {
         val CAPACITY = Demand(8_000, 32_000)
+
+        /** Time from the start of a task that crashes its worker to the crash. */
+        const val CRASH_DELAY_MS = 10L
+
+        /** Time after which the instance of a crashed worker has another worker. */
+        const val CRASHED_FOR_MS = 3_200L
         const val JOB_COUNT = 40
         const val SUBMISSION_WINDOW_MS = 15_000L
         const val MAX_FAULT_MS = 8_000L
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -133,11 +133,12 @@
     }
 }
 
-/** Duration, outcome and resource demand of a simulated run. */
+/** Duration, outcome and resource demand of a simulated run; one that [crashesWorker] does so soon after its start. */
 internal class RunPlan(
     val durationMs: Long,
     val end: EndKind,
     val demand: Demand,
+    val crashesWorker: Boolean = false,
 )
 
 /**
@@ -170,7 +171,7 @@
         onAnswer: (WorkerAnswer) -> Unit,
     ) {
         val sent = world.tampering.start(order)
-        send(entry, { it.start(sent, world.runPlanOf(sent.task)) }, onAnswer)
+        send(entry, { world.start(it, sent) }, onAnswer)
     }
 
     override fun stop(
