Place long-running tasks on failing workers rather than nowhere

Callers saw long-running tasks that did not run although workers of their pool had capacity (LOST). In histories with many long-running tasks and jobs that always fail in bursts, a task waited 3.8 to 8.7 s beside free workers.

Cause: a worker on which three jobs in a row fail gets no new task for 8 s, and more with each such failure. Jobs that fail wherever they run make most workers of a pool avoided at once, and a task that is to run at all times waits with the rest.

Change: avoidance after failures has a time of its own. Such a worker still takes no short task. A long-running task may be placed on it, but only if no other worker has capacity for it. Workers that refused an order or did not answer are left alone as before.

Not fixed by this: the failing jobs and other short jobs of such a pool still wait for as long as all its workers are avoided. The test looks at its long-running job only.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -121,7 +121,7 @@
             "cordoned",
             inPool.count { it.isCordoned },
             "avoided",
-            inPool.count { loop.nowMs < it.avoidUntilMs },
+            inPool.count { loop.nowMs < it.avoidUntilMs || isFailing(it) },
             "silent",
             inPool.count { it.consecutiveLostHolds > 0 },
             "withOrphanedRuns",
@@ -164,6 +164,14 @@
             worker.consecutiveLostHolds == 0 &&
             loop.nowMs >= worker.avoidUntilMs
 
+    private fun isFailing(worker: WorkerView): Boolean = loop.nowMs < worker.failingUntilMs
+
+    /** Only long-running tasks are placed on failing workers, when no other has capacity: they are to run at all times. */
+    private fun mayTake(
+        worker: WorkerView,
+        step: Step,
+    ): Boolean = step.isLongRunning || !isFailing(worker)
+
     /** Assigns the waiting tasks of [stepRun]; false when one of them found no worker with capacity. */
     private fun placeStep(
         stepRun: StepRun,
@@ -239,6 +247,7 @@
         plannedCount: Int,
     ): Boolean {
         val step = task.stepRun.step
+        if (!mayTake(capacity.worker, step)) return false
         if (!step.occupied.fitsIn(capacity.free)) return false
         if (step.requiredLabel != null && step.requiredLabel !in capacity.worker.entry.labels) return false
         // A best-effort task would slow down a task with a response time target on the same worker.
@@ -265,6 +274,7 @@
             cost += REMOTE_RACK_COST
         }
         if (task.lastFailedWorkerId == capacity.worker.id) cost += FAILED_WORKER_COST
+        if (isFailing(capacity.worker)) cost += FAILING_WORKER_COST
         return cost
     }
 
@@ -281,14 +291,16 @@
         capacities: List<WorkerCapacity>,
     ): Boolean {
         if (loop.nowMs < stepRun.ticketsExpireAtMs) return true
-        if (stepRun.isAdviceInFlight || capacities.isEmpty()) return false
+        if (stepRun.isAdviceInFlight) return false
+        val workers = capacities.map { it.worker }.filter { mayTake(it, stepRun.step) }.sortedBy(::isFailing)
+        if (workers.isEmpty()) return false
         stepRun.isAdviceInFlight = true
         val name = "${stepRun.job.id}.${stepRun.occurrence}.${stepRun.number}"
         val sentAtMs = loop.nowMs
-        advice.ask(name, capacities.take(MAX_ADVISED_WORKERS).map { it.worker.id }) { answer ->
+        advice.ask(name, workers.take(MAX_ADVISED_WORKERS).map { it.id }) { answer ->
             stepRun.isAdviceInFlight = false
             val granted = answer.granted
-            log.write("advice", "step", name, "asked", capacities.size, "granted", granted?.size, "tookMs", loop.nowMs - sentAtMs)
+            log.write("advice", "step", name, "asked", workers.size, "granted", granted?.size, "tookMs", loop.nowMs - sentAtMs)
             if (granted != null) {
                 stepRun.tickets = granted.associate { it.workerId to it.ticket }
                 stepRun.ticketsExpireAtMs = sentAtMs + answer.validForMs - TICKET_EXPIRY_MARGIN_MS
@@ -320,6 +332,9 @@
         /** Exceeds any cost of unused capacity: the worker may have caused the task's last failure. */
         const val FAILED_WORKER_COST = 3.0
 
+        /** Exceeds all other costs together: a failing worker is the last resort. */
+        const val FAILING_WORKER_COST = 20.0
+
         /** Maximum number of workers in one advice request; the advice service spends one period on each. */
         const val MAX_ADVISED_WORKERS = 30
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -682,7 +682,7 @@
                 worker.recentFailedJobIds.add(task.id.jobId)
                 if (worker.recentFailedJobIds.size < FAILED_JOBS_BEFORE_AVOIDING) return
                 log.write("worker_avoided", "worker", worker.id, "failedJobs", worker.recentFailedJobIds.size)
-                worker.avoidUntilMs = loop.nowMs + AVOID_FAILING_MS
+                worker.failingUntilMs = loop.nowMs + AVOID_FAILING_MS
                 worker.recentFailedJobIds.clear()
             }
             else -> Unit
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -76,8 +76,11 @@
     /** True while the instance is being emptied for a move or for maintenance: no new tasks are placed here. */
     var isCordoned: Boolean = false
 
-    /** Loop time until which no new tasks are placed here, set after refusals and failures that point at the worker. */
+    /** Loop time until which no new tasks are placed here, set after refusals and orders without an answer. */
     var avoidUntilMs: Long = 0
+
+    /** Loop time until which new tasks are placed here only as a last resort, set after failures that point at the worker. */
+    var failingUntilMs: Long = 0
     val recentFailedJobIds = LinkedHashSet<String>()
     var isLeaseRowStored: Boolean = false
     var isLeaseRowStoring: Boolean = false
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/LongRunningTaskTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/LongRunningTaskTest.kt
@@ -1,5 +1,6 @@
 /*
- * Covers long-running tasks whose worker is lost for good: they must run elsewhere soon if there is capacity for them.
+ * Covers long-running tasks whose worker is lost for good, or that arrive while other jobs fail on all workers: they must run
+ * soon if there is capacity for them.
  */
 package io.corianderrock.jobs
 
@@ -18,6 +19,13 @@
 /** The longest lease of a platform on which lost workers keep their tasks for longer than the bound. */
 private const val LONG_LEASE_MS = 10_000L
 private const val INSTANCE_COUNT = 14
+
+/** Without spare instances, so that a pool does not grow while its workers are avoided. */
+private const val INSTANCE_COUNT_WITHOUT_SPARES = 4
+private const val FAILING_JOBS_FROM_MS = 6_000L
+private const val FAILING_JOB_COUNT = 60
+private const val FAILING_JOB_INTERVAL_MS = 250L
+private const val SUBMITTED_AT_MS = 10_000L
 private val SEEDS = 1..20
 
 private val LONG_RUNNING_JOB =
@@ -51,6 +59,12 @@
                 SEEDS.flatMap { violationsAfterLoss(it, LONG_LEASE_MS, isInstanceRemoved = true) }.shouldBeEmpty()
             }
         }
+        describe("a long-running task submitted while other jobs fail on every worker") {
+            // Guards against tasks that wait beside free workers, all avoided because of jobs that fail everywhere.
+            it("runs within the bound") {
+                SEEDS.flatMap(::violationsAmongFailingJobs).filter { "${LONG_RUNNING_JOB.id}." in it }.shouldBeEmpty()
+            }
+        }
     })
 
 /** Submits a long-running job and lets the worker of one of its tasks be lost for good together with [alsoFail]. */
@@ -73,3 +87,25 @@
             }
         },
     ).run().violations.map { "seed $seed: $it" }
+
+/** Submits a long-running job amid short jobs of the same pool that fail wherever they run. */
+private fun violationsAmongFailingJobs(seed: Int): List<String> =
+    JobWorld(
+        seed,
+        hasFaults = false,
+        instanceCount = INSTANCE_COUNT_WITHOUT_SPARES,
+        scheduleEvents = { world ->
+            repeat(FAILING_JOB_COUNT) { number ->
+                world.time.after(FAILING_JOBS_FROM_MS + number * FAILING_JOB_INTERVAL_MS) { world.submit(failingJob(number)) }
+            }
+            world.time.after(SUBMITTED_AT_MS) { world.submit(LONG_RUNNING_JOB) }
+        },
+    ).run().violations.map { "seed $seed: $it" }
+
+private fun failingJob(number: Int): JobSubmission =
+    JobSubmission(
+        id = "failing$number",
+        queue = Queue("queue-a", "a", maxAttempts = 3),
+        spec = "poison",
+        steps = listOf(Step(4, Demand(300, 100), 500)),
+    )
