Let peers know of a claim whose outcome is open

Callers saw: too little was served while the platform's store was slow for all. Entry after entry claimed the ownership, each before the one before had learned that it was the owner. The store applies a claim at once and answers it late or not at all. Peers read the new row, ask its holder after 650 ms of silence, and the holder, still waiting for the answer, says that it is not the owner: it was replaced as failed (`not_owner`). The answer to peers names the epoch of an open claim; a row of that epoch does not count as abandoned.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
@@ -82,6 +82,10 @@
     /** A claim of this process whose answer was lost: it may have been applied. */
     private var unansweredClaim: Claim? = null
 
+    /** The epoch of the last claim until its outcome is known. */
+    @Volatile
+    private var openClaimEpoch: Long? = null
+
     private class Claim(
         val row: OwnerRow,
         val earlier: EarlierOwner,
@@ -100,7 +104,11 @@
     public val isStoreLost: Boolean get() = if (isOwner) !canWrite() else storeReach.isLost
 
     /** What this entry answers when a peer asks. Callable from any thread. */
-    public fun status(): PeerStatus = PeerStatus(owner, isOwner, canWrite = !isOwner || canWrite())
+    public fun status(): PeerStatus {
+        // Read before the rest: a claim is closed only once the ownership it has won is visible.
+        val claimedEpoch = openClaimEpoch
+        return PeerStatus(owner, isOwner, canWrite = !isOwner || canWrite(), claimedEpoch = claimedEpoch)
+    }
 
     /** Starts to read the owner row every [POLL_INTERVAL_MS], and to ask peers while it cannot be read. */
     public fun start() {
@@ -111,6 +119,7 @@
     /** Stops watching and claiming. A claim that was applied, or may have been, is released. */
     public fun stop() {
         isStopped = true
+        openClaimEpoch = null
         unansweredClaim?.let { releaseAbandonedClaim(it.row) }
     }
 
@@ -231,6 +240,7 @@
         val next = OwnerRow(name, address, (row?.epoch ?: 0) + 1, 1, earlierOrdersWindowMs, processorMilli)
         val change = RowChange(expected = mapOf(OwnerRow.KEY to version), puts = mapOf(OwnerRow.KEY to next.encode()))
         val sinceLastMs = loop.nowMs - unchangedSinceMs
+        openClaimEpoch = next.epoch
         tables.commit(change) { result ->
             isClaiming = false
             claimAtMs = Long.MAX_VALUE
@@ -239,7 +249,7 @@
                 is ChangeResult.Committed -> becomeOwner(next, result.version, earlier)
                 is ChangeResult.Conflict -> resolveConflict(result, next, earlier)
                 is ChangeResult.Failed -> {
-                    if (result.mayHaveApplied) unansweredClaim = Claim(next, earlier)
+                    if (result.mayHaveApplied) unansweredClaim = Claim(next, earlier) else openClaimEpoch = null
                     if (result.mayHaveApplied && isStopped) releaseAbandonedClaim(next)
                     loop.after(CLAIM_RETRY_MS) { readRow() }
                 }
@@ -253,8 +263,13 @@
         claimed: OwnerRow,
         earlier: EarlierOwner,
     ) {
-        val row = conflict.rows.firstOrNull() ?: return
-        if (OwnerRow.decode(row.value) == claimed) becomeOwner(claimed, row.version, earlier) else readRow()
+        val row = conflict.rows.firstOrNull()
+        if (row != null && OwnerRow.decode(row.value) == claimed) {
+            becomeOwner(claimed, row.version, earlier)
+        } else {
+            openClaimEpoch = null
+            if (row != null) readRow()
+        }
     }
 
     private fun earlierOwner(row: OwnerRow?): EarlierOwner {
@@ -280,6 +295,7 @@
         isOwner = true
         unansweredClaim = null
         lastRow = row
+        openClaimEpoch = null
         onOwned(row, version, earlier)
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerFailureDetector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerFailureDetector.kt
@@ -80,6 +80,8 @@
             is PeerStatusResult.Unreachable -> "unreachable"
             is PeerStatusResult.Answered ->
                 when {
+                    // The answer to the claim that wrote this row is still on its way.
+                    result.status.claimedEpoch == row.epoch -> null
                     !result.status.isOwner || result.status.owner?.epoch != row.epoch -> "not_owner"
                     !result.status.canWrite && mayReplaceForWrites() -> "cannot_write"
                     else -> null
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/PeerStatus.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/PeerStatus.kt
@@ -18,6 +18,8 @@
     val isOwner: Boolean,
     /** False if the peer is the owner and its writes have not been answered for some time. */
     val canWrite: Boolean,
+    /** The epoch of a claim of the peer that may have been applied but whose outcome the peer does not know; null if there is none. */
+    val claimedEpoch: Long? = null,
 )
 
 /** The result of asking a peer. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
@@ -1,12 +1,15 @@
 /*
  * Covers owners that fail without their connections being refused: the store turns them away, their data centre is cut off or
  * their process is suspended. Peers must take over well before the row has been silent for long, callers of entries without
- * the store must still be served, and an outage of the store for everyone must not start a takeover.
+ * the store must still be served, an outage of the store for everyone must not start a takeover, and a slow store must not
+ * start more than one.
  */
 package io.corianderrock.jobs
 
 import io.corianderrock.jobs.entry.CallerAnswer
 import io.corianderrock.jobs.entry.JobRequest
+import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.JobSubmission
 import io.corianderrock.jobs.state.Queue
@@ -27,6 +30,15 @@
 private const val RESTART_AT_MS = 3_000L
 private const val FAILURE_AT_MS = 6_000L
 private const val FAILURE_FOR_MS = 6_000L
+
+/** Longer than a row may be silent before its holder is asked, shorter than the timeout of a write. */
+private const val LATE_ANSWER_MS = 890L
+
+/** Shorter than the term after which an owner that cannot write is replaced. */
+private const val LATE_ANSWERS_FOR_MS = 4_000L
+
+/** Spreads the times at which two entries read the row over the interval between reads. */
+private const val READ_PHASE_MS = 25L
 private const val LARGE_MILLI = 1_500
 private const val SMALL_MILLI = 360
 private val SEEDS = 1..20
@@ -63,12 +75,30 @@
         describe("entries with different amounts of processor time") {
             it("leave the ownership to one that has no less than the failed owner") {
                 SEEDS.forEach { seed ->
-                    val failure = OwnerFailure(seed, small = ::firstPeerOf) { owner, _ -> owner.setIsolated(true) }
+                    val failure =
+                        OwnerFailure(seed, restarted = ::firstPeerOf, restartedMilli = SMALL_MILLI) { owner, _ ->
+                            owner.setIsolated(true)
+                        }
                     failure.takeoverMs() shouldBeLessThan MAX_TAKEOVER_MS
                     failure.ownersAfterwards.single().processorMilli shouldBe LARGE_MILLI
                 }
             }
         }
+        describe("an owner that fails while the store answers writes late") {
+            // Guards against claims that are taken for failed owners until their answers arrive, one claim after the other.
+            it("is replaced once, by an entry that is still the owner afterwards") {
+                SEEDS.forEach { seed ->
+                    val failure =
+                        OwnerFailure(seed, restarted = ::firstPeerOf, restartAtMs = RESTART_AT_MS + seed * READ_PHASE_MS) { owner, world ->
+                            world.store.commitAnswerDelayMs = LATE_ANSWER_MS
+                            owner.setIsolated(true)
+                        }
+                    failure.run()
+                    failure.takeoverCount shouldBe 1
+                    failure.ownersAfterwards.size shouldBe 1
+                }
+            }
+        }
         describe("an outage of the store for all entries") {
             it("leaves the ownership where it is") {
                 SEEDS.forEach { seed ->
@@ -103,18 +133,26 @@
 /** A world in which the owner fails at [FAILURE_AT_MS] for [FAILURE_FOR_MS]. */
 private class OwnerFailure(
     seed: Int,
-    /** Chooses an entry that gets a quarter of the others' processor time before the failure. */
-    private val small: (SimEntry, JobWorld) -> SimEntry? = { _, _ -> null },
+    /** Chooses an entry that is restarted at [restartAtMs], before the failure, and has [restartedMilli] from then on. */
+    private val restarted: (SimEntry, JobWorld) -> SimEntry? = { _, _ -> null },
+    private val restartedMilli: Int = LARGE_MILLI,
+    restartAtMs: Long = RESTART_AT_MS,
     private val fail: (SimEntry, JobWorld) -> Unit,
 ) {
     lateinit var failed: SimEntry
     val ownersAfterwards = ArrayList<SimEntry>()
+
+    /** How often the owner row got another epoch from the failure until some time after it. */
+    var takeoverCount = 0L
+        private set
+    private var epochBefore = 0L
     private var failedAtMs = 0L
     private var replacedAtMs: Long? = null
     private val world =
         JobWorld(seed, hasFaults = false, scheduleEvents = { world ->
-            world.time.after(RESTART_AT_MS) { restartSmall(world) }
+            world.time.after(restartAtMs) { restart(world) }
             world.time.after(FAILURE_AT_MS) { begin(world) }
+            world.time.after(FAILURE_AT_MS + LATE_ANSWERS_FOR_MS) { world.store.commitAnswerDelayMs = 0 }
             world.time.after(FAILURE_AT_MS + FAILURE_FOR_MS) { end(world) }
         })
 
@@ -125,16 +163,17 @@
         return replacedAtMs.shouldNotBeNull() - failedAtMs
     }
 
-    private fun restartSmall(world: JobWorld) {
-        val entry = small(world.entries.first { it.scheduler != null }, world) ?: return
+    private fun restart(world: JobWorld) {
+        val entry = restarted(world.entries.first { it.scheduler != null }, world) ?: return
         entry.kill()
-        entry.processorMilli = SMALL_MILLI
+        entry.processorMilli = restartedMilli
         entry.boot()
     }
 
     private fun begin(world: JobWorld) {
         failed = world.entries.first { it.scheduler != null }
         failedAtMs = world.time.nowMs
+        epochBefore = epochIn(world)
         fail(failed, world)
         watch(world)
     }
@@ -147,7 +186,15 @@
     private fun end(world: JobWorld) {
         failed.setIsolated(false)
         world.store.isDown = false
-        world.time.after(SETTLE_MS) { ownersAfterwards += world.entries.filter { it.scheduler != null } }
+        world.time.after(SETTLE_MS) {
+            ownersAfterwards += world.entries.filter { it.scheduler != null }
+            takeoverCount = epochIn(world) - epochBefore
+        }
+    }
+
+    private fun epochIn(world: JobWorld): Long {
+        val row = (world.store.row(OwnerRow.KEY) as ReadResult.Rows).rows.single()
+        return checkNotNull(OwnerRow.decode(row.value)).epoch
     }
 
     private companion object {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
@@ -1,5 +1,5 @@
 /*
- * In-memory store with the faults of the platform's store: unreachable for all entries or for one, lost answers, and
+ * In-memory store with the faults of the platform's store: unreachable for all entries or for one, late or lost answers, and
  * writes that are applied seconds later.
  */
 package io.corianderrock.jobs.world
@@ -22,6 +22,9 @@
     private var version = 0L
     var isDown = false
     var lostAnswerRatio = 0.0
+
+    /** Further delay of the answer to each write, which is applied without it. */
+    var commitAnswerDelayMs = 0L
     val completeWaves = HashSet<Int>()
 
     fun apply(change: RowChange): ChangeResult {
@@ -57,7 +60,7 @@
             val applyDelayMs = if (isLost && random.nextBoolean()) random.nextLong(500, 5_000) else random.nextLong(1, 4)
             time.after(applyDelayMs) {
                 val result = apply(change)
-                if (!isLost) loop.after(random.nextLong(1, 4)) { onResult(result) }
+                if (!isLost) loop.after(random.nextLong(1, 4) + commitAnswerDelayMs) { onResult(result) }
             }
             if (isLost) loop.after(TIMEOUT_MS) { onResult(ChangeResult.Failed("answer lost", mayHaveApplied = true)) }
         }
--- a/transport/src/main/kotlin/io/corianderrock/transport/HttpPeerStatusClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpPeerStatusClient.kt
@@ -17,6 +17,7 @@
     val ownerEpoch: Long = 0,
     val isOwner: Boolean = false,
     val canWrite: Boolean = true,
+    val claimedEpoch: Long? = null,
 )
 
 internal const val STATUS_PATH = "/peer/status"
@@ -25,7 +26,7 @@
 
 internal fun encodePeerStatus(status: PeerStatus): String {
     val owner = status.owner
-    val message = PeerStatusMessage(owner?.address.orEmpty(), owner?.epoch ?: 0, status.isOwner, status.canWrite)
+    val message = PeerStatusMessage(owner?.address.orEmpty(), owner?.epoch ?: 0, status.isOwner, status.canWrite, status.claimedEpoch)
     return statusJson.encodeToString(PeerStatusMessage.serializer(), message)
 }
 
@@ -52,7 +53,7 @@
         try {
             val message = statusJson.decodeFromString(PeerStatusMessage.serializer(), answer.body.decodeToString())
             val owner = if (message.ownerAddress.isEmpty()) null else OwnerSighting(message.ownerAddress, message.ownerEpoch)
-            PeerStatusResult.Answered(PeerStatus(owner, message.isOwner, message.canWrite))
+            PeerStatusResult.Answered(PeerStatus(owner, message.isOwner, message.canWrite, message.claimedEpoch))
         } catch (e: SerializationException) {
             PeerStatusResult.Unreachable("status ${answer.status} with a body that cannot be decoded: ${e.message}")
         }
