Keep an owner that cannot write while the store is slow for all

Callers saw: too little was served while the platform's store was slow for all (one class short of its floor, or most of the requests refused or failed). An owner whose writes had had no answer for 800 ms was replaced, though the store was as slow for its successor. Only reads that had failed counted as an outage for all; slow ones did not. Claims of 10 large and 34 small entries then met a store that turned most away, and a small entry (0.36 cores, 10 Mbit/s) could win. It served a part of the peak and kept the ownership: its row was renewed. A read of 100 ms or more counts like a missed one: the owner gets the time to write again. A silent row still replaces it after 2.9 s, and a holder that cannot be reached is replaced as before. Test: OwnerFailureTest, a store that answers all entries slowly (before: a takeover).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
@@ -168,17 +168,21 @@
         if (isStopped || isOwner || isClaiming) return
         readAtMs = loop.nowMs
         storeReach.onReadSent()
+        val sentAtMs = loop.nowMs
         tables.read(OwnerRow.KEY) { result ->
             storeReach.onReadEnded(isAnswered = result is ReadResult.Rows)
-            if (result is ReadResult.Rows) onRead(result)
+            if (result is ReadResult.Rows) onRead(result, loop.nowMs - sentAtMs)
         }
     }
 
-    private fun onRead(result: ReadResult.Rows) {
+    private fun onRead(
+        result: ReadResult.Rows,
+        tookMs: Long,
+    ) {
         if (isOwner || isStopped || isClaiming) return
         val stored = result.rows.firstOrNull()
         val row = stored?.let { OwnerRow.decode(it.value) }
-        failureDetector.onRowRead(lastRow, row)
+        failureDetector.onRowRead(lastRow, row, tookMs)
         if (row != lastRow || !hasReadOnce) {
             hasReadOnce = true
             if (row?.holder != lastRow?.holder || row?.epoch != lastRow?.epoch) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerFailureDetector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerFailureDetector.kt
@@ -19,15 +19,16 @@
     private var isProbing = false
     private var suspicion: String? = null
 
-    /** Records that [row] was read, [before] being the row of the read before. */
+    /** Records that [row] was read in [tookMs], [before] being the row of the read before. */
     fun onRowRead(
         before: OwnerRow?,
         row: OwnerRow?,
+        tookMs: Long,
     ) {
         // While this entry could not read, the owner may not have been able to write either: it gets the time to resume.
         val hasMissedReads = loop.nowMs - lastReadMs > MAX_READ_GAP_MS
         lastReadMs = loop.nowMs
-        if (hasMissedReads) storeRegainedAtMs = loop.nowMs
+        if (hasMissedReads || tookMs >= SLOW_READ_MS) storeRegainedAtMs = loop.nowMs
         if (row?.epoch != before?.epoch) termSeenAtMs = loop.nowMs
         if (row == before && !hasMissedReads) return
         silentSinceMs = loop.nowMs
@@ -110,6 +111,9 @@
         /** Time that an owner has to write again once the store answers this entry: the timeout of a write and its retry delay. */
         private const val RESUME_MS = 1_400L
 
+        /** Duration from which a read shows a store that is slow for others than the owner too; reads usually take 5 ms. */
+        private const val SLOW_READ_MS = 100L
+
         /** Longest time between two reads that still prove the silence of the owner rather than that of the store. */
         private const val MAX_READ_GAP_MS = 1_500L
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerFailureTest.kt
@@ -34,6 +34,9 @@
 /** Longer than a row may be silent before its holder is asked, shorter than the timeout of a write. */
 private const val LATE_ANSWER_MS = 890L
 
+/** Many times the usual duration of a read. */
+private const val SLOW_READ_MS = 120L
+
 /** Shorter than the term after which an owner that cannot write is replaced. */
 private const val LATE_ANSWERS_FOR_MS = 4_000L
 
@@ -108,6 +111,21 @@
                 }
             }
         }
+        describe("a store that answers all entries slowly") {
+            // Guards against owners that are replaced for want of writes although no other entry could write sooner.
+            it("leaves the ownership where it is") {
+                SEEDS.forEach { seed ->
+                    val failure =
+                        OwnerFailure(seed) { _, world ->
+                            world.store.commitAnswerDelayMs = LATE_ANSWER_MS
+                            world.store.readAnswerDelayMs = SLOW_READ_MS
+                        }
+                    failure.run()
+                    failure.takeoverCount shouldBe 0
+                    failure.ownersAfterwards shouldBe listOf(failure.failed)
+                }
+            }
+        }
         describe("a caller of an entry that the store turns away together with the owner") {
             it("has its job accepted through the next owner") {
                 SEEDS.forEach { seed ->
@@ -152,7 +170,7 @@
         JobWorld(seed, hasFaults = false, scheduleEvents = { world ->
             world.time.after(restartAtMs) { restart(world) }
             world.time.after(FAILURE_AT_MS) { begin(world) }
-            world.time.after(FAILURE_AT_MS + LATE_ANSWERS_FOR_MS) { world.store.commitAnswerDelayMs = 0 }
+            world.time.after(FAILURE_AT_MS + LATE_ANSWERS_FOR_MS) { endSlowness(world) }
             world.time.after(FAILURE_AT_MS + FAILURE_FOR_MS) { end(world) }
         })
 
@@ -163,6 +181,11 @@
         return replacedAtMs.shouldNotBeNull() - failedAtMs
     }
 
+    private fun endSlowness(world: JobWorld) {
+        world.store.commitAnswerDelayMs = 0
+        world.store.readAnswerDelayMs = 0
+    }
+
     private fun restart(world: JobWorld) {
         val entry = restarted(world.entries.first { it.scheduler != null }, world) ?: return
         entry.kill()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
@@ -25,6 +25,9 @@
 
     /** Further delay of the answer to each write, which is applied without it. */
     var commitAnswerDelayMs = 0L
+
+    /** Further delay of the answer to each read. */
+    var readAnswerDelayMs = 0L
     val completeWaves = HashSet<Int>()
 
     fun apply(change: RowChange): ChangeResult {
@@ -84,7 +87,7 @@
             } else {
                 time.after(2) {
                     val result = rows()
-                    loop.after(2) { onResult(result) }
+                    loop.after(2 + readAnswerDelayMs) { onResult(result) }
                 }
             }
         }
