--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -9,6 +9,7 @@
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.world.JobWorld
 import io.corianderrock.jobs.world.OrderTampering
+import io.corianderrock.jobs.world.Workload
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldNotBeEmpty
@@ -40,6 +41,25 @@
                 violations.take(20).shouldBeEmpty()
             }
         }
+        describe("simulations with many long-running tasks and workers that are lost for good") {
+            for (leaseMs in LONGEST_LEASES_MS) {
+                // Guards against long-running tasks that stay away although there is capacity for them (LOST).
+                it("violate no invariant with leases of up to $leaseMs ms") {
+                    val violations =
+                        (1..LONG_RUNNING_SEEDS).flatMap { seed ->
+                            longRunningWorld(seed, leaseMs).run().violations.map { "seed $seed: $it" }
+                        }
+                    violations.take(20).shouldBeEmpty()
+                }
+            }
+        }
+        describe("seeds with many long-running tasks that still fail") {
+            for ((seed, cause) in KNOWN_FAILURES) {
+                it("seed $seed: $cause") {
+                    longRunningWorld(seed, LONGEST_LEASES_MS.last()).run().violations.shouldBeEmpty()
+                }
+            }
+        }
         describe("seeds that failed before") {
             for ((seed, cause) in REGRESSIONS) {
                 it("seed $seed: $cause") {
@@ -87,6 +107,22 @@
         12998 to "an owner suspended between a write and its answer treated its ownership as freshly renewed",
     )
 
+/** Longest leases of two platforms, in milliseconds. */
+private val LONGEST_LEASES_MS = listOf(6_000L, 10_000L)
+
+private const val LONG_RUNNING_SEEDS = 60
+
+private val KNOWN_FAILURES =
+    mapOf(
+        3079 to "a late start of an earlier owner reached a new incarnation before the next owner held it",
+        3115 to "an order by the clock of the last incarnation extended a lease in the next one",
+    )
+
+private fun longRunningWorld(
+    seed: Int,
+    longestLeaseMs: Long,
+) = JobWorld(seed, workload = Workload.LONG_RUNNING_JOBS, longestLeaseMs = longestLeaseMs)
+
 private const val SAME_FENCE = 1_000_000L
 private const val FAR_FUTURE_MS = 1_000_000_000L
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/LongRunningTaskTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/LongRunningTaskTest.kt
@@ -74,7 +74,17 @@
         describe("a long-running task submitted while other jobs fail on every worker") {
             // Guards against tasks that wait beside free workers, all avoided because of jobs that fail everywhere.
             it("runs within the bound") {
-                SEEDS.flatMap(::violationsAmongFailingJobs).filter { "${LONG_RUNNING_JOB.id}." in it }.shouldBeEmpty()
+                SEEDS.flatMap { violationsAmongFailingJobs(it) }.filter { "${LONG_RUNNING_JOB.id}." in it }.shouldBeEmpty()
+            }
+
+            // Guards against a wave that cordons all workers of a small pool, so that an evicted task has no place.
+            it("leaves every long-running task running during a wave") {
+                SEEDS.flatMap { violationsAmongFailingJobs(it) }.filter { "is long-running" in it }.shouldBeEmpty()
+            }
+
+            // Guards against jobs that fail everywhere and so keep all workers of a pool avoided for as long as they are retried.
+            it("does not keep the other jobs of the pool from ending") {
+                SEEDS.flatMap { violationsAmongFailingJobs(it, hasWave = false) }.shouldBeEmpty()
             }
         }
     })
@@ -125,12 +135,16 @@
 }
 
 /** Submits a long-running job amid short jobs of the same pool that fail wherever they run. */
-private fun violationsAmongFailingJobs(seed: Int): List<String> =
+private fun violationsAmongFailingJobs(
+    seed: Int,
+    hasWave: Boolean = true,
+): List<String> =
     JobWorld(
         seed,
         hasFaults = false,
         instanceCount = INSTANCE_COUNT_WITHOUT_SPARES,
         scheduleEvents = { world ->
+            if (!hasWave) world.waves.clear()
             repeat(FAILING_JOB_COUNT) { number ->
                 world.time.after(FAILING_JOBS_FROM_MS + number * FAILING_JOB_INTERVAL_MS) { world.submit(failingJob(number)) }
             }
