--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -354,7 +354,7 @@
         /** Exceeds any cost of unused capacity: the worker may have caused the task's last failure. */
         const val FAILED_WORKER_COST = 3.0
 
-        /** Exceeds any cost of unused capacity: tasks that shared a crash part, so that the next one tells which of them caused it. */
+        /** Exceeds any cost of unused capacity: tasks that shared a crash are separated, so that another crash shows which caused it. */
         const val CRASHED_TOGETHER_COST = 3.0
 
         /** Exceeds any cost of unused capacity: the worker of a crash suspect may crash with all runs on it. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/CrashTracker.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/CrashTracker.kt
@@ -67,7 +67,10 @@
         worker.entry.instanceId?.let(lapsedByInstance::remove)
     }
 
-    /** Called when its worker reports [task] as running at loop time [nowMs]. Crashes add up under a short task until it is done. */
+    /**
+     * Called when its worker reports [task] as running at loop time [nowMs]. Clears the crashes under a long-running task that has
+     * survived its start; those under other tasks add up until they are done.
+     */
     fun onRunning(
         task: TaskRun,
         nowMs: Long,
@@ -76,6 +79,7 @@
         registry.clearCrashes(task)
     }
 
+    /** Counts a crash under each of [runs], which were on the worker [workerId]. */
     private fun record(
         workerId: String,
         runs: List<InterruptedRun>,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -135,14 +135,13 @@
             if (worker.listsWithoutWorker < LISTS_TO_END_WORKER || !mayHaveRuns(worker)) continue
             val state = byInstanceId[instanceId]?.state
             log.write("worker_over", "worker", worker.id, "instance", instanceId, "instanceState", state, "runs", worker.runs.size)
-            // A move or a maintenance ends a worker as ordered.
+            // A worker whose instance is being moved or maintained was ended by an order.
             onWorkerEnded(worker, isCrash = state != InstanceState.MOVING && state != InstanceState.MAINTENANCE)
         }
     }
 
     /** True while some worker that may have runs does not answer, so that a list of instances may tell that it has ended. */
-    val hasSilentWorkers: Boolean get() =
-        byId.values.any { it.consecutiveLostHolds > 0 && mayHaveRuns(it) }
+    val hasSilentWorkers: Boolean get() = byId.values.any { it.consecutiveLostHolds > 0 && mayHaveRuns(it) }
 
     private fun mayHaveRuns(worker: WorkerView): Boolean = worker.runs.isNotEmpty() || !worker.isReconciled
 
@@ -151,6 +150,7 @@
         timeMs: Long,
     ): Boolean = worker.consecutiveLostHolds > 0 && worker.lastReportedAtMs < timeMs && worker.registeredAtMs < timeMs
 
+    /** False if [instance], null if not listed, shows that [worker] no longer runs on it. */
     private fun mayRunOn(
         instance: Instance?,
         worker: WorkerView,
@@ -178,6 +178,7 @@
         if (isCrash) crashes.onEnded(worker, interrupted)
     }
 
+    /** Starts sent to [worker] that may still arrive, by task. Drops those that are too old for that. */
     private fun recentLateStarts(worker: WorkerView): Map<TaskId, UnansweredStart> {
         worker.possibleLateStarts.values.removeAll { loop.nowMs - it.sentAtMs >= LATE_START_WINDOW_MS }
         return worker.possibleLateStarts.toMap()
@@ -359,6 +360,7 @@
         ensureHoldInFlight(worker)
     }
 
+    /** Drops the record of a start whose [answer] shows that it cannot arrive later. */
     private fun forgetLateStart(
         worker: WorkerView,
         task: TaskId,
