Declare the types that client accounts, ranking, admission and learned run times share

The parts of this work are built side by side: the placer takes its order and its limits through interfaces, the owner asks admission policies before it stores a job, and run times come from a model. Behaviour is as before.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -23,6 +23,8 @@
     private val advice: AdviceService,
     private val log: DecisionLog,
     private val mayOrder: () -> Boolean,
+    private val order: CandidateOrder = ObjectiveOrder,
+    private val startLimit: StartLimit = StartLimit { true },
 ) {
     private var explainedAtMs = 0L
 
@@ -32,14 +34,6 @@
     /** By pool: since when, in loop time, every pass has left a task without capacity. */
     private val capacityShortageSinceMs = HashMap<String, Long>()
 
-    private class Candidate(
-        val stepRun: StepRun,
-        /** The tasks of [stepRun] that may be placed if they wait. */
-        val tasks: List<TaskRun>,
-        val isPastObjective: Boolean,
-        val remainingCoreMs: Double,
-    )
-
     /** For how many milliseconds every pass has left some task of [pool] without a worker that has capacity; 0 when none is. */
     fun capacityShortageMs(pool: String): Long = capacityShortageSinceMs[pool]?.let { loop.nowMs - it } ?: 0
 
@@ -155,7 +149,7 @@
                 }
             }
         }
-        return ready.sortedWith(PLACEMENT_ORDER)
+        return order.order(pool, ready)
     }
 
     /** The waiting tasks that cannot be running on a worker that has not answered yet; of a gang all or none. */
@@ -201,6 +195,7 @@
         if (stepRun.job.queue.needsAdvice && !ensureTickets(stepRun, capacities)) return true
         if (stepRun.step.isGang) return placeGang(stepRun, capacities)
         for (task in candidate.tasks.filter { it.phase == TaskPhase.WAITING }) {
+            if (!startLimit.mayStart(task)) return true
             val chosen = cheapestWorker(task, capacities) ?: return false
             assign(task, chosen)
         }
@@ -212,7 +207,7 @@
         stepRun: StepRun,
         capacities: List<WorkerCapacity>,
     ): Boolean {
-        if (stepRun.waitingCount < stepRun.step.count) return true
+        if (stepRun.waitingCount < stepRun.step.count || !startLimit.mayStart(stepRun.tasks.first())) return true
         val freeBefore = capacities.associateWith { it.free }
         val chosen = ArrayList<WorkerCapacity>()
         for (task in stepRun.tasks) {
@@ -341,13 +336,6 @@
         /** Maximum number of tasks in one explanation. */
         const val MAX_EXPLAINED = 3
 
-        /** Long-running jobs, then jobs within their objective, then late ones; within each by priority, then by least remaining work. */
-        val PLACEMENT_ORDER: Comparator<Candidate> =
-            compareBy<Candidate> { !it.stepRun.job.isLongRunning }
-                .thenBy { it.isPastObjective }
-                .thenBy { it.stepRun.job.queue.priority }
-                .thenBy { it.remainingCoreMs }
-
         /** Exceeds any cost of unused capacity: a run in another rack takes 1.5 to 2 times as long. */
         const val REMOTE_RACK_COST = 4.0
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RunTimeEstimator.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RunTimeEstimator.kt
@@ -1,37 +1,18 @@
 /*
- * Estimates run times from observed runs, by queue. Declared estimates are inaccurate and are used only until a few runs
- * have ended.
+ * Estimates the remaining work and the objective of jobs from the expected run times of their tasks.
  */
 package io.corianderrock.jobs.placement
 
+import io.corianderrock.jobs.runtimes.RunTimeModel
 import io.corianderrock.jobs.state.JobEstimate
 import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.StepRun
 
-internal class RunTimeEstimator {
-    private class Mean(
-        var valueMs: Double,
-        var sampleCount: Int,
-    )
-
-    private val meanByQueue = HashMap<String, Mean>()
-
-    /** Adds a run of [tookMs] milliseconds to the moving mean of [queueName]. */
-    fun observe(
-        queueName: String,
-        tookMs: Long,
-    ) {
-        val mean = meanByQueue.getOrPut(queueName) { Mean(tookMs.toDouble(), 0) }
-        mean.sampleCount++
-        mean.valueMs += (tookMs - mean.valueMs) / minOf(mean.sampleCount, MEAN_WINDOW_RUNS)
-    }
-
+internal class RunTimeEstimator(
+    private val model: RunTimeModel,
+) {
     /** The expected run time of one task of [stepRun], in milliseconds. */
-    fun expectedMs(stepRun: StepRun): Double {
-        val mean = meanByQueue[stepRun.job.queue.name]
-        if (mean != null && mean.sampleCount >= MIN_SAMPLE_COUNT) return mean.valueMs
-        return maxOf(stepRun.step.estimateMs, MIN_ESTIMATE_MS).toDouble()
-    }
+    fun expectedMs(stepRun: StepRun): Double = model.expectedMs(stepRun)
 
     /** The estimate of [job], at most [ESTIMATE_VALID_MS] old at [nowMs]: run times change slowly, and each pass needs all of them. */
     fun estimate(
@@ -73,15 +54,6 @@
         /** A job that ends after its objective counts as late up to this multiple of it, and as missed afterwards. */
         const val MISSED_OBJECTIVE_FACTOR = 3.0
 
-        /** Maximum number of runs in the moving mean. */
-        const val MEAN_WINDOW_RUNS = 200
-
-        /** Number of ended runs from which the mean replaces the declared estimates. */
-        const val MIN_SAMPLE_COUNT = 5
-
-        /** Lower bound on declared estimates, since callers may declare zero. */
-        const val MIN_ESTIMATE_MS = 100L
-
         /** Millicores in a core. */
         const val MILLI = 1_000.0
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -4,6 +4,7 @@
  */
 package io.corianderrock.jobs.runs
 
+import io.corianderrock.jobs.entry.AdmissionPolicy
 import io.corianderrock.jobs.fleet.DemandPeak
 import io.corianderrock.jobs.fleet.FleetController
 import io.corianderrock.jobs.fleet.InstanceOrders
@@ -20,6 +21,8 @@
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
 import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.runtimes.MeanRunTimes
+import io.corianderrock.jobs.runtimes.RunTimeModel
 import io.corianderrock.jobs.state.JobProgress
 import io.corianderrock.jobs.state.JobSubmission
 import kotlinx.serialization.builtins.ListSerializer
@@ -34,12 +37,15 @@
     private val owner: OwnerRow,
     ownerVersion: Long,
     private val earlier: EarlierOwner,
+    private val settings: SchedulingSettings = SchedulingSettings(),
     private val onLost: () -> Unit,
 ) {
     private val loop = ports.loop
     private val log = ports.log
     private val committer = Committer(loop, ports.tables, log, owner, ownerVersion, ::earlierOrdersWindowMs, ::onOwnershipLost)
-    private val runTimes = RunTimeEstimator()
+    private val runTimeModel: RunTimeModel = MeanRunTimes()
+    private val runTimes = RunTimeEstimator(runTimeModel)
+    private val admissionPolicies: List<AdmissionPolicy> = emptyList()
     private val registry = JobRegistry(loop, committer, log)
     private val driver =
         WorkerDriver(
@@ -53,7 +59,7 @@
             mayOrder = ::mayOrder,
             onChange = ::requestPlacement,
             onFenced = ::onFenced,
-            observeRunTime = runTimes::observe,
+            onRunEnd = runTimeModel::observe,
         )
     private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder)
     private val demand = PoolDemand(loop, registry, runTimes)
@@ -121,6 +127,12 @@
             onResult(SubmitResult.Unavailable)
             return
         }
+        val isKnown = registry.find(submission.id) != null
+        val refusal = if (isKnown) null else admissionPolicies.firstNotNullOfOrNull { it.refusalOf(submission) }
+        if (refusal != null) {
+            onResult(SubmitResult.Rejected(refusal.reason, refusal.retryAfterMs))
+            return
+        }
         registry.submit(submission, onDropped = { onResult(SubmitResult.Unknown) }) { onResult(SubmitResult.Accepted) }
     }
 
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
@@ -0,0 +1,35 @@
+/*
+ * Which of the optional scheduling decisions a deployment uses.
+ */
+package io.corianderrock.jobs.runs
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** From what the run time of a task is expected. */
+@Serializable
+public enum class RunTimeSource {
+    /** The moving mean of the queue's runs. */
+    @SerialName("mean")
+    MEAN,
+
+    /** The caller's declared estimate alone. */
+    @SerialName("declared")
+    DECLARED,
+
+    /** The model that learns from ended runs. */
+    @SerialName("learned")
+    LEARNED,
+}
+
+/** Optional decisions, all off by default. */
+@Serializable
+public data class SchedulingSettings(
+    val runTimes: RunTimeSource = RunTimeSource.MEAN,
+    /** Orders waiting work by what its caller can still gain. */
+    val ranksByRemainingGain: Boolean = false,
+    /** Refuses jobs that cannot end in time. */
+    val refusesHopelessJobs: Boolean = false,
+    /** Judges workers by the speed of their runs. */
+    val judgesWorkerSpeed: Boolean = false,
+)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -21,6 +21,7 @@
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.ports.WorkerLink
+import io.corianderrock.jobs.runtimes.EndedRun
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.MIN_WORKER_CLOCK_RATE
@@ -43,7 +44,7 @@
     /** Called with a pool in which capacity or waiting tasks have changed, null for all pools. */
     private val onChange: (String?) -> Unit,
     private val onFenced: () -> Unit,
-    private val observeRunTime: (String, Long) -> Unit,
+    private val onRunEnd: (EndedRun) -> Unit,
 ) {
     private val byId = LinkedHashMap<String, WorkerView>()
 
@@ -649,7 +650,7 @@
         worker.orphanedRuns.remove(end.task)
         val current = worker.runs[end.task]
         if (current != null && current.runNumber == end.runNumber) {
-            if (end.kind == EndKind.DONE) observeRunTime(current.stepRun.job.queue.name, loop.nowMs - current.startedAtMs)
+            onRunEnd(EndedRun(current.stepRun, worker, loop.nowMs - current.startedAtMs, end.kind))
             releaseRun(worker, current)
         }
         log.write("task_ended", "task", end.task, "run", end.runNumber, "worker", worker.id, "outcome", end.kind)
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeModel.kt
@@ -0,0 +1,70 @@
+/*
+ * Expected run times of tasks. Callers declare estimates, but not reliably, so models learn from ended runs.
+ */
+package io.corianderrock.jobs.runtimes
+
+import io.corianderrock.jobs.ports.EndKind
+import io.corianderrock.jobs.state.StepRun
+import io.corianderrock.jobs.state.WorkerView
+
+/** A run that has ended [tookMs] milliseconds after its start was ordered. Runs that did not end [EndKind.DONE] are censored. */
+internal data class EndedRun(
+    val stepRun: StepRun,
+    val worker: WorkerView,
+    val tookMs: Long,
+    val kind: EndKind,
+)
+
+/** Predicts how long one task of a step runs. */
+internal interface RunTimeModel {
+    /** The expected run time of one task of [stepRun], in milliseconds. */
+    fun expectedMs(stepRun: StepRun): Double
+
+    /** The run time in milliseconds that a share [quantile], between 0 and 1, of the tasks of [stepRun] does not exceed. */
+    fun quantileMs(
+        stepRun: StepRun,
+        quantile: Double,
+    ): Double
+
+    fun observe(run: EndedRun)
+}
+
+/** The moving mean of each queue's runs; the declared estimates until a few runs have ended. */
+internal class MeanRunTimes : RunTimeModel {
+    private class Mean(
+        var valueMs: Double,
+        var sampleCount: Int,
+    )
+
+    private val meanByQueue = HashMap<String, Mean>()
+
+    override fun observe(run: EndedRun) {
+        if (run.kind != EndKind.DONE) return
+        val mean = meanByQueue.getOrPut(run.stepRun.job.queue.name) { Mean(run.tookMs.toDouble(), 0) }
+        mean.sampleCount++
+        mean.valueMs += (run.tookMs - mean.valueMs) / minOf(mean.sampleCount, MEAN_WINDOW_RUNS)
+    }
+
+    override fun expectedMs(stepRun: StepRun): Double {
+        val mean = meanByQueue[stepRun.job.queue.name]
+        if (mean != null && mean.sampleCount >= MIN_SAMPLE_COUNT) return mean.valueMs
+        return maxOf(stepRun.step.estimateMs, MIN_ESTIMATE_MS).toDouble()
+    }
+
+    /** Knows no spread: every quantile is the mean. */
+    override fun quantileMs(
+        stepRun: StepRun,
+        quantile: Double,
+    ): Double = expectedMs(stepRun)
+
+    private companion object {
+        /** Maximum number of runs in the moving mean. */
+        const val MEAN_WINDOW_RUNS = 200
+
+        /** Number of ended runs from which the mean replaces the declared estimates. */
+        const val MIN_SAMPLE_COUNT = 5
+
+        /** Lower bound on declared estimates, since callers may declare zero. */
+        const val MIN_ESTIMATE_MS = 100L
+    }
+}
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
@@ -92,6 +92,8 @@
     val times: Int = 0,
     val intervalMs: Long = 0,
     val firstDueWallMs: Long = 0,
+    /** Name of the client account whose key submitted the job; null on a public route and without accounts. */
+    val account: String? = null,
 ) {
     internal val occurrenceCount: Int get() = maxOf(1, times)
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobsConfiguration.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobsConfiguration.kt
@@ -8,6 +8,8 @@
     val host: String,
     val pathPrefix: String,
     val queue: Queue,
+    /** True when calls on this route need no key; its jobs belong to no account. */
+    val isPublic: Boolean = false,
 )
 
 /** A pool of instances that run the tasks of some queues. */
@@ -24,6 +26,8 @@
     val version: Long,
     val routes: List<QueueRoute>,
     val pools: Map<String, Pool>,
+    /** The client accounts by name; null where the deployment has none, so that no call needs a key. */
+    val accounts: Map<String, ClientAccount>? = null,
 ) {
     private val routesByHost: Map<String, List<QueueRoute>> =
         routes.groupBy { it.host }.mapValues { (_, list) -> list.sortedByDescending { it.pathPrefix.length } }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/FleetSharingTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/FleetSharingTest.kt
@@ -11,6 +11,7 @@
 import io.corianderrock.jobs.placement.RunTimeEstimator
 import io.corianderrock.jobs.runs.Committer
 import io.corianderrock.jobs.runs.JobRegistry
+import io.corianderrock.jobs.runtimes.MeanRunTimes
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.JobSubmission
 import io.corianderrock.jobs.state.Queue
@@ -55,7 +56,7 @@
                 val loop = SimLoop(time)
                 val registry =
                     JobRegistry(loop, Committer(loop, SilentTables, { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {}), { _, _ -> })
-                val demand = PoolDemand(loop, registry, RunTimeEstimator())
+                val demand = PoolDemand(loop, registry, RunTimeEstimator(MeanRunTimes()))
                 repeat(30) { number -> registry.load(wideJob("job$number"), progress = null, isInherited = false) }
                 val countBeforeDeadline = demand.needs { CAPACITY }.getValue("pool").instanceCount
                 time.runUntil(time.nowMs + 60_000)
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
@@ -64,7 +64,7 @@
             mayOrder = { true },
             onChange = {},
             onFenced = {},
-            observeRunTime = { _, _ -> },
+            onRunEnd = {},
         )
     private val startedAtMs = time.nowMs
     private var bornWallMs = time.nowMs
