Split the worker driver by what it decides

WorkerDriver.kt held 980 lines with all decisions about workers in one class, so that a change of one could not be read or tested apart from the others. Its decisions are now separate: WorkerRegister (which workers exist and when they have ended), RunOrders (starts and stops with their answers), WorkerHolds (holds and leases), RunLists (ended and running runs), FailingWorkers, WorkerLeaseRows (stored rows) and WorkerTable. WorkerDriver keeps its methods for the placer, the fleet and the scheduler. The scheduler's reading of stored tables moves to StoredTables.

--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -0,0 +1,189 @@
+/*
+ * The lists of running and ended runs that workers report. An ended run counts once and is acknowledged only once its effect on
+ * the job is stored; a run that belongs to no current task is stopped.
+ */
+package io.corianderrock.jobs.runs
+
+import io.corianderrock.jobs.ports.EndKind
+import io.corianderrock.jobs.ports.EndRow
+import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.RunningRow
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.runtimes.EndedRun
+import io.corianderrock.jobs.state.TaskPhase
+import io.corianderrock.jobs.state.TaskRun
+import io.corianderrock.jobs.state.WorkerView
+
+/** Applies the lists of workers to the jobs in [registry]. Used on the event loop only. */
+internal class RunLists(
+    private val context: WorkerOrderContext,
+    private val registry: JobRegistry,
+    private val leaseRows: WorkerLeaseRows,
+    private val holds: WorkerHolds,
+    private val orders: RunOrders,
+    private val register: WorkerRegister,
+    private val crashes: CrashTracker,
+    private val onRunEnd: (EndedRun) -> Unit,
+) {
+    private val loop = context.loop
+    private val log = context.log
+    private val failing = FailingWorkers(loop, log)
+
+    /** Called with the [lists] that [worker] has sent in answer to [order], sent at loop time [sentAtMs]. */
+    fun onListed(
+        worker: WorkerView,
+        order: HoldOrder,
+        sentAtMs: Long,
+        lists: WorkerAnswer.Listed,
+    ) {
+        if (!register.isCurrentIncarnation(worker, lists.bornWallMs)) return
+        crashes.onAnswered(worker)
+        lists.ended
+            .filter { it.number > worker.processedEnd }
+            .sortedBy { it.number }
+            .forEach { onRunEnded(worker, it) }
+        lists.running.forEach { onRunningRow(worker, it) }
+        completeStops(worker, sentAtMs, lists)
+        worker.acknowledgedEnd = maxOf(worker.acknowledgedEnd, order.acknowledgedEnd)
+        if (!worker.isReconciled) {
+            worker.isReconciled = true
+            register.markReconciled(worker.id)
+        }
+    }
+
+    private fun onRunEnded(
+        worker: WorkerView,
+        end: EndRow,
+    ) {
+        worker.processedEnd = end.number
+        val task = registry.find(end.task.jobId)?.takeIf { it.isLive }?.task(end.task)
+        worker.orphanedRuns.remove(end.task)
+        val current = worker.runs[end.task]
+        if (current != null && current.runNumber == end.runNumber) {
+            onRunEnd(EndedRun(current.stepRun, worker, loop.nowMs - current.startedAtMs, end.kind))
+            worker.releaseRun(current, loop.nowMs)
+        }
+        log.write("task_ended", "task", end.task, "run", end.runNumber, "worker", worker.id, "outcome", end.kind)
+        if (task != null) recordEnd(worker, task, end)
+        // After the job's progress: an ended run is acknowledged only once its effect on the job is stored.
+        leaseRows.storeEnd(worker) { holds.onEndsStored(worker) }
+    }
+
+    private fun recordEnd(
+        worker: WorkerView,
+        task: TaskRun,
+        end: EndRow,
+    ) {
+        task.lastRunNumber = maxOf(task.lastRunNumber, end.runNumber)
+        if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
+        failing.onEnded(worker, task, end.kind)
+        applyEnd(worker, task, end)
+    }
+
+    private fun applyEnd(
+        worker: WorkerView,
+        task: TaskRun,
+        end: EndRow,
+    ) {
+        val isLongRunning = task.stepRun.step.isLongRunning
+        when (end.kind) {
+            EndKind.DONE -> if (!isLongRunning) completeTaskOrGang(task)
+            EndKind.FAILED -> {
+                task.lastFailedWorkerId = worker.id
+                registry.taskFailed(task, end.runNumber)
+            }
+            else -> Unit
+        }
+    }
+
+    private fun completeTaskOrGang(task: TaskRun) {
+        val members = if (task.stepRun.step.isGang) task.stepRun.tasks else listOf(task)
+        for (member in members) {
+            if (member.phase == TaskPhase.DONE) continue
+            member.worker?.let { orders.stopRedundantRun(it, member) }
+            registry.taskDone(member)
+        }
+    }
+
+    private fun onRunningRow(
+        worker: WorkerView,
+        row: RunningRow,
+    ) {
+        val current = worker.runs[row.task]
+        if (current != null && current.runNumber == row.runNumber) {
+            confirmRunning(worker, current, row)
+            return
+        }
+        val task = registry.find(row.task.jobId)?.takeIf { it.isLive }?.task(row.task)
+        if (task != null && canAdopt(task, row)) {
+            adopt(worker, task, row)
+        } else if (worker.orphanedRuns.put(row.task, row.runNumber) == null) {
+            log.write("run_unknown", "task", row.task, "run", row.runNumber, "worker", worker.id)
+            orders.sendStop(worker, row.task, row.runNumber)
+        }
+    }
+
+    private fun confirmRunning(
+        worker: WorkerView,
+        task: TaskRun,
+        row: RunningRow,
+    ) {
+        if (row.checkpoint.isNotEmpty()) task.checkpoint = row.checkpoint
+        task.isAtWork = row.percent == FULL_PERCENT
+        crashes.onRunning(task, loop.nowMs)
+        if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts && task !in worker.startQueue) {
+            task.phase = TaskPhase.RUNNING
+            task.stepRun.job.markStarted()
+        }
+    }
+
+    private fun canAdopt(
+        task: TaskRun,
+        row: RunningRow,
+    ): Boolean = task.phase == TaskPhase.WAITING && row.runNumber > task.runNumber
+
+    private fun adopt(
+        worker: WorkerView,
+        task: TaskRun,
+        row: RunningRow,
+    ) {
+        task.phase = TaskPhase.RUNNING
+        task.isPlaceKnown = true
+        task.worker = worker
+        task.runNumber = row.runNumber
+        task.lastRunNumber = maxOf(task.lastRunNumber, row.runNumber)
+        task.startedAtMs = loop.nowMs
+        worker.addRun(task)
+        task.stepRun.job.markStarted()
+        confirmRunning(worker, task, row)
+        log.write("run_adopted", "task", row.task, "run", row.runNumber, "worker", worker.id)
+    }
+
+    /** Completes answered stops. Only a list requested after the answer proves that the run has ended. */
+    private fun completeStops(
+        worker: WorkerView,
+        sentAtMs: Long,
+        lists: WorkerAnswer.Listed,
+    ) {
+        val running = lists.running.associate { it.task to it.runNumber }
+        val iterator = worker.stopAnsweredAtMs.iterator()
+        while (iterator.hasNext()) {
+            val (taskId, answeredAtMs) = iterator.next()
+            val task = worker.runs[taskId]
+            val runNumber = task?.runNumber ?: worker.orphanedRuns[taskId]
+            if (runNumber != null && (sentAtMs < answeredAtMs || running[taskId] == runNumber)) continue
+            iterator.remove()
+            worker.unansweredStarts.remove(taskId)
+            worker.orphanedRuns.remove(taskId)
+            if (task != null && task.phase == TaskPhase.STOPPING) worker.releaseRun(task, loop.nowMs)
+        }
+        for (orphan in worker.orphanedRuns.keys.filter { it !in running && it !in worker.stopAnsweredAtMs }) {
+            worker.orphanedRuns.remove(orphan)
+        }
+    }
+
+    private companion object {
+        /** Percentage reported by a worker whose run is at full work. */
+        const val FULL_PERCENT = 100
+    }
+}
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -0,0 +1,260 @@
+/*
+ * Start and stop orders for runs, and their answers. A start without an answer may have been carried out or may still be: its
+ * run is stopped, and its task keeps its place on the worker until the worker no longer lists it.
+ */
+package io.corianderrock.jobs.runs
+
+import io.corianderrock.jobs.ports.StartOrder
+import io.corianderrock.jobs.ports.StartRefusal
+import io.corianderrock.jobs.ports.StopOrder
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.state.JobRun
+import io.corianderrock.jobs.state.TaskId
+import io.corianderrock.jobs.state.TaskPhase
+import io.corianderrock.jobs.state.TaskRun
+import io.corianderrock.jobs.state.UnansweredStart
+import io.corianderrock.jobs.state.WorkerView
+
+/** Starts and stops runs. All methods and callbacks run on the event loop. */
+internal class RunOrders(
+    private val context: WorkerOrderContext,
+    private val workers: WorkerTable,
+    private val leaseRows: WorkerLeaseRows,
+    private val holds: WorkerHolds,
+) {
+    private val loop = context.loop
+    private val log = context.log
+
+    /** Queues a start of [task] on [worker], sent once the lease row is stored. The caller has checked that it may run there. */
+    fun start(
+        task: TaskRun,
+        worker: WorkerView,
+    ) {
+        task.phase = TaskPhase.STARTING
+        task.isPlaceKnown = true
+        task.worker = worker
+        task.lastRunNumber = maxOf(task.lastRunNumber + 1, (context.epoch - 1) * RUNS_PER_EPOCH + 1)
+        task.runNumber = task.lastRunNumber
+        task.startedAtMs = loop.nowMs
+        task.isAtWork = false
+        worker.addRun(task)
+        worker.startQueue.addLast(task)
+        leaseRows.store(worker) { sendQueuedStarts(worker) }
+        sendQueuedStarts(worker)
+    }
+
+    private fun sendQueuedStarts(worker: WorkerView) {
+        if (!worker.isLeaseRowStored) return
+        while (worker.ordersInFlight < MAX_ORDERS_IN_FLIGHT) {
+            val task = worker.startQueue.removeFirstOrNull() ?: break
+            sendStart(worker, task)
+        }
+    }
+
+    private fun sendStart(
+        worker: WorkerView,
+        task: TaskRun,
+    ) {
+        if (!isStartStillAllowed(worker, task)) {
+            worker.releaseRun(task, loop.nowMs)
+            return
+        }
+        val order = startOrder(worker, task)
+        val sentAtMs = loop.nowMs
+        worker.recordLeaseSent(order.expiresAtWorkerMs)
+        worker.ordersInFlight++
+        worker.possibleLateStarts[task.id] = UnansweredStart(order.runNumber, sentAtMs)
+        context.link.start(worker.entry, order) { answer ->
+            worker.ordersInFlight--
+            forgetLateStart(worker, task.id, order.runNumber, answer)
+            onStartAnswer(worker, task, order.runNumber, sentAtMs, answer)
+            sendQueuedStarts(worker)
+        }
+        holds.ensureInFlight(worker)
+    }
+
+    private fun isStartStillAllowed(
+        worker: WorkerView,
+        task: TaskRun,
+    ): Boolean = context.mayOrder() && task.stepRun.job.isLive && worker.isReconciled && worker.isListed && worker.drainingSinceMs == null
+
+    private fun startOrder(
+        worker: WorkerView,
+        task: TaskRun,
+    ): StartOrder =
+        StartOrder(
+            task = task.id,
+            runNumber = task.runNumber,
+            spec = task.stepRun.job.submission.spec,
+            expiresAtWorkerMs = holds.nextLeaseEndMs(worker),
+            fence = context.epoch,
+            checkpoint = task.checkpoint,
+            ticket = task.stepRun.tickets[worker.id],
+        )
+
+    /** Drops the record of a start whose [answer] shows that it cannot arrive later. */
+    private fun forgetLateStart(
+        worker: WorkerView,
+        task: TaskId,
+        runNumber: Long,
+        answer: WorkerAnswer,
+    ) {
+        val mayArriveLate = answer is WorkerAnswer.Unanswered && answer.mayBeCarriedOut
+        if (!mayArriveLate && worker.possibleLateStarts[task]?.runNumber == runNumber) worker.possibleLateStarts.remove(task)
+    }
+
+    /** Starts sent to [worker] that may still arrive, by task. Drops those that are too old for that. */
+    fun recentLateStarts(worker: WorkerView): Map<TaskId, UnansweredStart> {
+        worker.possibleLateStarts.values.removeAll { loop.nowMs - it.sentAtMs >= LATE_START_WINDOW_MS }
+        return worker.possibleLateStarts.toMap()
+    }
+
+    private fun onStartAnswer(
+        worker: WorkerView,
+        task: TaskRun,
+        runNumber: Long,
+        sentAtMs: Long,
+        answer: WorkerAnswer,
+    ) {
+        if (task.worker !== worker || task.runNumber != runNumber || task.phase != TaskPhase.STARTING) return
+        when (answer) {
+            is WorkerAnswer.Done -> onStarted(worker, task, answer.workerClockMs)
+            is WorkerAnswer.Refused -> onStartRefused(worker, task, answer)
+            is WorkerAnswer.Unanswered -> onStartUnanswered(worker, task, sentAtMs, answer)
+            is WorkerAnswer.Listed ->
+                error("worker ${worker.id} answered a start order with run lists, expected Done, Refused or Unanswered")
+        }
+    }
+
+    private fun onStarted(
+        worker: WorkerView,
+        task: TaskRun,
+        workerClockMs: Long,
+    ) {
+        worker.recordClock(workerClockMs, loop.nowMs)
+        task.phase = TaskPhase.RUNNING
+        val job = task.stepRun.job
+        job.markStarted()
+        val waitedMs = loop.nowMs - task.waitingSinceMs
+        log.write("task_started", "task", task.id, "run", task.runNumber, "worker", worker.id, "waitedMs", waitedMs)
+        if (!job.isLive) stop(task)
+    }
+
+    private fun onStartRefused(
+        worker: WorkerView,
+        task: TaskRun,
+        answer: WorkerAnswer.Refused,
+    ) {
+        log.write("start_refused", "task", task.id, "run", task.runNumber, "worker", worker.id, "reason", answer.refusal)
+        val avoidMs =
+            when (answer.refusal) {
+                StartRefusal.NO_CAPACITY -> AVOID_FULL_MS
+                StartRefusal.UNHEALTHY -> AVOID_UNHEALTHY_MS
+                else -> 0L
+            }
+        worker.avoidUntilMs = maxOf(worker.avoidUntilMs, loop.nowMs + avoidMs)
+        // A worker that was idle for long refuses an order as expired by an estimate that has fallen behind its clock.
+        answer.workerClockMs?.let { worker.recordClock(it, loop.nowMs) }
+        if (answer.refusal == StartRefusal.FENCE) context.onFenced()
+        if (answer.refusal == StartRefusal.TICKET) task.stepRun.ticketsExpireAtMs = 0
+        worker.releaseRun(task, loop.nowMs)
+        if (answer.refusal == StartRefusal.OTHER_INCARNATION) worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
+        context.onChange(worker.entry.pool)
+    }
+
+    private fun onStartUnanswered(
+        worker: WorkerView,
+        task: TaskRun,
+        sentAtMs: Long,
+        answer: WorkerAnswer.Unanswered,
+    ) {
+        log.write("start_unanswered", "task", task.id, "run", task.runNumber, "worker", worker.id, "reason", answer.reason)
+        if (!answer.mayBeCarriedOut) {
+            worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
+            worker.releaseRun(task, loop.nowMs)
+            context.onChange(worker.entry.pool)
+            return
+        }
+        worker.unansweredStarts[task.id] = UnansweredStart(task.runNumber, sentAtMs)
+        stop(task)
+    }
+
+    /** Stops the run of [task], which keeps its place on the worker until the worker no longer lists it. */
+    fun stop(task: TaskRun) {
+        val worker = task.worker ?: return
+        if (worker.startQueue.remove(task)) {
+            worker.releaseRun(task, loop.nowMs)
+            return
+        }
+        if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts) return
+        task.phase = TaskPhase.STOPPING
+        sendStop(worker, task.id, task.runNumber)
+    }
+
+    fun stopRunsOf(job: JobRun) {
+        for (task in job.tasks) if (task.occupiesWorker) stop(task)
+    }
+
+    /** Stops a run of the completed [task] that is still queued or running on [worker]. */
+    fun stopRedundantRun(
+        worker: WorkerView,
+        task: TaskRun,
+    ) {
+        if (task in worker.startQueue) {
+            worker.releaseRun(task, loop.nowMs)
+            return
+        }
+        worker.removeRun(task.id)
+        worker.orphanedRuns[task.id] = task.runNumber
+        sendStop(worker, task.id, task.runNumber)
+    }
+
+    /** Orders [worker] to stop the run [runNumber] of [task], again and again while that run is known and no answer comes. */
+    fun sendStop(
+        worker: WorkerView,
+        task: TaskId,
+        runNumber: Long,
+    ) {
+        if (!context.mayOrder()) {
+            loop.after(STOP_RETRY_MS) { retryStop(worker, task, runNumber) }
+            return
+        }
+        context.link.stop(worker.entry, StopOrder(task, runNumber, context.epoch)) { answer ->
+            if (answer is WorkerAnswer.Done) {
+                worker.stopAnsweredAtMs[task] = loop.nowMs
+                holds.ensureInFlight(worker)
+            } else {
+                log.write("stop_unanswered", "task", task, "run", runNumber, "worker", worker.id, "answer", answer)
+                loop.after(STOP_RETRY_MS) { retryStop(worker, task, runNumber) }
+            }
+        }
+        holds.ensureInFlight(worker)
+    }
+
+    private fun retryStop(
+        worker: WorkerView,
+        task: TaskId,
+        runNumber: Long,
+    ) {
+        if (worker !in workers) return
+        val isStillRunning = worker.runs[task]?.runNumber == runNumber || worker.orphanedRuns[task] == runNumber
+        if (isStillRunning) sendStop(worker, task, runNumber)
+    }
+
+    private companion object {
+        /** Delay before a stop that failed or may not be sent yet is retried. */
+        const val STOP_RETRY_MS = 150L
+
+        /** Concurrent starts per worker: limits it to two connections, since opening connections is expensive. */
+        const val MAX_ORDERS_IN_FLIGHT = 2
+
+        /** How long a worker that refused a start for lack of capacity gets no new work. */
+        const val AVOID_FULL_MS = 150L
+
+        /** Age up to which an unanswered start counts as still arriving: it may be carried out up to 12 s after it was sent. */
+        const val LATE_START_WINDOW_MS = 13_000L
+
+        /** Run numbers reserved for each epoch, so that those of different owners do not collide. */
+        const val RUNS_PER_EPOCH = 1_000L
+    }
+}
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -85,6 +85,7 @@
             mayOrder = ::mayOrderInstances,
         )
     private val waveDriver = WaveDriver(loop, fleet, ports.tables, committer, log, ports.waves)
+    private val storedTables = StoredTables(loop, ports.tables, log) { isClosed }
     private var isLoaded = false
     private var isClosed = false
     private var isPlacementRequested = false
@@ -104,7 +105,7 @@
             requestPlacement(job.queue.pool)
         }
         fleet.sizer.onPeakStarted = { peaks -> committer.put(DEMAND_PEAKS_KEY) { storedJson.encodeToString(DEMAND_PEAKS, peaks) } }
-        if (earlier.existed) load() else onLoaded()
+        if (earlier.existed) storedTables.read(::restore) else onLoaded()
         tick()
     }
 
@@ -203,34 +204,6 @@
     private fun earlierOrdersWindowMs(): Long =
         if (earlier.existed) maxOf(0, earlier.ordersEndMs(WORKER_ORDER_FRESHNESS_MS) - loop.nowMs) else 0
 
-    private fun load() {
-        val tables =
-            listOf(Table.JOBS, Table.PROGRESS, Table.WORKER_LEASES, Table.WAVES, Table.INSTANCE_ORDERS, Table.DEMAND_PEAKS, Table.INBOX)
-        val rowsByTable = HashMap<Table, List<StoredRow>>()
-        for (table in tables) {
-            scan(table) { rows ->
-                rowsByTable[table] = rows
-                if (rowsByTable.size == tables.size) restore(rowsByTable)
-            }
-        }
-    }
-
-    private fun scan(
-        table: Table,
-        onRows: (List<StoredRow>) -> Unit,
-    ) {
-        ports.tables.scan(table) { result ->
-            if (isClosed) return@scan
-            when (result) {
-                is ReadResult.Rows -> onRows(result.rows)
-                is ReadResult.Failed -> {
-                    log.write("scan_failed", "table", table.id, "reason", result.reason)
-                    loop.after(SCAN_RETRY_MS) { scan(table, onRows) }
-                }
-            }
-        }
-    }
-
     private fun restore(rowsByTable: Map<Table, List<StoredRow>>) {
         val progress = rowsByTable.getValue(Table.PROGRESS).associate { it.key.key to decodeStored(JobProgress.serializer(), it.value) }
         for (row in rowsByTable.getValue(Table.JOBS)) {
@@ -385,9 +358,6 @@
         /** Ticks between two passes over all pools, which find workers that have become usable by the passing of time: 200 ms. */
         const val PLACEMENT_TICK_INTERVAL = 4L
 
-        /** Delay before a failed scan is retried. */
-        const val SCAN_RETRY_MS = 200L
-
         /** Greatest age of the last inbox read at which tasks are started: a cancellation in the inbox takes effect within 3 s. */
         const val INBOX_FRESHNESS_MS = 2_500L
 
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -0,0 +1,205 @@
+/*
+ * Holds of workers. A hold is a long poll that renews the worker's lease and returns its lists of running and ended runs.
+ */
+package io.corianderrock.jobs.runs
+
+import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.StartRefusal
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.state.MIN_WORKER_CLOCK_RATE
+import io.corianderrock.jobs.state.WorkerView
+
+/** Decides when each worker is held and for how long its lease is. All methods and callbacks run on the event loop. */
+internal class WorkerHolds(
+    private val context: WorkerOrderContext,
+    private val workers: WorkerTable,
+    longestLeaseMs: Long,
+    /** Called with the lists that a worker has sent in answer to an order, and with the loop time at which that was sent. */
+    private val onLists: (WorkerView, HoldOrder, Long, WorkerAnswer.Listed) -> Unit,
+    /** Called when another worker answers at a worker's address. */
+    private val onOtherWorker: (WorkerView) -> Unit,
+) {
+    private val loop = context.loop
+    private val log = context.log
+
+    /** Longest duration of a lease by this entry's clock: the worker's clock may run 2% slow and the order may be delayed. */
+    val worstCaseLeaseMs: Long = (longestLeaseMs / MIN_WORKER_CLOCK_RATE).toLong() + ORDER_TIMEOUT_MS
+    private val longRunningLeaseMs = longestLeaseMs - LONG_RUNNING_LEASE_MARGIN_MS
+
+    /**
+     * End of the next lease by the worker's clock. Long-running tasks get a long lease, to survive the loss of an owner; short
+     * tasks end by themselves, and a short lease lets them be restarted sooner after the worker is lost.
+     */
+    fun nextLeaseEndMs(worker: WorkerView): Long {
+        val leaseMs = if (worker.runs.values.any { it.stepRun.step.isLongRunning }) longRunningLeaseMs else SHORT_LEASE_MS
+        return worker.estimatedClockMs(loop.nowMs) + leaseMs
+    }
+
+    fun ensureInFlight(worker: WorkerView) {
+        if (!worker.isHoldInFlight) send(worker)
+    }
+
+    /** Sends the overdue hold of [worker], if any. */
+    fun sendIfOverdue(worker: WorkerView) {
+        if (!worker.isHoldInFlight && isNeeded(worker) && loop.nowMs > worker.nextHoldAtMs + OVERDUE_HOLD_MS) send(worker)
+    }
+
+    /** Called once ends on [worker] are stored, which the next hold acknowledges. */
+    fun onEndsStored(worker: WorkerView) {
+        worker.storedEnd = worker.storingEnd
+        if (!worker.isHoldInFlight) scheduleAt(worker, loop.nowMs)
+    }
+
+    private fun send(worker: WorkerView) {
+        if (worker !in workers) return
+        worker.isHoldInFlight = true
+        val holdNumber = ++worker.holdNumber
+        val order = orderFor(worker)
+        val sentAtMs = loop.nowMs
+        order.expiresAtWorkerMs?.let(worker::recordLeaseSent)
+        context.link.hold(worker.entry, order) { answer ->
+            if (worker !in workers || worker.holdNumber != holdNumber) return@hold
+            worker.isHoldInFlight = false
+            onAnswer(worker, order, sentAtMs, answer)
+        }
+    }
+
+    private fun orderFor(worker: WorkerView): HoldOrder {
+        // The lease of a silent worker is not renewed, so that its runs can be restarted elsewhere once it expires.
+        val isAnswering = worker.isReconciled && worker.consecutiveLostHolds == 0
+        val hasRuns = worker.runs.isNotEmpty() && isAnswering && context.mayOrder()
+        val expiresAtMs = if (hasRuns) nextLeaseEndMs(worker) else null
+        val isWaiting = worker.isReconciled && worker.runs.isNotEmpty() && worker.stopAnsweredAtMs.isEmpty()
+        return HoldOrder(expiresAtMs, context.epoch, worker.storedEnd, if (isWaiting) HOLD_WAIT_MS else 0)
+    }
+
+    private fun onAnswer(
+        worker: WorkerView,
+        order: HoldOrder,
+        sentAtMs: Long,
+        answer: WorkerAnswer,
+    ) {
+        when (answer) {
+            is WorkerAnswer.Listed -> {
+                onRegained(worker, order, answer)
+                onLists(worker, order, sentAtMs, answer)
+            }
+            is WorkerAnswer.Refused -> onRefused(worker, answer)
+            is WorkerAnswer.Unanswered -> onUnanswered(worker, answer)
+            is WorkerAnswer.Done -> error("worker ${worker.id} answered a hold order with Done, expected Listed, Refused or Unanswered")
+        }
+        if (worker in workers) schedule(worker, answer)
+        context.onChange(worker.entry.pool)
+    }
+
+    private fun onRegained(
+        worker: WorkerView,
+        order: HoldOrder,
+        lists: WorkerAnswer.Listed,
+    ) {
+        if (worker.consecutiveLostHolds > 0) log.write("worker_regained", "worker", worker.id, "failedHolds", worker.consecutiveLostHolds)
+        worker.consecutiveLostHolds = 0
+        worker.lastReportedAtMs = loop.nowMs
+        worker.recordClock(lists.workerClockMs, loop.nowMs)
+        if (order.expiresAtWorkerMs != null) worker.isLeaseConfirmed = true
+    }
+
+    private fun onRefused(
+        worker: WorkerView,
+        answer: WorkerAnswer.Refused,
+    ) {
+        if (answer.refusal == StartRefusal.FENCE) context.onFenced()
+        worker.consecutiveLostHolds++
+        if (answer.refusal == StartRefusal.OTHER_INCARNATION) {
+            // Another worker answers at this address, so this one has ended.
+            log.write("worker_over", "worker", worker.id, "address", worker.entry.address, "runs", worker.runs.size)
+            onOtherWorker(worker)
+            return
+        }
+        if (worker.consecutiveLostHolds == 1) {
+            log.write("hold_refused", "worker", worker.id, "reason", answer.refusal, "runs", worker.runs.size)
+        }
+    }
+
+    private fun onUnanswered(
+        worker: WorkerView,
+        answer: WorkerAnswer.Unanswered,
+    ) {
+        worker.consecutiveLostHolds++
+        if (worker.consecutiveLostHolds == 1) {
+            log.write(
+                "worker_lost",
+                "worker",
+                worker.id,
+                "reason",
+                answer.reason,
+                "runs",
+                worker.runs.size,
+                "leaseLeftMs",
+                worker.leaseLeftMs(loop.nowMs),
+            )
+        }
+        worker.avoidUntilMs = maxOf(worker.avoidUntilMs, loop.nowMs + AVOID_UNHEALTHY_MS)
+    }
+
+    private fun schedule(
+        worker: WorkerView,
+        answer: WorkerAnswer,
+    ) {
+        val delayMs =
+            when {
+                answer !is WorkerAnswer.Listed -> if (worker.isEmpty) IDLE_WORKER_HOLD_RETRY_MS else UNANSWERED_HOLD_RETRY_MS
+                worker.storedEnd < worker.processedEnd -> return
+                !worker.isLeaseConfirmed -> 0L
+                else -> HOLD_PAUSE_MS
+            }
+        scheduleAt(worker, loop.nowMs + delayMs)
+    }
+
+    private fun scheduleAt(
+        worker: WorkerView,
+        atMs: Long,
+    ) {
+        worker.nextHoldAtMs = atMs
+        loop.after(maxOf(0, atMs - loop.nowMs)) {
+            if (worker in workers && !worker.isHoldInFlight && isNeeded(worker)) send(worker)
+        }
+    }
+
+    private fun isNeeded(worker: WorkerView): Boolean =
+        !worker.isReconciled ||
+            isListedButSilent(worker) ||
+            worker.runs.size > worker.startQueue.size ||
+            worker.orphanedRuns.isNotEmpty() ||
+            worker.stopAnsweredAtMs.isNotEmpty() ||
+            worker.acknowledgedEnd < worker.storedEnd
+
+    /** A listed worker whose runs were all freed while it was unreachable is polled only to detect that it answers again. */
+    private fun isListedButSilent(worker: WorkerView): Boolean = worker.isListed && worker.consecutiveLostHolds > 0
+
+    private companion object {
+        /** Margin by which leases for long-running tasks stay below the platform's limit. */
+        const val LONG_RUNNING_LEASE_MARGIN_MS = 150L
+
+        /** Longest delay of an order on its way to a worker, which is its timeout. */
+        const val ORDER_TIMEOUT_MS = 700L
+
+        /** Lease of workers that run only short tasks: covers two hold waits and one order timeout. */
+        const val SHORT_LEASE_MS = 3_500L
+
+        /** How long a worker may delay its answer to a hold while no run ends: a third of [SHORT_LEASE_MS]. */
+        const val HOLD_WAIT_MS = 1_100
+
+        /** Pause between two holds, which batches ended runs: a tenth of a short task's run time. */
+        const val HOLD_PAUSE_MS = 80L
+
+        /** Delay before a hold that was refused or not answered is retried. */
+        const val UNANSWERED_HOLD_RETRY_MS = 250L
+
+        /** Retry delay for a worker without runs: as long as [AVOID_UNHEALTHY_MS], during which it gets no new work. */
+        const val IDLE_WORKER_HOLD_RETRY_MS = 1_000L
+
+        /** A hold that is overdue by this long is sent at the next tick. */
+        const val OVERDUE_HOLD_MS = 500L
+    }
+}
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -0,0 +1,290 @@
+/*
+ * The register of workers: which of them exist by discovery, by the stored rows of earlier owners and by the platform's lists of
+ * instances, and when their runs have ended. A run counts as running until a list, a new incarnation of the worker or the expiry
+ * of its lease proves that it has ended.
+ */
+package io.corianderrock.jobs.runs
+
+import io.corianderrock.jobs.ports.Instance
+import io.corianderrock.jobs.ports.InstanceState
+import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.WorkerView
+
+/** Adds, replaces and removes [workers]. All methods run on the event loop. */
+internal class WorkerRegister(
+    private val context: WorkerOrderContext,
+    private val workers: WorkerTable,
+    private val leaseRows: WorkerLeaseRows,
+    private val holds: WorkerHolds,
+    private val orders: RunOrders,
+    private val crashes: CrashTracker,
+    private val inheritedLeases: InheritedWorkerLeases,
+) {
+    private val loop = context.loop
+    private val log = context.log
+
+    /** False until the stored jobs are loaded; before that, listed runs cannot be matched to their jobs. */
+    private var isOpen = false
+
+    /** Starts to contact workers. Called once all stored jobs and leases are loaded. */
+    fun open() {
+        isOpen = true
+        workers.all.toList().forEach(::reconcileIfNeeded)
+    }
+
+    private fun reconcileIfNeeded(worker: WorkerView) {
+        if (isOpen && !worker.isReconciled) holds.ensureInFlight(worker)
+    }
+
+    /** Takes over the stored [leases] of earlier owners, whose runs may continue until [deadlineMs] in loop time. */
+    fun inherit(
+        leases: List<WorkerLeaseRow>,
+        deadlineMs: Long,
+    ) {
+        inheritedLeases.inherit(leases, deadlineMs)
+        for (lease in leases) {
+            val worker = workers.find(lease.workerId) ?: continue
+            worker.isLeaseRowStored = true
+            worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, deadlineMs)
+        }
+        for (lease in leases) if (workers.find(lease.workerId) == null) addUnlisted(lease)
+        workers.all
+            .filter { it.isListed }
+            .toList()
+            .forEach { removeEarlierWorkers(it.entry) }
+    }
+
+    private fun addUnlisted(lease: WorkerLeaseRow) {
+        val entry =
+            WorkerEntry(
+                id = lease.workerId,
+                address = lease.address,
+                pool = lease.pool,
+                dataCentre = "",
+                instanceId = lease.instanceId,
+                capacity = Demand(),
+                labels = emptyList(),
+                isDraining = false,
+                leavesInMs = null,
+                bornWallMs = lease.bornWallMs,
+            )
+        val worker = newWorker(entry)
+        worker.isListed = false
+        worker.isLeaseRowStored = true
+        worker.leaseEndsAtMs = inheritedLeases.deadlineMs
+    }
+
+    private fun newWorker(entry: WorkerEntry): WorkerView {
+        val worker = WorkerView(entry)
+        worker.registeredAtMs = loop.nowMs
+        workers.add(worker)
+        return worker
+    }
+
+    /** Called when discovery adds or changes [entry]. */
+    fun onListed(entry: WorkerEntry) {
+        val registered = workers.find(entry.id)
+        val worker = registered ?: newWorker(entry)
+        if (registered != null && entry.bornWallMs != 0L && worker.bornWallMs != 0L && entry.bornWallMs > worker.bornWallMs) {
+            onNewIncarnation(worker, entry.bornWallMs)
+        }
+        removeEarlierWorkers(entry)
+        if (registered == null) crashes.onAppeared(worker)
+        if (registered == null || registered.entry != entry) logListed(entry)
+        workers.unlinkInstance(worker)
+        worker.entry = entry
+        worker.isListed = true
+        workers.linkInstance(worker)
+        if (entry.isDraining) worker.drainingSinceMs = worker.drainingSinceMs ?: loop.nowMs else worker.drainingSinceMs = null
+        reconcileIfNeeded(worker)
+        context.onChange(worker.entry.pool)
+    }
+
+    private fun logListed(entry: WorkerEntry) {
+        log.write("worker_listed", "worker", entry.id, "pool", entry.pool, "instance", entry.instanceId, "draining", entry.isDraining)
+    }
+
+    /** Removes older workers of the same instance: each boot has a worker of its own, so their runs have ended. */
+    private fun removeEarlierWorkers(entry: WorkerEntry) {
+        val instanceId = entry.instanceId ?: return
+        for (other in workers.all.filter { it.id != entry.id && it.entry.instanceId == instanceId }) {
+            if (other.entry.bornWallMs != 0L && entry.bornWallMs != 0L && other.entry.bornWallMs > entry.bornWallMs) continue
+            log.write("worker_replaced", "worker", other.id, "replacedBy", entry.id, "instance", instanceId)
+            removeEnded(other)
+        }
+    }
+
+    /** Called when discovery removes a worker; its runs count as lost only once its lease has expired. */
+    fun onUnlisted(workerId: String) {
+        val worker = workers.find(workerId) ?: return
+        if (worker.isListed) {
+            log.write("worker_unlisted", "worker", workerId, "runs", worker.runs.size, "leaseLeftMs", worker.leaseLeftMs(loop.nowMs))
+        }
+        worker.isListed = false
+        workers.unlinkInstance(worker)
+    }
+
+    /**
+     * Removes the unlisted workers of the instance [instanceId] that have not answered: the platform reports [workerId],
+     * or no worker if null, as the current one, so the runs of earlier workers have ended.
+     */
+    fun onInstanceListed(
+        instanceId: String,
+        workerId: String?,
+    ) {
+        val replaced = workers.all.filter { it.entry.instanceId == instanceId && it.id != workerId && !it.isReconciled && !it.isListed }
+        for (worker in replaced) {
+            log.write("worker_over", "worker", worker.id, "instance", instanceId, "currentWorker", workerId)
+            removeEnded(worker)
+        }
+    }
+
+    /**
+     * Ends silent workers that do not run any more according to two lists in a row: their instance is down, has another
+     * worker, or is no longer listed. [instances] is a complete list that was requested at loop time [requestedAtMs].
+     */
+    fun onInstancesListed(
+        instances: List<Instance>,
+        requestedAtMs: Long,
+    ) {
+        val byInstanceId = instances.associateBy { it.id }
+        for (worker in workers.all.toList()) {
+            val instanceId = worker.entry.instanceId ?: continue
+            val isEvidence = isSilentSince(worker, requestedAtMs) && !mayRunOn(byInstanceId[instanceId], worker)
+            worker.listsWithoutWorker = if (isEvidence) worker.listsWithoutWorker + 1 else 0
+            if (worker.listsWithoutWorker < LISTS_TO_END_WORKER || !mayHaveRuns(worker)) continue
+            val state = byInstanceId[instanceId]?.state
+            log.write("worker_over", "worker", worker.id, "instance", instanceId, "instanceState", state, "runs", worker.runs.size)
+            // A worker whose instance is being moved or maintained was ended by an order.
+            onEnded(worker, isCrash = state != InstanceState.MOVING && state != InstanceState.MAINTENANCE)
+        }
+    }
+
+    /** True while some worker that may have runs does not answer, so that a list of instances may tell that it has ended. */
+    val hasSilentWorkers: Boolean get() = workers.all.any { it.consecutiveLostHolds > 0 && mayHaveRuns(it) }
+
+    private fun mayHaveRuns(worker: WorkerView): Boolean = worker.runs.isNotEmpty() || !worker.isReconciled
+
+    private fun isSilentSince(
+        worker: WorkerView,
+        timeMs: Long,
+    ): Boolean = worker.consecutiveLostHolds > 0 && worker.lastReportedAtMs < timeMs && worker.registeredAtMs < timeMs
+
+    /** False if [instance], null if not listed, shows that [worker] no longer runs on it. */
+    private fun mayRunOn(
+        instance: Instance?,
+        worker: WorkerView,
+    ): Boolean =
+        when (instance?.state) {
+            InstanceState.UNKNOWN -> true
+            InstanceState.UP -> instance.workerId == null || instance.workerId == worker.id
+            else -> false
+        }
+
+    /** Frees the runs of [worker], which has ended; if that [isCrash], it counts under them. */
+    private fun onEnded(
+        worker: WorkerView,
+        isCrash: Boolean,
+    ) {
+        val interrupted = crashes.interruptedRunsOf(worker)
+        if (orders.recentLateStarts(worker).isEmpty()) {
+            remove(worker)
+        } else {
+            // Kept registered: a recent start may still reach a new incarnation with the same id, which then has to stop it.
+            worker.releaseRuns(loop.nowMs)
+            markReconciled(worker.id)
+            context.onChange(worker.entry.pool)
+        }
+        if (isCrash) crashes.onEnded(worker, interrupted)
+    }
+
+    /** Called when the worker's instance was moved or maintained on this owner's order, which ends all its runs. */
+    fun onTerminated(workerId: String) {
+        workers.find(workerId)?.let(::remove)
+    }
+
+    /** Removes a worker that has ended without an order of this owner, and counts that as a crash under the runs on it. */
+    fun removeEnded(worker: WorkerView) {
+        val interrupted = crashes.interruptedRunsOf(worker)
+        remove(worker)
+        crashes.onEnded(worker, interrupted)
+    }
+
+    private fun remove(worker: WorkerView) {
+        worker.releaseRuns(loop.nowMs)
+        markReconciled(worker.id)
+        workers.remove(worker)
+        leaseRows.delete(worker)
+        context.onChange(worker.entry.pool)
+    }
+
+    /** Frees the runs of [worker] if it is silent and its lease has expired; removes it if it is not listed either. */
+    fun endIfLeaseExpired(worker: WorkerView) {
+        val isSilent = worker.consecutiveLostHolds > 0 || !worker.isListed
+        if (!isSilent || loop.nowMs <= worker.leaseEndsAtMs) return
+        if (worker.runs.isNotEmpty()) {
+            log.write("lease_over", "worker", worker.id, "runs", worker.runs.size)
+            val interrupted = crashes.interruptedRunsOf(worker)
+            worker.releaseRuns(loop.nowMs)
+            crashes.onLeaseExpired(worker, interrupted)
+            context.onChange(worker.entry.pool)
+        }
+        if (!worker.isListed) remove(worker)
+    }
+
+    /** Marks the inherited runs on [workerId] as known. */
+    fun markReconciled(workerId: String) {
+        if (inheritedLeases.markReconciled(workerId)) context.onChange(null)
+    }
+
+    /** False if a list by the incarnation [bornWallMs] is of an earlier one. Records an incarnation that is new. */
+    fun isCurrentIncarnation(
+        worker: WorkerView,
+        bornWallMs: Long,
+    ): Boolean {
+        if (worker.bornWallMs != 0L && bornWallMs > worker.bornWallMs) onNewIncarnation(worker, bornWallMs)
+        if (worker.bornWallMs == 0L) recordIncarnation(worker, bornWallMs)
+        return bornWallMs >= worker.bornWallMs
+    }
+
+    private fun recordIncarnation(
+        worker: WorkerView,
+        bornWallMs: Long,
+    ) {
+        worker.bornWallMs = bornWallMs
+        val lease = inheritedLeases.find(worker.id) ?: return
+        if (lease.bornWallMs == bornWallMs) {
+            worker.processedEnd = lease.storedEnd
+            worker.storingEnd = lease.storedEnd
+            worker.storedEnd = lease.storedEnd
+        }
+    }
+
+    private fun onNewIncarnation(
+        worker: WorkerView,
+        bornWallMs: Long,
+    ) {
+        log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", worker.unansweredStarts.size)
+        val interrupted = crashes.interruptedRunsOf(worker)
+        val recentStarts = orders.recentLateStarts(worker)
+        worker.runs.values
+            .filter { it.id !in recentStarts }
+            .toList()
+            .forEach { worker.releaseRun(it, loop.nowMs) }
+        worker.unansweredStarts.keys.retainAll(recentStarts.keys)
+        worker.beginIncarnation(bornWallMs, loop.nowMs)
+        // An unanswered start may still reach the new incarnation, which has no record of the fence or of stopped runs.
+        for ((taskId, start) in recentStarts) {
+            if (taskId !in worker.runs) worker.orphanedRuns[taskId] = start.runNumber
+            orders.sendStop(worker, taskId, start.runNumber)
+        }
+        crashes.onEnded(worker, interrupted)
+        markReconciled(worker.id)
+    }
+
+    private companion object {
+        /** Lists of instances in a row that prove the end of a silent worker: one alone may have been made before it started. */
+        const val LISTS_TO_END_WORKER = 2
+    }
+}
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -110,6 +110,51 @@
         occupied -= task.stepRun.step.occupied
     }
 
+    /** Frees the place of [task], whose run here has ended or never began. The task waits again unless it is done. */
+    fun releaseRun(
+        task: TaskRun,
+        nowMs: Long,
+    ) {
+        removeRun(task.id)
+        startQueue.remove(task)
+        stopAnsweredAtMs.remove(task.id)
+        unansweredStarts.remove(task.id)
+        if (task.worker !== this) return
+        task.worker = null
+        if (task.phase == TaskPhase.DONE) return
+        task.isAtWork = false
+        task.phase = TaskPhase.WAITING
+        task.waitingSinceMs = nowMs
+    }
+
+    /** Frees the places of all runs. */
+    fun releaseRuns(nowMs: Long) {
+        runs.values.toList().forEach { releaseRun(it, nowMs) }
+        startQueue.clear()
+    }
+
+    /** Discards what was known of the last incarnation, except for its runs and unanswered starts. */
+    fun beginIncarnation(
+        bornWallMs: Long,
+        nowMs: Long,
+    ) {
+        orphanedRuns.clear()
+        stopAnsweredAtMs.clear()
+        this.bornWallMs = bornWallMs
+        registeredAtMs = nowMs
+        listsWithoutWorker = 0
+        processedEnd = 0
+        storingEnd = 0
+        storedEnd = 0
+        acknowledgedEnd = 0
+        isReconciled = false
+        isHoldInFlight = false
+        holdNumber++
+        recentFailedJobIds.clear()
+    }
+
+    fun leaseLeftMs(nowMs: Long): Long = maxOf(0, leaseEndsAtMs - nowMs)
+
     /** A lower bound on the worker's clock at loop time [nowMs], from its last reading: a lease that starts there is never too long. */
     fun estimatedClockMs(nowMs: Long): Long = clockMs + ((nowMs - clockReadAtMs) * MIN_WORKER_CLOCK_RATE).toLong()
 
