Discount rises of demand that hang on single jobs when pools are sized ahead

The slope of a rise now counts by 1 - 1/n, where n is the effective number of jobs behind it. A discount by standard deviations was weighed: it fails the existing bound on steady rises.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/ArrivalRate.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/ArrivalRate.kt
@@ -29,6 +29,9 @@
     private val quick = Average(QUICK_WINDOW_MS)
     private val slow = Average(SLOW_WINDOW_MS)
 
+    /** Of the squares of arriving work: large compared to [slow] if few jobs bring most of the work. */
+    private val squares = Average(SLOW_WINDOW_MS)
+
     /** Adds [work], in core-milliseconds, that arrived at [nowMs]. */
     fun add(
         work: Double,
@@ -37,6 +40,7 @@
         present.add(work, nowMs)
         quick.add(work, nowMs)
         slow.add(work, nowMs)
+        squares.add(work * work, nowMs)
     }
 
     /** The current rate. */
@@ -45,14 +49,21 @@
     /**
      * The rate [HORIZON_MS] from [nowMs] if demand keeps rising linearly; the current rate when it does not rise.
      * During a linear rise an average lags by its window, so the slope is the difference between the quick and the slow
-     * average divided by the difference between their windows.
+     * average divided by the difference between their windows. It counts by the share of the rise that does not hang on single
+     * jobs: otherwise one large job would take the instances that another pool needs for a real rise.
      */
     fun extrapolate(nowMs: Long): Double {
-        val risePerMs = (quick.at(nowMs) - slow.at(nowMs)) / (SLOW_WINDOW_MS - QUICK_WINDOW_MS)
+        val risePerMs = (quick.at(nowMs) - slow.at(nowMs)) / (SLOW_WINDOW_MS - QUICK_WINDOW_MS) * (1 - 1 / effectiveJobCount(nowMs))
         if (risePerMs <= 0) return at(nowMs)
         return quick.at(nowMs) + risePerMs * (HORIZON_MS + QUICK_WINDOW_MS)
     }
 
+    /** The number of jobs of equal work that vary as much as those in the slow average; at least one. */
+    private fun effectiveJobCount(nowMs: Long): Double {
+        val meanSquare = squares.at(nowMs)
+        return if (meanSquare <= 0) 1.0 else maxOf(1.0, slow.at(nowMs) * slow.at(nowMs) * SLOW_WINDOW_MS / meanSquare)
+    }
+
     private companion object {
         /** Half the duration of a move. */
         const val PRESENT_WINDOW_MS = 900.0
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/ArrivalRateTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/ArrivalRateTest.kt
@@ -46,6 +46,9 @@
 /** A move takes 1.5 s; listing and first polling the new worker takes 0.4 s. */
 private const val JOIN_MS = 1_900L
 
+private const val LARGE_JOB_CORE_MS = 300_000.0
+private const val SMALL_JOB_COUNT = 100
+
 internal class ArrivalRateTest :
     DescribeSpec({
         describe("demand that rises by 70 cores per second") {
@@ -61,6 +64,15 @@
                 unservedCoreSeconds(ArrivalRate::extrapolate) shouldBeLessThan unservedAtCurrentRate / 2
             }
         }
+        describe("one large job in a pool with little demand") {
+            // Guards against a pool that takes the instances which another pool needs for a real rise.
+            it("is extrapolated to less than what many small jobs of the same work are") {
+                val single = ArrivalRate().apply { add(LARGE_JOB_CORE_MS, 0) }
+                val rise = ArrivalRate()
+                repeat(SMALL_JOB_COUNT) { rise.add(LARGE_JOB_CORE_MS / SMALL_JOB_COUNT, 0) }
+                single.extrapolate(0) shouldBeLessThan rise.extrapolate(0) * 0.9
+            }
+        }
         describe("constant demand") {
             it("is extrapolated unchanged") {
                 val rate = ArrivalRate()
