Decide which client account a call belongs to and learn configurations through peers

Calls on routes that are not public need a key once the configuration has accounts; without a valid one they get 401 before anything is stored or forwarded.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
@@ -4,6 +4,7 @@
  */
 package io.corianderrock.jobs.entry
 
+import io.corianderrock.jobs.accounts.JobAccess
 import io.corianderrock.jobs.ports.DecisionLog
 import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.state.JobSubmission
@@ -15,16 +16,18 @@
         val submission: JobSubmission,
     ) : JobRequest
 
-    /** Asks for the state of job [id], which must belong to the queue [queueName]. */
+    /** Asks for the state of job [id], which must belong to the queue [queueName] and be within [access]. */
     public data class State(
         val id: String,
         val queueName: String,
+        val access: JobAccess = JobAccess.ALL,
     ) : JobRequest
 
-    /** Cancels job [id]. */
+    /** Cancels job [id], which must be within [access]. */
     public data class Cancel(
         val id: String,
         val queueName: String,
+        val access: JobAccess = JobAccess.ALL,
     ) : JobRequest
 
     /** Asks how many jobs of the queue [queueName] have not started. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
@@ -22,7 +22,7 @@
         when (request) {
             is JobRequest.Submit -> current.submit(request.submission) { onReply(replyTo(it)) }
             is JobRequest.State -> onReply(state(current, request))
-            is JobRequest.Cancel -> current.cancel(request.id) { onReply(replyToCancel(it)) }
+            is JobRequest.Cancel -> current.cancel(request.id, request.access) { onReply(replyToCancel(it)) }
             is JobRequest.Pending -> onReply(current.pending(request.queueName)?.let { answer(CallerAnswer.Pending(it)) } ?: NOT_HANDLED)
         }
     }
@@ -38,7 +38,7 @@
     private fun replyToCancel(isKnown: Boolean?): SchedulerReply =
         when (isKnown) {
             true -> answer(CallerAnswer.Applied)
-            // The scheduler may not have read yet that another entry stored the job, so the store decides.
+            // The scheduler may not have read yet that another entry stored the job, so the store decides, also about access.
             false, null -> NOT_HANDLED
         }
 
@@ -50,7 +50,7 @@
         val state = found.state
         return when {
             !found.isAvailable || state == null -> NOT_HANDLED
-            found.queueName != request.queueName -> answer(CallerAnswer.NotFound)
+            found.queueName != request.queueName || !request.access.permits(found.account) -> answer(CallerAnswer.NotFound)
             else -> answer(CallerAnswer.State(state))
         }
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
@@ -4,6 +4,7 @@
  */
 package io.corianderrock.jobs.entry
 
+import io.corianderrock.jobs.accounts.JobAccess
 import io.corianderrock.jobs.ports.ChangeResult
 import io.corianderrock.jobs.ports.JobTables
 import io.corianderrock.jobs.ports.ReadResult
@@ -59,8 +60,8 @@
     ): Unit =
         when (request) {
             is JobRequest.Submit -> submit(request.submission, onAnswer)
-            is JobRequest.State -> state(request.id, request.queueName, onAnswer)
-            is JobRequest.Cancel -> cancel(request.id, onAnswer)
+            is JobRequest.State -> state(request.id, request.queueName, request.access, onAnswer)
+            is JobRequest.Cancel -> cancel(request.id, request.access, onAnswer)
             is JobRequest.Pending -> onAnswer(CallerAnswer.NotApplied("the store does not count waiting jobs", RETRY_AFTER_MS))
         }
 
@@ -93,15 +94,20 @@
                 }
         }
 
-    /** Reads the state of job [id]; a job of another queue than [queueName] is not found. */
+    /** Reads the state of job [id]; a job of another queue than [queueName] or outside [access] is not found. */
     public fun state(
         id: String,
         queueName: String,
+        access: JobAccess,
         onAnswer: (CallerAnswer) -> Unit,
     ): Unit =
         read(Table.JOBS, id, onAnswer) { job ->
             val submission = job?.let { decodeStored(JobSubmission.serializer(), it.value) }
-            if (submission == null || submission.queue.name != queueName) onAnswer(CallerAnswer.NotFound) else readProgress(id, onAnswer)
+            if (submission == null || submission.queue.name != queueName || !access.permits(submission.account)) {
+                onAnswer(CallerAnswer.NotFound)
+            } else {
+                readProgress(id, onAnswer)
+            }
         }
 
     private fun readProgress(
@@ -112,13 +118,15 @@
         onAnswer(CallerAnswer.State(progress?.state ?: JobState.QUEUED))
     }
 
-    /** Stores an inbox message that job [id] is to be cancelled. */
+    /** Stores an inbox message that job [id] is to be cancelled; a job outside [access] is not found. */
     public fun cancel(
         id: String,
+        access: JobAccess,
         onAnswer: (CallerAnswer) -> Unit,
     ): Unit =
         read(Table.JOBS, id, onAnswer) { job ->
-            if (job == null) {
+            val account = job?.let { decodeStored(JobSubmission.serializer(), it.value) }?.account
+            if (job == null || !access.permits(account)) {
                 onAnswer(CallerAnswer.NotFound)
             } else {
                 tables.commit(RowChange(puts = mapOf(InboxMessage(id, isCancel = true).key to INBOX_MESSAGE))) { onAnswer(answerTo(it)) }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
@@ -71,7 +71,7 @@
     private var isStopped = false
     private val storeReach = StoreReach(loop)
     private val failureDetector = OwnerFailureDetector(loop, peers, ::readRow)
-    private val inquiry = OwnerInquiry(loop, peers, directory, { isStoreLost && !isStopped }, ::onPeerStatus)
+    private val inquiry = PeerInquiry(loop, peers, directory, { isStoreLost && !isStopped }, ::onPeerStatus)
 
     /** Loop time from which a claim is due, [Long.MAX_VALUE] while none is. */
     private var claimAtMs = Long.MAX_VALUE
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerInquiry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/PeerInquiry.kt
@@ -1,12 +1,12 @@
 /*
- * Finds the owner through peers while this entry cannot read the owner row itself.
+ * Asks peers for what this entry cannot read from the store itself: the owner, or the newest configuration.
  */
 package io.corianderrock.jobs.ownership
 
 import io.corianderrock.jobs.ports.EventLoop
 
 /** Confined to [loop]. [onAnswer] gets what each peer answers. */
-internal class OwnerInquiry(
+internal class PeerInquiry(
     private val loop: EventLoop,
     private val client: PeerStatusClient,
     private val directory: PeerDirectory,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/PeerStatus.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/PeerStatus.kt
@@ -1,6 +1,7 @@
 /*
- * What entries tell each other about the ownership. Peers answer while the store is out of reach of one of them, so that an
- * entry without the store still finds the owner, and a failed owner is noticed before its row has been silent for long.
+ * What entries tell each other about the ownership and the configuration. Peers answer while the store is out of reach of one of
+ * them, so that an entry without the store still finds the owner and the newest configuration, and a failed owner is noticed
+ * before its row has been silent for long.
  */
 package io.corianderrock.jobs.ownership
 
@@ -10,6 +11,13 @@
     val epoch: Long,
 )
 
+/** The configuration that an entry has in force. */
+public data class ConfigurationSighting(
+    val version: Long,
+    /** Time since the store confirmed to the entry, directly or through peers, that there is no newer version; null if it never did. */
+    val confirmedAgoMs: Long? = null,
+)
+
 /** The answer of a peer. */
 public data class PeerStatus(
     /** The latest owner that the peer knows of, null if none. */
@@ -20,6 +28,8 @@
     val canWrite: Boolean,
     /** The epoch of a claim of the peer that may have been applied but whose outcome the peer does not know; null if there is none. */
     val claimedEpoch: Long? = null,
+    /** The configuration that the peer has in force; null if it has none yet. */
+    val configuration: ConfigurationSighting? = null,
 )
 
 /** The result of asking a peer. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -4,6 +4,7 @@
  */
 package io.corianderrock.jobs.runs
 
+import io.corianderrock.jobs.accounts.JobAccess
 import io.corianderrock.jobs.entry.AdmissionPolicy
 import io.corianderrock.jobs.fleet.DemandPeak
 import io.corianderrock.jobs.fleet.FleetController
@@ -149,22 +150,23 @@
         val job = registry.find(id)?.takeIf { it.isStored } ?: return JobAnswer(isAvailable = true)
         // A write of the final state without an answer may have been applied already: only the store can tell.
         if (job.state != job.visibleState && committer.isStoreUnhealthy) return JobAnswer(isAvailable = false)
-        return JobAnswer(true, job.visibleState, job.queue.name)
+        return JobAnswer(true, job.visibleState, job.queue.name, job.submission.account)
     }
 
     /**
-     * Cancels the job [id]. [onResult] gets true once this is stored, false if the job is not known, null if this scheduler
-     * cannot tell that it is stored.
+     * Cancels the job [id]. [onResult] gets true once this is stored, false if the job is not known or not within [access], null
+     * if this scheduler cannot tell that it is stored.
      */
     public fun cancel(
         id: String,
+        access: JobAccess,
         onResult: (Boolean?) -> Unit,
     ) {
         if (!isLoaded || isClosed || !canWrite) {
             onResult(null)
             return
         }
-        val job = registry.find(id)?.takeIf { it.isStored }
+        val job = registry.find(id)?.takeIf { it.isStored && access.permits(it.submission.account) }
         if (job == null) {
             onResult(false)
             return
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerAnswers.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerAnswers.kt
@@ -31,4 +31,6 @@
     val isAvailable: Boolean,
     val state: JobState? = null,
     val queueName: String? = null,
+    /** The client account that the job belongs to; null if it belongs to none. */
+    val account: String? = null,
 )
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobsConfiguration.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobsConfiguration.kt
@@ -3,7 +3,11 @@
  */
 package io.corianderrock.jobs.state
 
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
+
 /** A queue and the requests that address it: those to [host] with a path that begins with [pathPrefix]. */
+@Serializable
 public data class QueueRoute(
     val host: String,
     val pathPrefix: String,
@@ -13,6 +17,7 @@
 )
 
 /** A pool of instances that run the tasks of some queues. */
+@Serializable
 public data class Pool(
     val name: String,
     /** True for a pool whose instances are switched off and cost nothing. */
@@ -22,6 +27,7 @@
 )
 
 /** One version of the configuration; a later one has a higher [version]. */
+@Serializable
 public data class JobsConfiguration(
     val version: Long,
     val routes: List<QueueRoute>,
@@ -29,6 +35,7 @@
     /** The client accounts by name; null where the deployment has none, so that no call needs a key. */
     val accounts: Map<String, ClientAccount>? = null,
 ) {
+    @Transient
     private val routesByHost: Map<String, List<QueueRoute>> =
         routes.groupBy { it.host }.mapValues { (_, list) -> list.sortedByDescending { it.pathPrefix.length } }
 
--- a/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
@@ -25,6 +25,14 @@
             .classicOnly()
             .register(registry)
 
+    private val refusedCalls =
+        Counter
+            .builder()
+            .name("corianderrock_refused_calls_total")
+            .help("Calls that were refused for their key, by reason.")
+            .labelNames("reason")
+            .register(registry)
+
     private val decisions =
         Counter
             .builder()
@@ -50,6 +58,9 @@
         tookMs: Long,
     ): Unit = requests.labelValues(method, status.toString()).observe(tookMs / MS_PER_S)
 
+    /** Counts a call that was refused for its key. */
+    public fun onCallRefused(reason: String): Unit = refusedCalls.labelValues(reason).inc()
+
     /** Wraps [log] so that each event is counted and its durations are recorded before it is written to [log]. */
     public fun observing(log: DecisionLog): DecisionLog =
         DecisionLog { event, fields ->
--- a/transport/src/main/kotlin/io/corianderrock/transport/HttpPeerStatusClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpPeerStatusClient.kt
@@ -1,8 +1,9 @@
 /*
- * Asks peers over HTTP what they know about the ownership.
+ * Asks peers over HTTP what they know about the ownership and which version of the configuration they have in force.
  */
 package io.corianderrock.transport
 
+import io.corianderrock.jobs.ownership.ConfigurationSighting
 import io.corianderrock.jobs.ownership.OwnerSighting
 import io.corianderrock.jobs.ownership.PeerStatus
 import io.corianderrock.jobs.ownership.PeerStatusClient
@@ -18,6 +19,9 @@
     val isOwner: Boolean = false,
     val canWrite: Boolean = true,
     val claimedEpoch: Long? = null,
+    val configurationVersion: Long? = null,
+    /** Time since the configuration was confirmed by the store; null if it never was. */
+    val configurationConfirmedAgoMs: Long? = null,
 )
 
 internal const val STATUS_PATH = "/peer/status"
@@ -26,7 +30,16 @@
 
 internal fun encodePeerStatus(status: PeerStatus): String {
     val owner = status.owner
-    val message = PeerStatusMessage(owner?.address.orEmpty(), owner?.epoch ?: 0, status.isOwner, status.canWrite, status.claimedEpoch)
+    val message =
+        PeerStatusMessage(
+            ownerAddress = owner?.address.orEmpty(),
+            ownerEpoch = owner?.epoch ?: 0,
+            isOwner = status.isOwner,
+            canWrite = status.canWrite,
+            claimedEpoch = status.claimedEpoch,
+            configurationVersion = status.configuration?.version,
+            configurationConfirmedAgoMs = status.configuration?.confirmedAgoMs,
+        )
     return statusJson.encodeToString(PeerStatusMessage.serializer(), message)
 }
 
@@ -53,7 +66,8 @@
         try {
             val message = statusJson.decodeFromString(PeerStatusMessage.serializer(), answer.body.decodeToString())
             val owner = if (message.ownerAddress.isEmpty()) null else OwnerSighting(message.ownerAddress, message.ownerEpoch)
-            PeerStatusResult.Answered(PeerStatus(owner, message.isOwner, message.canWrite, message.claimedEpoch))
+            val seen = message.configurationVersion?.let { ConfigurationSighting(it, message.configurationConfirmedAgoMs) }
+            PeerStatusResult.Answered(PeerStatus(owner, message.isOwner, message.canWrite, message.claimedEpoch, seen))
         } catch (e: SerializationException) {
             PeerStatusResult.Unreachable("status ${answer.status} with a body that cannot be decoded: ${e.message}")
         }
--- a/transport/src/main/kotlin/io/corianderrock/transport/PeerSchedulerClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/PeerSchedulerClient.kt
@@ -4,6 +4,7 @@
  */
 package io.corianderrock.transport
 
+import io.corianderrock.jobs.accounts.JobAccess
 import io.corianderrock.jobs.entry.CallerAnswer
 import io.corianderrock.jobs.entry.JobRequest
 import io.corianderrock.jobs.entry.SchedulerClient
@@ -13,6 +14,7 @@
 import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.state.JobState
 import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.JobsConfiguration
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -32,6 +34,8 @@
     val id: String = "",
     val queueName: String = "",
     val submission: JobSubmission? = null,
+    /** Absent from entries that know no accounts. */
+    val access: JobAccess = JobAccess.ALL,
 )
 
 @Serializable
@@ -87,8 +91,8 @@
     private fun encodeRequest(request: JobRequest): PeerJobRequest =
         when (request) {
             is JobRequest.Submit -> PeerJobRequest(PeerJobRequestKind.SUBMIT, submission = request.submission)
-            is JobRequest.State -> PeerJobRequest(PeerJobRequestKind.STATE, request.id, request.queueName)
-            is JobRequest.Cancel -> PeerJobRequest(PeerJobRequestKind.CANCEL, request.id, request.queueName)
+            is JobRequest.State -> PeerJobRequest(PeerJobRequestKind.STATE, request.id, request.queueName, access = request.access)
+            is JobRequest.Cancel -> PeerJobRequest(PeerJobRequestKind.CANCEL, request.id, request.queueName, access = request.access)
             is JobRequest.Pending -> PeerJobRequest(PeerJobRequestKind.PENDING, queueName = request.queueName)
         }
 
@@ -131,12 +135,16 @@
     }
 }
 
-/** Serves peers: job requests from the scheduler of this process, and questions about the owner from [status]. */
+/**
+ * Serves peers: job requests from the scheduler of this process, questions about the owner and the version of the configuration
+ * from [status], and the [configuration] itself, null while there is none.
+ */
 public class PeerJobsHandler(
     private val loop: EventLoop,
     private val scheduler: SchedulerClient,
     private val directory: PeerDirectory,
     private val status: () -> PeerStatus,
+    private val configuration: () -> JobsConfiguration? = { null },
 ) {
     /**
      * Runs job requests on the event loop and blocks for the reply, so it must not be called on that loop. Responds with
@@ -147,6 +155,9 @@
         return when (request.uri.path) {
             JOBS_PATH -> handleJob(request)
             STATUS_PATH -> Response(Status.OK).body(encodePeerStatus(status()))
+            CONFIGURATION_PATH ->
+                configuration()?.let { Response(Status.OK).body(encodePeerConfiguration(it)) }
+                    ?: Response(Status.NOT_FOUND)
             else -> Response(Status.NOT_FOUND)
         }
     }
@@ -173,8 +184,8 @@
     private fun decodeRequest(message: PeerJobRequest): JobRequest? =
         when (message.kind) {
             PeerJobRequestKind.SUBMIT -> message.submission?.let(JobRequest::Submit)
-            PeerJobRequestKind.STATE -> JobRequest.State(message.id, message.queueName)
-            PeerJobRequestKind.CANCEL -> JobRequest.Cancel(message.id, message.queueName)
+            PeerJobRequestKind.STATE -> JobRequest.State(message.id, message.queueName, message.access)
+            PeerJobRequestKind.CANCEL -> JobRequest.Cancel(message.id, message.queueName, message.access)
             PeerJobRequestKind.PENDING -> JobRequest.Pending(message.queueName)
         }
 
