--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Candidate.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Candidate.kt
@@ -25,6 +25,18 @@
     ): List<Candidate>
 }
 
+/** A [CandidateOrder] that states which candidates rank equally, so that a wrapping order may interleave these and no others. */
+internal interface RankedOrder : CandidateOrder {
+    /**
+     * Negative if [a] ranks before [b], 0 if they rank equally. The rank is the class and the priority of a candidate. It
+     * excludes the remaining work, by which [order] sorts candidates of equal rank.
+     */
+    fun compareRank(
+        a: Candidate,
+        b: Candidate,
+    ): Int
+}
+
 /** Limits what may start beyond the capacity of the workers. */
 internal fun interface StartLimit {
     /** True if [task] may start now. Asked right before each start, so that earlier starts of the same pass count. */
@@ -32,15 +44,21 @@
 }
 
 /** Long-running jobs, then jobs within their objective, then late ones; within each by priority, then by least remaining work. */
-internal object ObjectiveOrder : CandidateOrder {
-    val COMPARATOR: Comparator<Candidate> =
+internal object ObjectiveOrder : RankedOrder {
+    private val RANK: Comparator<Candidate> =
         compareBy<Candidate> { !it.stepRun.job.isLongRunning }
             .thenBy { it.isPastObjective }
             .thenBy { it.stepRun.job.queue.priority }
-            .thenBy { it.remainingCoreMs }
+
+    val COMPARATOR: Comparator<Candidate> = RANK.thenBy { it.remainingCoreMs }
 
     override fun order(
         pool: String,
         candidates: List<Candidate>,
     ): List<Candidate> = candidates.sortedWith(COMPARATOR)
+
+    override fun compareRank(
+        a: Candidate,
+        b: Candidate,
+    ): Int = RANK.compare(a, b)
 }
