Keep the caps of client accounts and share capacity between them

Cause: a burst of one account lengthened the waits of all others and let it exceed its cap, since no decision knew accounts. Starts are held at the cap, candidates of equal rank are interleaved by dominant share over weight, arrivals beyond the weight are refused while others wait, and work that its cap holds back orders no instances. Without accounts nothing changes.

--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
@@ -0,0 +1,202 @@
+/*
+ * What each client account occupies, over all workers of all pools. Nothing of it is stored: it is derived from the workers'
+ * runs and the stored jobs. Each placement pass computes it once and then adds its own starts, so that a check costs a map
+ * access.
+ */
+package io.corianderrock.jobs.accounts
+
+import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.runs.JobRegistry
+import io.corianderrock.jobs.runs.LATE_START_WINDOW_MS
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.OccurrenceRun
+import io.corianderrock.jobs.state.StepRun
+import io.corianderrock.jobs.state.TaskId
+import io.corianderrock.jobs.state.TaskPhase
+import io.corianderrock.jobs.state.TaskRun
+import io.corianderrock.jobs.state.WorkerView
+
+/** A sum of resources, and the number of tasks that it stands for. */
+internal class ResourceSum {
+    var cpuMilli = 0L
+        private set
+    var memoryMb = 0L
+        private set
+    var gpuCount = 0L
+        private set
+    var taskCount = 0L
+        private set
+
+    fun add(
+        demand: Demand,
+        count: Int = 1,
+    ) {
+        cpuMilli += demand.cpuMilli.toLong() * count
+        memoryMb += demand.memoryMb.toLong() * count
+        gpuCount += demand.gpuCount.toLong() * count
+        taskCount += count
+    }
+
+    /** Adds [other], in each dimension at most [limit] if that is given. */
+    fun add(
+        other: ResourceSum,
+        limit: ResourceSum? = null,
+    ) {
+        cpuMilli += minOf(other.cpuMilli, limit?.cpuMilli ?: Long.MAX_VALUE)
+        memoryMb += minOf(other.memoryMb, limit?.memoryMb ?: Long.MAX_VALUE)
+        gpuCount += minOf(other.gpuCount, limit?.gpuCount ?: Long.MAX_VALUE)
+        taskCount += other.taskCount
+    }
+
+    /** Raises each dimension to that of [other] where it is lower. */
+    fun raiseTo(other: ResourceSum) {
+        cpuMilli = maxOf(cpuMilli, other.cpuMilli)
+        memoryMb = maxOf(memoryMb, other.memoryMb)
+        gpuCount = maxOf(gpuCount, other.gpuCount)
+        taskCount = maxOf(taskCount, other.taskCount)
+    }
+}
+
+/** Sums what the runs of each account occupy. Jobs without an account are summed under null. Used on the event loop only. */
+internal class AccountUsage(
+    private val loop: EventLoop,
+    private val registry: JobRegistry,
+    private val workers: () -> Collection<WorkerView>,
+    /** Ids of the workers of a pool on which tasks of inherited jobs may be running unknown to this owner. */
+    private val unreconciledIn: (String) -> List<String>,
+) {
+    private val total = HashMap<String?, ResourceSum>()
+    private val byPool = HashMap<String, HashMap<String?, ResourceSum>>()
+    private val capacityByPool = HashMap<String, ResourceSum>()
+
+    /** What [account] occupies in all pools. */
+    fun of(account: String?): ResourceSum = total[account] ?: NOTHING
+
+    /** What [account] occupies in [pool]. */
+    fun inPool(
+        pool: String,
+        account: String?,
+    ): ResourceSum = byPool[pool]?.get(account) ?: NOTHING
+
+    /** The capacity of the listed workers of [pool]. */
+    fun capacityOf(pool: String): ResourceSum = capacityByPool[pool] ?: NOTHING
+
+    /** Adds [task], which was started after the last [recompute]. */
+    fun onStarted(task: TaskRun): Unit =
+        charge(task.stepRun.job.queue.pool, task.stepRun.job.submission.account) { it.add(task.stepRun.step.demand) }
+
+    fun recompute() {
+        total.clear()
+        byPool.clear()
+        capacityByPool.clear()
+        for (worker in workers()) chargeRuns(worker)
+        for (pool in registry.pools) {
+            val unreconciled = unreconciledIn(pool)
+            if (unreconciled.isNotEmpty()) chargeInherited(pool, unreconciled)
+        }
+    }
+
+    private fun chargeRuns(worker: WorkerView) {
+        val pool = worker.entry.pool
+        if (worker.isListed) capacityByPool.getOrPut(pool) { ResourceSum() }.add(worker.entry.capacity)
+        for (task in worker.runs.values) charge(pool, task.stepRun.job.submission.account) { it.add(task.stepRun.step.demand) }
+        for (task in worker.orphanedRuns.keys) chargeById(pool, task)
+        if (worker.consecutiveLostHolds == 0) return
+        // A worker that is silent may have restarted, and carries out late starts without a record of their stops.
+        for ((task, start) in worker.possibleLateStarts) {
+            val isCounted = task in worker.runs || task in worker.orphanedRuns
+            if (!isCounted && loop.nowMs - start.sentAtMs < LATE_START_WINDOW_MS) chargeById(pool, task)
+        }
+    }
+
+    /** Charges [task] by its job's submission, which is kept after the job's end. A task of an unknown job has no known account. */
+    private fun chargeById(
+        pool: String,
+        task: TaskId,
+    ) {
+        val submission = registry.find(task.jobId)?.submission ?: return
+        val step = submission.steps.getOrNull(task.step) ?: return
+        charge(pool, submission.account) { it.add(step.demand) }
+    }
+
+    /**
+     * Charges the tasks of inherited jobs that may be running on the [unreconciled] workers of [pool] at their largest: all that
+     * can run at once, but no account with more than these workers hold.
+     */
+    private fun chargeInherited(
+        pool: String,
+        unreconciled: List<String>,
+    ) {
+        val possible = HashMap<String?, ResourceSum>()
+        for (job in registry.liveIn(pool)) {
+            if (!job.mayBeKnownToEarlierOwner) continue
+            for (occurrence in job.occurrences.values) {
+                possible.getOrPut(job.submission.account) { ResourceSum() }.add(largestUnknown(occurrence))
+            }
+        }
+        val limit = capacityOfUnreconciled(pool, unreconciled.toSet())
+        for ((account, sum) in possible) if (sum.taskCount > 0) charge(pool, account) { it.add(sum, limit) }
+    }
+
+    /** Null when it is not known. Workers that are known only by their lease row count as large as the largest of the pool. */
+    private fun capacityOfUnreconciled(
+        pool: String,
+        unreconciled: Set<String>,
+    ): ResourceSum? {
+        val largest = ResourceSum()
+        val inPool = workers().filter { it.entry.pool == pool }
+        for (worker in inPool) largest.raiseTo(ResourceSum().apply { add(worker.entry.capacity) })
+        if (largest.cpuMilli == 0L) return null
+        val limit = ResourceSum()
+        var missingCount = unreconciled.size
+        for (worker in inPool) {
+            if (worker.id !in unreconciled || worker.entry.capacity == Demand()) continue
+            limit.add(worker.entry.capacity)
+            missingCount--
+        }
+        repeat(missingCount) { limit.add(largest) }
+        return limit
+    }
+
+    /**
+     * The most that tasks of [occurrence] without a known place can occupy at once. A step starts after those that it depends on
+     * have ended, so of a chain of steps one runs at a time: the steps are covered with chains, each of which counts with its
+     * largest step.
+     */
+    private fun largestUnknown(occurrence: OccurrenceRun): ResourceSum {
+        val chainOf = arrayOfNulls<ResourceSum>(occurrence.steps.size)
+        val chains = ArrayList<ResourceSum>()
+        val lastOf = HashMap<ResourceSum, Int>()
+        for (run in occurrence.steps) {
+            val before = run.step.after.firstOrNull { number -> chainOf[number]?.let { lastOf[it] } == number }
+            val chain = before?.let { chainOf[it] } ?: ResourceSum().also(chains::add)
+            chain.raiseTo(ResourceSum().apply { add(run.step.demand, unknownCount(occurrence, run)) })
+            chainOf[run.number] = chain
+            lastOf[chain] = run.number
+        }
+        return ResourceSum().apply { chains.forEach { add(it) } }
+    }
+
+    private fun unknownCount(
+        occurrence: OccurrenceRun,
+        run: StepRun,
+    ): Int =
+        if (run.waitingCount == 0 || occurrence.hasBecomeReadyInTerm(run)) {
+            0
+        } else {
+            run.tasks.count { it.phase == TaskPhase.WAITING && !it.isPlaceKnown }
+        }
+
+    private inline fun charge(
+        pool: String,
+        account: String?,
+        add: (ResourceSum) -> Unit,
+    ) {
+        add(total.getOrPut(account) { ResourceSum() })
+        add(byPool.getOrPut(pool) { HashMap() }.getOrPut(account) { ResourceSum() })
+    }
+
+    private companion object {
+        val NOTHING = ResourceSum()
+    }
+}
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -9,6 +9,7 @@
 import io.corianderrock.jobs.runs.JobRegistry
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.JobRun
+import io.corianderrock.jobs.state.StepRun
 import kotlin.math.ceil
 import kotlin.math.max
 
@@ -27,22 +28,37 @@
     val extrapolatedInstances: Double = 0.0,
 )
 
+/** Which of the live jobs are a reason to order instances. By default all are. */
+internal interface DemandLimit {
+    /** Called before the needs are computed. */
+    fun refresh() {}
+
+    /** The share of the waiting tasks of [run], between 0 and 1, that could start if there were capacity for all of them. */
+    fun startableShare(run: StepRun): Double = 1.0
+
+    /** True if the arrival of [job] counts in the forecast of arrivals. */
+    fun isForecast(job: JobRun): Boolean = true
+}
+
 internal class PoolDemand(
     private val loop: EventLoop,
     private val registry: JobRegistry,
     private val runTimes: RunTimeEstimator,
+    private val limit: DemandLimit = object : DemandLimit {},
 ) {
     private val arrivals = HashMap<String, ArrivalRate>()
 
     /** Adds the work of a newly accepted job to the arrival rate of its pool. */
     fun onAccepted(job: JobRun) {
-        if (job.isLongRunning || job.isInherited) return
+        if (job.isLongRunning || job.isInherited || !limit.isForecast(job)) return
         arrivals.getOrPut(job.queue.pool) { ArrivalRate() }.add(runTimes.remainingCoreMs(job), loop.nowMs)
     }
 
     /** Returns the need of each pool with live jobs or earlier arrivals. [capacity] gives the capacity of one instance of a pool. */
-    fun needs(capacity: (String) -> Demand): Map<String, PoolNeed> =
-        (registry.pools + arrivals.keys).associateWith { need(it, registry.liveIn(it), capacity(it)) }
+    fun needs(capacity: (String) -> Demand): Map<String, PoolNeed> {
+        limit.refresh()
+        return (registry.pools + arrivals.keys).associateWith { need(it, registry.liveIn(it), capacity(it)) }
+    }
 
     private fun need(
         pool: String,
@@ -58,8 +74,9 @@
         for (run in jobs.asSequence().flatMap { it.occurrences.values }.flatMap { it.steps }) {
             val step = run.step
             if (step.isLongRunning) {
-                longRunning += times(step.occupied, step.count)
-                step.maxPerWorker?.let { spreadCount = max(spreadCount, (step.count + it - 1) / max(1, it)) }
+                val count = step.count - run.waitingCount + startableCount(run)
+                longRunning += times(step.occupied, count)
+                step.maxPerWorker?.let { spreadCount = max(spreadCount, (count + it - 1) / max(1, it)) }
                 continue
             }
             running += times(step.occupied, run.occupyingCount)
@@ -73,7 +90,7 @@
                 continue
             }
             if (run.job in missed) continue
-            val waitingCount = run.waitingCount
+            val waitingCount = startableCount(run)
             waiting += times(step.occupied, waitingCount)
             waitingWork += waitingCount * step.occupied.cpuMilli * runTimes.expectedMs(run) / MILLI
         }
@@ -111,6 +128,9 @@
         )
     }
 
+    private fun startableCount(run: StepRun): Int =
+        if (run.waitingCount == 0) 0 else ceil(run.waitingCount * limit.startableShare(run)).toInt()
+
     private fun times(
         demand: Demand,
         count: Int,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Candidate.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Candidate.kt
@@ -41,6 +41,12 @@
 internal fun interface StartLimit {
     /** True if [task] may start now. Asked right before each start, so that earlier starts of the same pass count. */
     fun mayStart(task: TaskRun): Boolean
+
+    /** True if all [tasks] of a gang, which start together or not at all, may start now. */
+    fun mayStartTogether(tasks: List<TaskRun>): Boolean = tasks.all(::mayStart)
+
+    /** Called when the pass has started [task]. */
+    fun onStarted(task: TaskRun) {}
 }
 
 /** Long-running jobs, then jobs within their objective, then late ones; within each by priority, then by least remaining work. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -103,6 +103,10 @@
             waitingCount,
             "pool",
             pool,
+            "account",
+            task.stepRun.job.submission.account,
+            "isAtCap",
+            !mayStartAny(task.stepRun, listOf(task)),
             "workers",
             inPool.size,
             "usableWorkers",
@@ -190,6 +194,8 @@
         capacity: PoolCapacity,
     ): Boolean {
         val stepRun = candidate.stepRun
+        // Before the search for capacity: work that a limit holds back is no shortage of capacity.
+        if (!mayStartAny(stepRun, candidate.tasks)) return true
         if (!capacity.hasRoomFor(stepRun.step.occupied)) return false
         val capacities = capacity.workers
         if (stepRun.job.queue.needsAdvice && !ensureTickets(stepRun, capacities)) return true
@@ -202,12 +208,22 @@
         return true
     }
 
+    private fun mayStartAny(
+        stepRun: StepRun,
+        tasks: List<TaskRun>,
+    ): Boolean =
+        if (stepRun.step.isGang) {
+            startLimit.mayStartTogether(stepRun.tasks)
+        } else {
+            tasks.firstOrNull { it.phase == TaskPhase.WAITING }?.let(startLimit::mayStart) ?: true
+        }
+
     /** Gang scheduling: all tasks of the step start under one run number and from one checkpoint, or none does. */
     private fun placeGang(
         stepRun: StepRun,
         capacities: List<WorkerCapacity>,
     ): Boolean {
-        if (stepRun.waitingCount < stepRun.step.count || !startLimit.mayStart(stepRun.tasks.first())) return true
+        if (stepRun.waitingCount < stepRun.step.count) return true
         val freeBefore = capacities.associateWith { it.free }
         val chosen = ArrayList<WorkerCapacity>()
         for (task in stepRun.tasks) {
@@ -235,6 +251,7 @@
         capacity.free -= step.occupied
         if (task.isCrashSuspect) capacity.isReserved = true
         driver.start(task, capacity.worker)
+        startLimit.onStarted(task)
     }
 
     private fun cheapestWorker(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -15,6 +15,9 @@
 import io.corianderrock.jobs.state.UnansweredStart
 import io.corianderrock.jobs.state.WorkerView
 
+/** Age up to which an unanswered start counts as still arriving: it may be carried out up to 12 s after it was sent. */
+internal const val LATE_START_WINDOW_MS = 13_000L
+
 /** Starts and stops runs. All methods and callbacks run on the event loop. */
 internal class RunOrders(
     private val context: WorkerOrderContext,
@@ -251,9 +254,6 @@
         /** How long a worker that refused a start for lack of capacity gets no new work. */
         const val AVOID_FULL_MS = 150L
 
-        /** Age up to which an unanswered start counts as still arriving: it may be carried out up to 12 s after it was sent. */
-        const val LATE_START_WINDOW_MS = 13_000L
-
         /** Run numbers reserved for each epoch, so that those of different owners do not collide. */
         const val RUNS_PER_EPOCH = 1_000L
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -4,6 +4,7 @@
  */
 package io.corianderrock.jobs.runs
 
+import io.corianderrock.jobs.accounts.AccountRules
 import io.corianderrock.jobs.entry.AdmissionPolicy
 import io.corianderrock.jobs.fleet.DemandPeak
 import io.corianderrock.jobs.fleet.FleetController
@@ -14,6 +15,7 @@
 import io.corianderrock.jobs.ownership.OwnerElector
 import io.corianderrock.jobs.ownership.OwnerRow
 import io.corianderrock.jobs.ownership.OwnerSighting
+import io.corianderrock.jobs.placement.ObjectiveOrder
 import io.corianderrock.jobs.placement.Placer
 import io.corianderrock.jobs.placement.RunTimeEstimator
 import io.corianderrock.jobs.ports.ReadResult
@@ -45,7 +47,6 @@
     private val committer = Committer(loop, ports.tables, log, owner, ownerVersion, ::earlierOrdersWindowMs, ::onOwnershipLost)
     private val runTimeModel: RunTimeModel = MeanRunTimes()
     private val runTimes = RunTimeEstimator(runTimeModel)
-    private val admissionPolicies: List<AdmissionPolicy> = emptyList()
     private val registry = JobRegistry(loop, committer, log)
     private val driver =
         WorkerDriver(
@@ -61,8 +62,13 @@
             onFenced = ::onFenced,
             onRunEnd = runTimeModel::observe,
         )
-    private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder)
-    private val demand = PoolDemand(loop, registry, runTimes)
+    private val accountRules = AccountRules(loop, log, ports.configuration, bounds, registry, driver, ::capacityShortageMs)
+
+    /** The accounts' policy comes last: it meters what the others admit. */
+    private val admissionPolicies: List<AdmissionPolicy> = listOf(accountRules.admission)
+    private val order = accountRules.share(ObjectiveOrder)
+    private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder, order, accountRules.startLimit)
+    private val demand = PoolDemand(loop, registry, runTimes, accountRules.demandLimit)
     private val instanceOrdersFromMs =
         if (!earlier.existed || earlier.isSameEntry && earlier.earlierOrdersWindowMs == 0L) {
             loop.nowMs
@@ -80,7 +86,7 @@
             log = log,
             orders = instanceOrders,
             token = owner.epoch,
-            capacityShortageMs = placer::capacityShortageMs,
+            capacityShortageMs = ::capacityShortageMs,
             configuration = ports.configuration,
             mayOrder = ::mayOrderInstances,
         )
@@ -101,6 +107,7 @@
     /** Loads the stored state, if there was an earlier owner, and starts scheduling. */
     public fun start() {
         registry.onAccepted = { job ->
+            accountRules.admission.onAccepted(job)
             demand.onAccepted(job)
             requestPlacement(job.queue.pool)
         }
@@ -197,6 +204,8 @@
         fencedAtMs = loop.nowMs
     }
 
+    private fun capacityShortageMs(pool: String): Long = placer.capacityShortageMs(pool)
+
     private fun mayOrder(): Boolean = isOwnershipFresh(WORKER_ORDER_FRESHNESS_MS)
 
     private fun mayOrderInstances(): Boolean = isLoaded && isOwnershipFresh(INSTANCE_ORDER_FRESHNESS_MS)
@@ -257,6 +266,7 @@
 
     private fun placeRequested() {
         val startMs = loop.nowMs
+        accountRules.beginPass()
         placer.placeWaitingTasks(if (isEveryPoolToPlace) registry.pools else poolsToPlace)
         isEveryPoolToPlace = false
         poolsToPlace.clear()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -137,6 +137,9 @@
      */
     var mayBeKnownToEarlierOwner: Boolean = isInherited
 
+    /** True when the job's account is not owed the job: it was submitted beyond the account's share and accepted nevertheless. */
+    var isBeyondShare: Boolean = false
+
     /** The last estimate; null before the first. */
     var estimate: JobEstimate? = null
     val id: String get() = submission.id
