--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -9,6 +9,7 @@
 import io.corianderrock.jobs.runs.JobRegistry
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.JobRun
+import io.corianderrock.jobs.state.StepRun
 import kotlin.math.ceil
 import kotlin.math.max
 
@@ -27,39 +28,58 @@
     val extrapolatedInstances: Double = 0.0,
 )
 
+/** Which of the live jobs are a reason to order instances. By default all are. */
+internal interface DemandLimit {
+    /** Called before the needs are computed. */
+    fun refresh() {}
+
+    /** The share of the waiting tasks of [run], between 0 and 1, that could start if there were capacity for all of them. */
+    fun startableShare(run: StepRun): Double = 1.0
+
+    /** True if the arrival of [job] counts in the forecast of arrivals. */
+    fun isForecast(job: JobRun): Boolean = true
+}
+
 internal class PoolDemand(
     private val loop: EventLoop,
     private val registry: JobRegistry,
     private val runTimes: RunTimeEstimator,
+    private val limit: DemandLimit = object : DemandLimit {},
 ) {
     private val arrivals = HashMap<String, ArrivalRate>()
 
     /** Adds the work of a newly accepted job to the arrival rate of its pool. */
     fun onAccepted(job: JobRun) {
-        if (job.isLongRunning || job.isInherited) return
+        if (job.isLongRunning || job.isInherited || !limit.isForecast(job)) return
         arrivals.getOrPut(job.queue.pool) { ArrivalRate() }.add(runTimes.remainingCoreMs(job), loop.nowMs)
     }
 
     /** Returns the need of each pool with live jobs or earlier arrivals. [capacity] gives the capacity of one instance of a pool. */
-    fun needs(capacity: (String) -> Demand): Map<String, PoolNeed> =
-        (registry.pools + arrivals.keys).associateWith { need(it, registry.liveIn(it), capacity(it)) }
+    fun needs(capacity: (String) -> Demand): Map<String, PoolNeed> {
+        limit.refresh()
+        return (registry.pools + arrivals.keys).associateWith { need(it, registry.liveIn(it), capacity(it)) }
+    }
 
     private fun need(
         pool: String,
         jobs: Collection<JobRun>,
         capacity: Demand,
     ): PoolNeed {
-        var longRunning = Demand()
+        var longRunningCpu = 0.0
+        var longRunningMemory = 0.0
         var spreadCount = 0
         var running = Demand()
-        var waiting = Demand()
+        var waitingCpu = 0.0
+        var waitingMemory = 0.0
         var waitingWork = 0.0
         val missed = jobs.filterTo(HashSet()) { !it.isLongRunning && runTimes.countsAsMissed(it, loop.nowMs) }
         for (run in jobs.asSequence().flatMap { it.occurrences.values }.flatMap { it.steps }) {
             val step = run.step
             if (step.isLongRunning) {
-                longRunning += times(step.occupied, step.count)
-                step.maxPerWorker?.let { spreadCount = max(spreadCount, (step.count + it - 1) / max(1, it)) }
+                val count = step.count - run.waitingCount + startableCount(run)
+                longRunningCpu += step.occupied.cpuMilli * count
+                longRunningMemory += step.occupied.memoryMb * count
+                step.maxPerWorker?.let { spreadCount = max(spreadCount, wholeInstances(count, max(1, it))) }
                 continue
             }
             running += times(step.occupied, run.occupyingCount)
@@ -73,27 +93,28 @@
                 continue
             }
             if (run.job in missed) continue
-            val waitingCount = run.waitingCount
-            waiting += times(step.occupied, waitingCount)
+            val waitingCount = startableCount(run)
+            waitingCpu += step.occupied.cpuMilli * waitingCount
+            waitingMemory += step.occupied.memoryMb * waitingCount
             waitingWork += waitingCount * step.occupied.cpuMilli * runTimes.expectedMs(run) / MILLI
         }
         val arriving = (arrivals[pool]?.at(loop.nowMs) ?: 0.0) * MILLI
-        val backlogCpu = minOf(waiting.cpuMilli.toDouble(), waitingWork * MILLI / BACKLOG_HORIZON_MS)
+        val backlogCpu = minOf(waitingCpu, waitingWork * MILLI / BACKLOG_HORIZON_MS)
         val ordinaryCpu = max(arriving * ARRIVAL_MARGIN, running.cpuMilli + backlogCpu)
-        val ordinaryMemory = (running.memoryMb + waiting.memoryMb * (if (waiting.cpuMilli == 0) 1.0 else backlogCpu / waiting.cpuMilli))
+        val ordinaryMemory = running.memoryMb + waitingMemory * (if (waitingCpu == 0.0) 1.0 else backlogCpu / waitingCpu)
         val longRunningCount =
             max(
                 spreadCount,
                 max(
-                    wholeInstances(longRunning.cpuMilli.toDouble(), capacity.cpuMilli),
-                    wholeInstances(longRunning.memoryMb.toDouble(), capacity.memoryMb),
+                    wholeInstances(longRunningCpu, capacity.cpuMilli),
+                    wholeInstances(longRunningMemory, capacity.memoryMb),
                 ),
             )
         val total =
             maxOf(
                 longRunningCount,
-                wholeInstances(longRunning.cpuMilli + ordinaryCpu / FILL_SHARE, capacity.cpuMilli),
-                wholeInstances(longRunning.memoryMb + ordinaryMemory / FILL_SHARE, capacity.memoryMb),
+                wholeInstances(longRunningCpu + ordinaryCpu / FILL_SHARE, capacity.cpuMilli),
+                wholeInstances(longRunningMemory + ordinaryMemory / FILL_SHARE, capacity.memoryMb),
             )
         return PoolNeed(
             instanceCount = total,
@@ -103,14 +124,16 @@
             arrivingCpuMilli = arriving,
             longRunningInstances =
                 max(
-                    instanceFraction(longRunning.cpuMilli, capacity.cpuMilli),
-                    instanceFraction(longRunning.memoryMb, capacity.memoryMb),
+                    instanceFraction(longRunningCpu, capacity.cpuMilli),
+                    instanceFraction(longRunningMemory, capacity.memoryMb),
                 ),
             arrivingInstances = instancesFor(arriving, capacity),
             extrapolatedInstances = instancesFor((arrivals[pool]?.extrapolate(loop.nowMs) ?: 0.0) * MILLI, capacity),
         )
     }
 
+    private fun startableCount(run: StepRun): Double = if (run.waitingCount == 0) 0.0 else run.waitingCount * limit.startableShare(run)
+
     private fun times(
         demand: Demand,
         count: Int,
@@ -122,9 +145,9 @@
     ): Double = cpuMilli * ARRIVAL_MARGIN / FILL_SHARE / max(1, capacity.cpuMilli)
 
     private fun instanceFraction(
-        needed: Int,
+        needed: Double,
         perInstance: Int,
-    ): Double = needed.toDouble() / max(1, perInstance)
+    ): Double = needed / max(1, perInstance)
 
     private fun wholeInstances(
         needed: Double,
