Refuse what was certainly not stored, with retry delays that outlast an outage

Cause: every refusal told callers to retry after 1 s, so that their four retries were used up before an outage of the store ended. Jobs that the owner had not sent to the store when it was lost, and writes of entries to a store that had just stopped to answer, were answered with 504, after which a client may not retry.

Change: RetryAdvice tells delays of 1, 1, 2 and 4 s by the number of refusals, which the owner counts and passes to the entries; an entry that cannot ask it goes by the age of the outage. The committer withdraws new jobs that the store cannot have received. An entry stores a job itself only after the store has answered a read within 150 ms. Requests that no event loop has begun, and answers of peers and the store that prove that nothing was read, count as not carried out.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/CallerReach.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/CallerReach.kt
@@ -10,6 +10,7 @@
 public class CallerReach(
     private val loop: EventLoop,
     private val isSlow: () -> Boolean,
+    private val silentMs: () -> Long = { 0 },
     private val isLost: () -> Boolean,
 ) : EntryReach {
     @Volatile
@@ -19,6 +20,8 @@
 
     override val isStoreSlow: Boolean get() = isSlow()
 
+    override val storeSilentMs: Long get() = silentMs()
+
     override val isCutOff: Boolean get() = isStoreLost && loop.nowMs - peerAnsweredAtMs > PEER_ANSWER_MS
 
     /** Records that a peer has answered this entry, as owner or about the owner. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
@@ -47,6 +47,8 @@
         val isConnectionRefused: Boolean = false,
         /** True when the process that was asked is not the owner. */
         val isNotOwner: Boolean = false,
+        /** How often the owner has now left this job to other entries; null if it does not know. */
+        val attempt: Int? = null,
     ) : SchedulerReply
 
     /** No usable reply; the request may have been carried out. */
@@ -74,6 +76,9 @@
 
     /** True while neither the store nor a peer answers this entry. */
     public val isCutOff: Boolean
+
+    /** How long the store has not answered this entry, in milliseconds; 0 while it does. */
+    public val storeSilentMs: Long get() = 0
 }
 
 /**
@@ -89,6 +94,7 @@
     private val scheduler: SchedulerClient,
     private val store: StoredJobService,
     private val reach: EntryReach,
+    private val advice: RetryAdvice = RetryAdvice(loop),
     private val log: DecisionLog,
 ) {
     /** Answers [request]; [onAnswer] is called once, on the event loop. */
@@ -109,11 +115,17 @@
         /** True once the request may have been carried out without this entry knowing. */
         private var isUncertain = false
 
+        /** What the owner knows of earlier attempts of the caller. */
+        private var attempt: Int? = null
+
         fun askScheduler() =
             scheduler.ask(request) { reply ->
                 when (reply) {
                     is SchedulerReply.Answer -> onAnswer(settled(reply.answer))
-                    is SchedulerReply.NotHandled -> askStore(reply.reason)
+                    is SchedulerReply.NotHandled -> {
+                        attempt = reply.attempt
+                        askStore(reply.reason)
+                    }
                     is SchedulerReply.Unanswered -> {
                         isUncertain = isUncertain || request is JobRequest.Submit || request is JobRequest.Cancel
                         askStore(reply.reason)
@@ -138,6 +150,8 @@
             val isOpen = fromStore is CallerAnswer.Uncertain || isUncertain && fromStore is CallerAnswer.NotApplied
             if (isOpen) {
                 retryOrRefuse(reason)
+            } else if (fromStore is CallerAnswer.NotApplied) {
+                refuse(fromStore.reason, reason)
             } else {
                 log.write("answered_from_store", "request", idOf(request), "reason", reason, "answer", fromStore)
                 onAnswer(fromStore)
@@ -159,13 +173,34 @@
         fun refuse(
             text: String,
             reason: String,
-        ) = finish(settled(CallerAnswer.NotApplied(text, REFUSED_RETRY_MS)), reason)
+        ) = finish(settled(CallerAnswer.NotApplied(text, retryAfterMs())), reason)
+
+        private fun retryAfterMs(): Long {
+            if (request !is JobRequest.Submit) return RETRY_QUERY_MS
+            // A job that this entry has refused before is known to come again; others may come from another entry.
+            val known = attempt ?: advice.countRefusal(request.submission.id).takeIf { it > 1 }
+            return advice.retryAfterMs(known, reach.storeSilentMs)
+        }
 
         private fun finish(
             answer: CallerAnswer,
             reason: String,
         ) {
-            log.write("request_unserved", "request", idOf(request), "reason", reason, "answer", answer)
+            if (request is JobRequest.Submit && answer is CallerAnswer.NotApplied) {
+                log.write(
+                    "job_refused",
+                    "job",
+                    request.submission.id,
+                    "account",
+                    request.submission.account,
+                    "reason",
+                    reason,
+                    "retryAfterMs",
+                    answer.retryAfterMs,
+                )
+            } else {
+                log.write("request_unserved", "request", idOf(request), "reason", reason, "answer", answer)
+            }
             onAnswer(answer)
         }
 
@@ -185,8 +220,8 @@
     private companion object {
         const val UNREACHABLE = "this entry reaches neither the scheduler nor the store; retry, at another entry if possible"
 
-        /** Retry delay for callers, about the duration of a takeover. */
-        const val REFUSED_RETRY_MS = 1_000L
+        /** Retry delay for queries and cancellations, about the duration of a takeover. */
+        const val RETRY_QUERY_MS = 1_000L
 
         /** How long an open outcome is looked for; callers wait 3 s. */
         const val RESOLVE_MS = 2_700L
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
@@ -8,6 +8,7 @@
 
 /** Calls the [Scheduler] that [scheduler] returns, which is null while this entry is not the owner. Runs on the event loop. */
 public class LocalSchedulerClient(
+    private val advice: RetryAdvice? = null,
     private val scheduler: () -> Scheduler?,
 ) : SchedulerClient {
     override fun ask(
@@ -20,18 +21,21 @@
             return
         }
         when (request) {
-            is JobRequest.Submit -> current.submit(request.submission) { onReply(replyTo(it)) }
+            is JobRequest.Submit -> current.submit(request.submission) { onReply(replyTo(it, request.submission.id)) }
             is JobRequest.State -> onReply(state(current, request))
             is JobRequest.Cancel -> current.cancel(request.id) { onReply(replyToCancel(it)) }
             is JobRequest.Pending -> onReply(current.pending(request.queueName)?.let { answer(CallerAnswer.Pending(it)) } ?: NOT_HANDLED)
         }
     }
 
-    private fun replyTo(result: SubmitResult): SchedulerReply =
+    private fun replyTo(
+        result: SubmitResult,
+        id: String,
+    ): SchedulerReply =
         when (result) {
             is SubmitResult.Accepted -> answer(CallerAnswer.Applied)
             is SubmitResult.Rejected -> answer(CallerAnswer.NotApplied(result.reason, result.retryAfterMs))
-            is SubmitResult.Unavailable -> NOT_HANDLED
+            is SubmitResult.Unavailable -> NOT_HANDLED.copy(attempt = advice?.countRefusal(id))
             is SubmitResult.Unknown -> SchedulerReply.Unanswered("the ownership ended while the job was being stored")
         }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
@@ -5,6 +5,7 @@
 package io.corianderrock.jobs.entry
 
 import io.corianderrock.jobs.ports.ChangeResult
+import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.ports.JobTables
 import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.ports.RowChange
@@ -50,6 +51,7 @@
 
 /** Serves requests from [tables]. Answers are delivered on the event loop. */
 public class StoredJobService(
+    private val loop: EventLoop,
     private val tables: JobTables,
 ) {
     /** Answers any [request] but [JobRequest.Pending], which only the scheduler can answer. */
@@ -64,10 +66,32 @@
             is JobRequest.Pending -> onAnswer(CallerAnswer.NotApplied("the store does not count waiting jobs", RETRY_AFTER_MS))
         }
 
-    /** Stores [submission] with an inbox message for the scheduler. A job that is already stored is accepted as well. */
+    /**
+     * Stores [submission] with an inbox message for the scheduler. A job that is already stored is accepted as well. A write to a
+     * store that does not answer may be applied later, so nothing is written unless the store has just answered a read.
+     */
     public fun submit(
         submission: JobSubmission,
         onAnswer: (CallerAnswer) -> Unit,
+    ) {
+        var isDecided = false
+        val decide = { action: () -> Unit ->
+            if (!isDecided) {
+                isDecided = true
+                action()
+            }
+        }
+        loop.after(READ_WAIT_MS) {
+            decide { onAnswer(CallerAnswer.NotApplied("the store has not answered within $READ_WAIT_MS ms; retry later", RETRY_AFTER_MS)) }
+        }
+        read(Table.JOBS, submission.id, { refusal -> decide { onAnswer(refusal) } }) { row ->
+            decide { if (row == null) write(submission, onAnswer) else onAnswer(CallerAnswer.Applied) }
+        }
+    }
+
+    private fun write(
+        submission: JobSubmission,
+        onAnswer: (CallerAnswer) -> Unit,
     ) {
         val key = RowKey(Table.JOBS, submission.id)
         val change =
@@ -142,6 +166,9 @@
         /** Value of inbox rows, whose keys carry all information. */
         const val INBOX_MESSAGE = "1"
 
+        /** Within this time a request that cannot be served is refused; a read usually takes 4 ms. */
+        const val READ_WAIT_MS = 150L
+
         /** Retry delay for callers; outages of the store and takeovers last some seconds. */
         const val RETRY_AFTER_MS = 1_000L
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
@@ -106,6 +106,9 @@
     /** True while the store answers this entry, but slowly. The owner counts as having a sound store. Callable from any thread. */
     public val isStoreSlow: Boolean get() = !isOwner && storeReach.isSlow
 
+    /** How long the store has not answered this entry while it is not the owner, in milliseconds. Callable from any thread. */
+    public val storeSilentMs: Long get() = if (isOwner) 0 else storeReach.silentMs
+
     /** What this entry answers when a peer asks. Callable from any thread. */
     public fun status(): PeerStatus {
         // Read before the rest: a claim is closed only once the ownership it has won is visible.
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/StoreReach.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/StoreReach.kt
@@ -19,6 +19,13 @@
     @Volatile
     private var waitingSinceMs: Long? = null
 
+    /** How long no read has been answered, in milliseconds; 0 while reads are answered in time. */
+    val silentMs: Long get() = if (isLost) loop.nowMs - (unansweredSinceMs ?: loop.nowMs) else 0
+
+    /** When the first read after the last answer was sent, in loop time. */
+    @Volatile
+    private var unansweredSinceMs: Long? = null
+
     /** True from a failed or overdue read to the next answer. */
     val isLost: Boolean get() = hasFailed || isWaitingFor(OVERDUE_MS)
 
@@ -27,6 +34,7 @@
 
     fun onReadSent() {
         if (waitingSinceMs == null) waitingSinceMs = loop.nowMs
+        if (unansweredSinceMs == null) unansweredSinceMs = loop.nowMs
     }
 
     /** Records the end of a read that took [tookMs]. Reads may overlap. */
@@ -37,6 +45,7 @@
         hasFailed = !isAnswered
         wasSlow = tookMs > SLOW_MS
         waitingSinceMs = null
+        if (isAnswered) unansweredSinceMs = null
     }
 
     private fun isWaitingFor(durationMs: Long): Boolean = waitingSinceMs?.let { loop.nowMs - it > durationMs } ?: false
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -31,6 +31,8 @@
         val mustBeAbsent: Boolean,
         val onStored: ArrayList<(StoredRow?) -> Unit> = ArrayList(),
         val onDropped: ArrayList<() -> Unit> = ArrayList(),
+        /** Not empty if the write may be given up while it is certain that it was not applied. */
+        val onWithdrawn: ArrayList<() -> Unit> = ArrayList(),
     )
 
     private class Batch(
@@ -38,6 +40,8 @@
         val owner: OwnerRow,
         val values: Map<RowKey, String?>,
         val firstSentAt: ClockReading,
+        /** True once an attempt has failed that may have been applied or may still be. */
+        var mayHaveApplied: Boolean = false,
     )
 
     private val pending = LinkedHashMap<RowKey, Write>()
@@ -47,6 +51,9 @@
     private var isClosed = false
     private var failures = 0
 
+    /** True from a failed attempt of the batch in flight to the next one. */
+    private var isRetryDue = false
+
     /** Callback of [release]; not null once the ownership is to be released. */
     private var onReleased: (() -> Unit)? = null
 
@@ -70,12 +77,14 @@
      * row. With [mustBeAbsent] an existing row is left unchanged and passed to [onStored], which otherwise gets null. A
      * write that is still pending for the same key keeps its place, writes the later [value] and calls [onStored] as well; one in
      * flight with [mustBeAbsent] is joined, since a second one would only conflict with it. [onDropped] is called instead if the
-     * ownership ends before the answer: the row may have been written or not.
+     * ownership ends before the answer: the row may have been written or not. With [onWithdrawn] the write is given up once the
+     * store is lost, if it is certain that it was not and will not be applied.
      */
     fun put(
         key: RowKey,
         mustBeAbsent: Boolean = false,
         onDropped: () -> Unit = {},
+        onWithdrawn: (() -> Unit)? = null,
         onStored: (StoredRow?) -> Unit = {},
         value: () -> String?,
     ) {
@@ -84,6 +93,7 @@
                 ?: pending.getOrPut(key) { Write(key, value, mustBeAbsent) }.also { if (!it.mustBeAbsent) it.value = value }
         write.onStored.add(onStored)
         write.onDropped.add(onDropped)
+        onWithdrawn?.let(write.onWithdrawn::add)
         schedule()
     }
 
@@ -107,9 +117,25 @@
     /** Rewrites the owner row if no transaction was sent for [RENEW_INTERVAL_MS]. */
     fun renewIfDue() {
         canWrite = ownership.ageMs < WRITE_LOST_MS || failures == 0 && !isAnswerOverdue(WRITE_LOST_MS)
+        if (!canWrite) withdrawUnsent()
         if (inFlight == null && loop.nowMs - lastSentAtMs >= RENEW_INTERVAL_MS) send()
     }
 
+    /** Gives up the new jobs that the store cannot have received, so that their callers are refused rather than left without answer. */
+    private fun withdrawUnsent() {
+        val withdrawn = pending.values.filterTo(ArrayList()) { it.onWithdrawn.isNotEmpty() }
+        withdrawn.forEach { pending.remove(it.key) }
+        val batch = inFlight
+        if (batch != null && isRetryDue && !batch.mayHaveApplied) {
+            val (unsent, kept) = batch.writes.partition { it.onWithdrawn.isNotEmpty() }
+            inFlight = Batch(kept, batch.owner, batch.values, batch.firstSentAt)
+            withdrawn += unsent
+        }
+        if (withdrawn.isEmpty()) return
+        log.write("writes_withdrawn", "jobs", withdrawn.size, "confirmedAgoMs", ownership.ageMs)
+        for (write in withdrawn) write.onWithdrawn.forEach { it() }
+    }
+
     /**
      * Releases the ownership in the next transaction, which also carries pending writes; nothing is written afterwards. Dropping
      * the rest is safe: workers list ended runs until they are acknowledged, and callers whose jobs were not stored are told that
@@ -140,6 +166,7 @@
         if (isClosed) return
         val batch = inFlight ?: takeBatch().also { inFlight = it }
         lastSentAtMs = loop.nowMs
+        isRetryDue = false
         val sentAt = loop.readClocks()
         tables.commit(changeOf(batch)) { onResult(batch, sentAt, it) }
     }
@@ -190,7 +217,7 @@
         when (result) {
             is ChangeResult.Committed -> onCommitted(batch, sentAt, result.version)
             is ChangeResult.Conflict -> onConflict(batch, result.rows)
-            is ChangeResult.Failed -> onFailed(result)
+            is ChangeResult.Failed -> onFailed(batch, result)
         }
     }
 
@@ -241,14 +268,20 @@
             lose("store reported a conflict but returned no conflicting row")
             return
         }
-        inFlight = Batch(kept, batch.owner, batch.values, loop.readClocks())
+        inFlight = Batch(kept, batch.owner, batch.values, loop.readClocks(), batch.mayHaveApplied)
         for (write in dropped) write.onStored.forEach { it(existing.getValue(write.key)) }
         send()
     }
 
-    private fun onFailed(result: ChangeResult.Failed) {
+    private fun onFailed(
+        batch: Batch,
+        result: ChangeResult.Failed,
+    ) {
         failures++
+        if (result.mayHaveApplied) batch.mayHaveApplied = true
+        isRetryDue = true
         if (failures == 1) log.write("store_lost", "reason", result.reason, "mayHaveApplied", result.mayHaveApplied)
+        if (!canWrite) withdrawUnsent()
         loop.after(RETRY_DELAY_MS) { send() }
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -65,11 +65,12 @@
 
     /**
      * Stores [submission]. [onAccepted] is called once it is stored, also if it was stored before; [onDropped] if the
-     * ownership ends before that is known.
+     * ownership ends before that is known; [onWithdrawn] if the store is lost and it is certain that nothing was stored.
      */
     fun submit(
         submission: JobSubmission,
         onDropped: () -> Unit,
+        onWithdrawn: () -> Unit,
         onAccepted: (JobRun) -> Unit,
     ) {
         val registered = jobs[submission.id]
@@ -78,7 +79,12 @@
             return
         }
         val job = registered ?: JobRun(submission, isInherited = false, loop.nowMs).also { jobs[submission.id] = it }
-        committer.put(RowKey(Table.JOBS, submission.id), mustBeAbsent = true, onDropped = onDropped, onStored = { existing ->
+        val withdraw = {
+            if (!job.isStored) jobs.remove(job.id, job)
+            if (job.isStored) onAccepted(job) else onWithdrawn()
+        }
+        val key = RowKey(Table.JOBS, submission.id)
+        committer.put(key, mustBeAbsent = true, onDropped = onDropped, onWithdrawn = withdraw, onStored = { existing ->
             if (!job.isStored) registerStored(job, existing)
             onAccepted(job)
         }) { storedJson.encodeToString(JobSubmission.serializer(), submission) }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -134,7 +134,8 @@
             onResult(SubmitResult.Rejected(refusal.reason, refusal.retryAfterMs))
             return
         }
-        registry.submit(submission, onDropped = { onResult(SubmitResult.Unknown) }) { onResult(SubmitResult.Accepted) }
+        val onWithdrawn = { onResult(SubmitResult.Unavailable) }
+        registry.submit(submission, { onResult(SubmitResult.Unknown) }, onWithdrawn) { onResult(SubmitResult.Accepted) }
     }
 
     /** False while the store answers no writes. Readable from any thread. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/CommitterTest.kt
@@ -88,6 +88,38 @@
     }
 }
 
+/** A store that fails each transaction after 100 ms. */
+private class LostStore(
+    private val mayHaveApplied: Boolean,
+) : JobTables by SilentTables {
+    private val time = SimTime()
+    private val committer = Committer(SimLoop(time), this, { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
+    private val withdrawn = ArrayList<String>()
+    val changes = ArrayList<RowChange>()
+
+    override fun commit(
+        change: RowChange,
+        onResult: (ChangeResult) -> Unit,
+    ) {
+        changes.add(change)
+        time.after(100) { onResult(ChangeResult.Failed("lost", mayHaveApplied)) }
+    }
+
+    fun withdrawnWithin(durationMs: Long): List<String> {
+        submit("sent")
+        time.runUntil(time.nowMs + TICK_MS)
+        submit("waiting")
+        repeat((durationMs / TICK_MS).toInt()) {
+            committer.renewIfDue()
+            time.runUntil(time.nowMs + TICK_MS)
+        }
+        return withdrawn
+    }
+
+    private fun submit(id: String) =
+        committer.put(RowKey(Table.JOBS, id), mustBeAbsent = true, onWithdrawn = { withdrawn.add(id) }) { "new" }
+}
+
 internal class CommitterTest :
     DescribeSpec({
         describe("an owner with more rows than fit into one transaction while the store is slow") {
@@ -119,6 +151,19 @@
                 owner.couldAlwaysWrite(forMs = 10 * SLOW_ANSWER_MS).shouldBeTrue()
             }
         }
+        describe("an owner whose store is lost while one job is in flight and one waits") {
+            // Guards against callers who are told that the outcome is open although nothing was sent.
+            it("gives up the job that it has not sent, and no job that may be stored still") {
+                LostStore(mayHaveApplied = true).withdrawnWithin(1_000) shouldBe listOf("waiting")
+            }
+            it("gives up both when each attempt was certainly not applied, and writes neither afterwards") {
+                val store = LostStore(mayHaveApplied = false)
+                store.withdrawnWithin(1_000) shouldBe listOf("waiting", "sent")
+                store.changes
+                    .last()
+                    .puts.keys shouldBe setOf(OwnerRow.KEY)
+            }
+        }
         describe("a job that is submitted again while it is being stored") {
             it("is accepted with the write in flight, and not written twice") {
                 val owner = ReleasingOwner()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobRequestRouterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobRequestRouterTest.kt
@@ -11,6 +11,7 @@
 import io.corianderrock.jobs.entry.SchedulerClient
 import io.corianderrock.jobs.entry.SchedulerReply
 import io.corianderrock.jobs.entry.StoredJobService
+import io.corianderrock.jobs.ports.JobTables
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.JobSubmission
 import io.corianderrock.jobs.state.Queue
@@ -19,6 +20,7 @@
 import io.corianderrock.jobs.world.SimLoop
 import io.corianderrock.jobs.world.SimTime
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -73,6 +75,15 @@
                 caller.answer shouldBe CallerAnswer.Applied
             }
         }
+        describe("while no owner is known and the store has just stopped to answer, which is not noticed yet") {
+            it("refuses a submission within 150 ms and writes nothing that could still be applied") {
+                val tables = SlowTables(SimTime())
+                val caller = Caller(isReachable = true, tables = tables) { SchedulerReply.NotHandled("no owner") }
+                caller.submit(runForMs = 152)
+                caller.answer.shouldBeInstanceOf<CallerAnswer.NotApplied>()
+                tables.changes.shouldBeEmpty()
+            }
+        }
         describe("while the store answers slowly") {
             it("asks the scheduler again and stores no job around it") {
                 var attempts = 0
@@ -92,12 +103,14 @@
     })
 
 /**
- * A caller of an entry that has lost the store, or with [isSlowOnly] of one whose store is slow; [reply] is what the scheduler
- * says to each attempt. The store never answers.
+ * A caller of an entry that has lost the store, or with [isSlowOnly] of one whose store is slow, or with [isReachable] of one that
+ * takes its store for sound; [reply] is what the scheduler says to each attempt. No read of the store is answered.
  */
 private class Caller(
     isWithoutPeers: Boolean = false,
     isSlowOnly: Boolean = false,
+    isReachable: Boolean = false,
+    tables: JobTables = SilentTables,
     reply: () -> SchedulerReply,
 ) {
     private val time = SimTime()
@@ -105,11 +118,11 @@
     private val scheduler = SchedulerClient { _, onReply -> loop.after(1) { onReply(reply()) } }
     private val reach =
         object : EntryReach {
-            override val isStoreLost = !isSlowOnly
+            override val isStoreLost = !isSlowOnly && !isReachable
             override val isStoreSlow = isSlowOnly
             override val isCutOff = isWithoutPeers
         }
-    private val router = JobRequestRouter(loop, scheduler, StoredJobService(SilentTables), reach) { _, _ -> }
+    private val router = JobRequestRouter(loop, scheduler, StoredJobService(loop, tables), reach) { _, _ -> }
     var answer: CallerAnswer? = null
 
     fun submit(runForMs: Long) {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -10,6 +10,7 @@
 import io.corianderrock.jobs.entry.JobRequest
 import io.corianderrock.jobs.entry.JobRequestRouter
 import io.corianderrock.jobs.entry.LocalSchedulerClient
+import io.corianderrock.jobs.entry.RetryAdvice
 import io.corianderrock.jobs.entry.SchedulerReply
 import io.corianderrock.jobs.entry.StoredJobService
 import io.corianderrock.jobs.ownership.OwnerElector
@@ -56,6 +57,7 @@
             !isUp || loop.frozenUntilMs > world.time.nowMs || isPartitionedFromStore || isPartitionedFromWorkers || isPartitionedFromPeers
     private lateinit var router: JobRequestRouter
     private var reach: CallerReach? = null
+    private lateinit var advice: RetryAdvice
     var elector: OwnerElector? = null
         private set
 
@@ -98,17 +100,19 @@
                 },
             )
         this.elector = elector
-        val reach = CallerReach(loop, isSlow = { elector.isStoreSlow }) { elector.isStoreLost }
+        val reach = CallerReach(loop, { elector.isStoreSlow }, { elector.storeSilentMs }) { elector.isStoreLost }
         this.reach = reach
-        val local = LocalSchedulerClient { scheduler }
+        advice = RetryAdvice(loop, Random(name.hashCode()))
+        val local = LocalSchedulerClient(advice) { scheduler }
         router =
             JobRequestRouter(
                 loop = loop,
                 reach = reach,
+                advice = advice,
                 scheduler = { request, onReply ->
                     if (scheduler != null) local.ask(request, onReply) else askOwner(request, onReply)
                 },
-                store = StoredJobService(tables),
+                store = StoredJobService(loop, tables),
                 log = { event, fields -> log(event, fields) },
             )
         elector.start()
@@ -147,7 +151,7 @@
             }
         }
         owner.loop.after(1) {
-            LocalSchedulerClient { owner.scheduler }.ask(request) { reply -> loop.after(1) { answer(reply) } }
+            LocalSchedulerClient(owner.advice) { owner.scheduler }.ask(request) { reply -> loop.after(1) { answer(reply) } }
         }
         loop.after(PEER_TIMEOUT_MS) { answer(SchedulerReply.Unanswered("no answer in time")) }
     }
--- a/transport/src/main/kotlin/io/corianderrock/transport/PeerSchedulerClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/PeerSchedulerClient.kt
@@ -22,6 +22,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
+import java.util.concurrent.atomic.AtomicBoolean
 
 @Serializable
 internal enum class PeerJobRequestKind { SUBMIT, STATE, CANCEL, PENDING }
@@ -44,6 +45,7 @@
     val count: Int = 0,
     val reason: String = "",
     val retryAfterMs: Long = 0,
+    val attempt: Int? = null,
 )
 
 private val peerJson = Json { ignoreUnknownKeys = true }
@@ -100,7 +102,8 @@
                 } else {
                     SchedulerReply.NotHandled(result.reason, isConnectionRefused = result.isRefused)
                 }
-            is HttpResult.Answer -> decode(result)
+            is HttpResult.Answer ->
+                if (result.status in NOT_READ_STATUSES) SchedulerReply.NotHandled("status ${result.status}") else decode(result)
         }
 
     private fun decode(answer: HttpResult.Answer): SchedulerReply =
@@ -120,7 +123,7 @@
             PeerJobResponseKind.UNKNOWN -> SchedulerReply.Answer(CallerAnswer.NotFound)
             PeerJobResponseKind.NOT_DONE -> SchedulerReply.Answer(CallerAnswer.NotApplied(answer.reason, answer.retryAfterMs))
             PeerJobResponseKind.UNCERTAIN -> SchedulerReply.Unanswered(answer.reason)
-            PeerJobResponseKind.NOT_TAKEN -> SchedulerReply.NotHandled(answer.reason)
+            PeerJobResponseKind.NOT_TAKEN -> SchedulerReply.NotHandled(answer.reason, attempt = answer.attempt)
             PeerJobResponseKind.NOT_OWNER -> SchedulerReply.NotHandled(answer.reason, isNotOwner = true)
         }
     }
@@ -128,6 +131,9 @@
     private companion object {
         /** Leaves time to read the store within the caller's 3 s deadline if the scheduler does not answer. */
         const val PEER_TIMEOUT_MS = 1_000L
+
+        /** Answers of a peer that has not passed the request to its scheduler: all that it has read, it answers with 200. */
+        val NOT_READ_STATUSES = setOf(400, 404, 413, 503)
     }
 }
 
@@ -160,12 +166,15 @@
             }
         if (jobRequest == null) return Response(Status.BAD_REQUEST).body("peer request of kind SUBMIT has no 'submission'")
         val reply = CompletableFuture<SchedulerReply>()
-        loop.post { scheduler.ask(jobRequest) { reply.complete(it) } }
+        val isDecided = AtomicBoolean()
+        loop.post { if (isDecided.compareAndSet(false, true)) scheduler.ask(jobRequest) { reply.complete(it) } }
         val response =
             try {
                 responseOf(reply.get(ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS))
             } catch (_: TimeoutException) {
-                PeerJobResponse(PeerJobResponseKind.UNCERTAIN, reason = "the scheduler did not answer within $ANSWER_TIMEOUT_MS ms")
+                val hasBegun = !isDecided.compareAndSet(false, true)
+                val kind = if (hasBegun) PeerJobResponseKind.UNCERTAIN else PeerJobResponseKind.NOT_TAKEN
+                PeerJobResponse(kind, reason = "the scheduler did not answer within $ANSWER_TIMEOUT_MS ms")
             }
         return Response(Status.OK).body(peerJson.encodeToString(PeerJobResponse.serializer(), response))
     }
@@ -184,6 +193,7 @@
                 PeerJobResponse(
                     if (reply.isNotOwner) PeerJobResponseKind.NOT_OWNER else PeerJobResponseKind.NOT_TAKEN,
                     reason = reply.reason,
+                    attempt = reply.attempt,
                 )
             is SchedulerReply.Unanswered -> PeerJobResponse(PeerJobResponseKind.UNCERTAIN, reason = reply.reason)
             is SchedulerReply.Answer -> responseOf(reply.answer)
