Order waiting work by what its caller can still gain, and refuse jobs that cannot end in time

Cause: the order went by whether the objective had passed, so that capacity went to jobs that could no longer meet it, and an overload started more jobs than it ended in time.

Change: RemainingGain judges a job by the chain of steps that is left. JobRanking orders by that class, priority, begun jobs first and least work; the oldest job of the last class is put first after 20 s, one each 500 ms. LoadAdmission refuses jobs that cannot end within three times their objective by the most favourable estimate. Both are off by default. RankedOrder is the interface for orders that share a rank.

Not run: a store slower than 60 times, module load.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Candidate.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Candidate.kt
@@ -25,6 +25,15 @@
     ): List<Candidate>
 }
 
+/** A [CandidateOrder] that tells which candidates it takes for equal, so that another rule may order these. */
+internal interface RankedOrder : CandidateOrder {
+    /** Compares the ranks of [a] and [b]; 0 for candidates of equal rank. */
+    fun compareRank(
+        a: Candidate,
+        b: Candidate,
+    ): Int
+}
+
 /** Limits what may start beyond the capacity of the workers. */
 internal fun interface StartLimit {
     /** True if [task] may start now. Asked right before each start, so that earlier starts of the same pass count. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -4,6 +4,9 @@
  */
 package io.corianderrock.jobs.runs
 
+import io.corianderrock.jobs.contention.JobRanking
+import io.corianderrock.jobs.contention.LoadAdmission
+import io.corianderrock.jobs.contention.RemainingGain
 import io.corianderrock.jobs.entry.AdmissionPolicy
 import io.corianderrock.jobs.fleet.DemandPeak
 import io.corianderrock.jobs.fleet.FleetController
@@ -14,6 +17,7 @@
 import io.corianderrock.jobs.ownership.OwnerElector
 import io.corianderrock.jobs.ownership.OwnerRow
 import io.corianderrock.jobs.ownership.OwnerSighting
+import io.corianderrock.jobs.placement.ObjectiveOrder
 import io.corianderrock.jobs.placement.Placer
 import io.corianderrock.jobs.placement.RunTimeEstimator
 import io.corianderrock.jobs.ports.ReadResult
@@ -45,7 +49,6 @@
     private val committer = Committer(loop, ports.tables, log, owner, ownerVersion, ::earlierOrdersWindowMs, ::onOwnershipLost)
     private val runTimeModel: RunTimeModel = MeanRunTimes()
     private val runTimes = RunTimeEstimator(runTimeModel)
-    private val admissionPolicies: List<AdmissionPolicy> = emptyList()
     private val registry = JobRegistry(loop, committer, log)
     private val driver =
         WorkerDriver(
@@ -61,7 +64,11 @@
             onFenced = ::onFenced,
             onRunEnd = runTimeModel::observe,
         )
-    private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder)
+    private val gain = RemainingGain(loop, runTimes, runTimeModel)
+    private val order = if (settings.ranksByRemainingGain) JobRanking(loop, gain, log) else ObjectiveOrder
+    private val admissionPolicies: List<AdmissionPolicy> =
+        if (settings.refusesHopelessJobs) listOf(LoadAdmission(loop, registry, gain, log, driver::attainableCores)) else emptyList()
+    private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder, order)
     private val demand = PoolDemand(loop, registry, runTimes)
     private val instanceOrdersFromMs =
         if (!earlier.existed || earlier.isSameEntry && earlier.earlierOrdersWindowMs == 0L) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -19,6 +19,8 @@
 /** How long a worker that did not answer, or reported itself unhealthy, gets no new work. */
 internal const val AVOID_UNHEALTHY_MS = 1_000L
 
+private const val MILLICORES = 1_000.0
+
 /** Tracks the workers and their runs for one owner. All methods and callbacks run on the event loop. */
 internal class WorkerDriver(
     private val loop: EventLoop,
@@ -53,6 +55,10 @@
     /** Longest duration of a lease by this entry's clock. */
     val worstCaseLeaseMs: Long get() = holds.worstCaseLeaseMs
 
+    /** The cores of the workers of [pool] and of all workers elsewhere that run nothing and could be moved there. */
+    fun attainableCores(pool: String): Double =
+        workers.filter { it.isListed && (it.entry.pool == pool || it.runs.isEmpty()) }.sumOf { it.entry.capacity.cpuMilli / MILLICORES }
+
     fun find(id: String): WorkerView? = table.find(id)
 
     /** The worker that discovery lists on the instance [instanceId], or null. */
