--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -6,6 +6,9 @@
 
 import io.corianderrock.jobs.accounts.AccountRules
 import io.corianderrock.jobs.accounts.JobAccess
+import io.corianderrock.jobs.contention.JobRanking
+import io.corianderrock.jobs.contention.LoadAdmission
+import io.corianderrock.jobs.contention.RemainingGain
 import io.corianderrock.jobs.entry.AdmissionPolicy
 import io.corianderrock.jobs.fleet.DemandPeak
 import io.corianderrock.jobs.fleet.FleetController
@@ -63,11 +66,16 @@
             onFenced = ::onFenced,
             onRunEnd = runTimeModel::observe,
         )
+    private val gain = RemainingGain(loop, runTimes, runTimeModel)
     private val accountRules = AccountRules(loop, log, ports.configuration, bounds, registry, driver, ::capacityShortageMs)
 
     /** The accounts' policy comes last: it meters what the others admit. */
-    private val admissionPolicies: List<AdmissionPolicy> = listOf(accountRules.admission)
-    private val order = accountRules.share(ObjectiveOrder)
+    private val admissionPolicies: List<AdmissionPolicy> =
+        listOfNotNull(
+            if (settings.refusesHopelessJobs) LoadAdmission(loop, registry, gain, log, driver::attainableCores) else null,
+            accountRules.admission,
+        )
+    private val order = accountRules.share(if (settings.ranksByRemainingGain) JobRanking(loop, gain, log) else ObjectiveOrder)
     private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder, order, accountRules.startLimit)
     private val demand = PoolDemand(loop, registry, runTimes, accountRules.demandLimit)
     private val instanceOrdersFromMs =
@@ -142,7 +150,8 @@
             onResult(SubmitResult.Rejected(refusal.reason, refusal.retryAfterMs))
             return
         }
-        registry.submit(submission, onDropped = { onResult(SubmitResult.Unknown) }) { onResult(SubmitResult.Accepted) }
+        val onWithdrawn = { onResult(SubmitResult.Unavailable) }
+        registry.submit(submission, { onResult(SubmitResult.Unknown) }, onWithdrawn) { onResult(SubmitResult.Accepted) }
     }
 
     /** False while the store answers no writes. Readable from any thread. */
