Do not report the tasks of a job as lost while its cancellation is unanswered

An absence now counts only while no cancellation is unanswered; one that was refused counts as none. The checks at the end of a history are unchanged.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
@@ -28,6 +28,9 @@
     ) {
         var acceptedAtMs: Long? = null
         var cancelledAtMs: Long? = null
+
+        /** True while a cancellation may have taken effect that was not confirmed. */
+        var mayBeCancelled = false
         var reportedFinalState: JobState? = null
         var reportedFinalAtMs = 0L
         var isOwedNothing = false
@@ -92,6 +95,15 @@
         observed.acceptedAtMs = observed.acceptedAtMs ?: time.nowMs
     }
 
+    fun onCancelSent(id: String) {
+        jobs.getValue(id).mayBeCancelled = true
+    }
+
+    /** Called when an entry has answered that the cancellation of the job [id] has no effect. */
+    fun onCancelRefused(id: String) {
+        jobs.getValue(id).mayBeCancelled = false
+    }
+
     fun onCancelled(id: String) {
         val observed = jobs.getValue(id)
         observed.cancelledAtMs = observed.cancelledAtMs ?: time.nowMs
@@ -213,7 +225,7 @@
         observed: ObservedJob,
         task: TaskId,
     ): Boolean {
-        if (observed.acceptedAtMs == null || observed.cancelledAtMs != null) return false
+        if (observed.acceptedAtMs == null || observed.cancelledAtMs != null || observed.mayBeCancelled) return false
         val endedAtMs = lastEndedAtMs[task] ?: return true
         return time.nowMs - endedAtMs > RESTART_GRACE_MS
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -529,8 +529,11 @@
     }
 
     private fun cancel(submission: JobSubmission) {
-        entries.filter { it.isUp }.randomOrNull(random)?.ask(JobRequest.Cancel(submission.id, submission.queue.name)) {
+        val entry = entries.filter { it.isUp }.randomOrNull(random) ?: return
+        checker.onCancelSent(submission.id)
+        entry.ask(JobRequest.Cancel(submission.id, submission.queue.name)) {
             if (it is CallerAnswer.Applied) checker.onCancelled(submission.id)
+            if (it is CallerAnswer.NotApplied || it is CallerAnswer.NotFound) checker.onCancelRefused(submission.id)
         }
     }
 
