Hold a worker anew when it is listed after it may have restarted

The next owner had never reached the last incarnation, so it did not recognise the new one, and waited up to 700 ms for the hold sent to the last. A hold in flight is now abandoned when an unreconciled worker is listed again or in another incarnation.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -39,6 +39,12 @@
         if (!worker.isHoldInFlight) send(worker)
     }
 
+    /** Ignores the answer to the hold in flight, if any, so that the next one need not wait for it. */
+    fun abandonInFlight(worker: WorkerView) {
+        worker.isHoldInFlight = false
+        worker.holdNumber++
+    }
+
     /** Sends the overdue hold of [worker], if any. */
     fun sendIfOverdue(worker: WorkerView) {
         if (!worker.isHoldInFlight && isNeeded(worker) && loop.nowMs > worker.nextHoldAtMs + OVERDUE_HOLD_MS) send(worker)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -86,6 +86,7 @@
     fun onListed(entry: WorkerEntry) {
         val registered = workers.find(entry.id)
         val worker = registered ?: newWorker(entry)
+        val mayHaveRestarted = registered != null && (!registered.isListed || registered.entry.bornWallMs != entry.bornWallMs)
         if (registered != null && entry.bornWallMs != 0L && worker.bornWallMs != 0L && entry.bornWallMs > worker.bornWallMs) {
             onNewIncarnation(worker, entry.bornWallMs)
         }
@@ -97,6 +98,8 @@
         worker.isListed = true
         workers.linkInstance(worker)
         if (entry.isDraining) worker.drainingSinceMs = worker.drainingSinceMs ?: loop.nowMs else worker.drainingSinceMs = null
+        // The hold in flight may have gone to an incarnation that had ended, and until a new one is held it knows no fence.
+        if (mayHaveRestarted && !worker.isReconciled) holds.abandonInFlight(worker)
         reconcileIfNeeded(worker)
         context.onChange(worker.entry.pool)
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -60,6 +60,13 @@
                 }
             }
         }
+        describe("seeds with many long-running tasks that failed before") {
+            for ((seed, cause) in LONG_RUNNING_REGRESSIONS) {
+                it("seed $seed: $cause") {
+                    longRunningWorld(seed, LONGEST_LEASES_MS.last()).run().violations.shouldBeEmpty()
+                }
+            }
+        }
         describe("seeds that failed before") {
             for ((seed, cause) in REGRESSIONS) {
                 it("seed $seed: $cause") {
@@ -112,9 +119,11 @@
 
 private const val LONG_RUNNING_SEEDS = 60
 
+private val LONG_RUNNING_REGRESSIONS =
+    mapOf(3079 to "a late start of an earlier owner reached a new incarnation that waited for the hold of the last one")
+
 private val KNOWN_FAILURES =
     mapOf(
-        3079 to "a late start of an earlier owner reached a new incarnation before the next owner held it",
         3115 to "an order by the clock of the last incarnation extended a lease in the next one",
     )
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
@@ -46,7 +46,11 @@
 private val CAPACITY = Demand(8_000, 32_000)
 
 /** An owner with one worker, whose answers the test controls, and one job with one task. */
-private class OwnerOfOneWorker : WorkerLink {
+private class OwnerOfOneWorker(
+    var isUp: Boolean = true,
+    /** Time after which a hold of the worker fails while it is down. */
+    private val failedHoldMs: Long = 1,
+) : WorkerLink {
     val time = SimTime()
     private val loop = SimLoop(time)
     private val tables = SlowTables(time)
@@ -68,7 +72,6 @@
         )
     private val startedAtMs = time.nowMs
     private var bornWallMs = time.nowMs
-    var isUp = true
 
     /** True while answers to starts are lost; the start itself may arrive late. */
     var areStartAnswersLost = false
@@ -138,7 +141,7 @@
         onAnswer: (WorkerAnswer) -> Unit,
     ) {
         holdCount++
-        val delayMs = if (isUp && order.waitMs > 0) order.waitMs.toLong() else 1L
+        val delayMs = if (!isUp) failedHoldMs else maxOf(order.waitMs.toLong(), 1)
         loop.after(delayMs) {
             onAnswer(
                 if (isUp) {
@@ -212,5 +215,13 @@
                 owner.startAgain()
                 owner.holdCount shouldBeGreaterThan before
             }
+
+            // Guards against the same where this owner has not heard of the last incarnation.
+            it("is held at once by an owner that has not reached it before") {
+                val owner = OwnerOfOneWorker(isUp = false, failedHoldMs = ORDER_TIMEOUT_MS)
+                val before = owner.holdCount
+                owner.startAgain()
+                owner.holdCount shouldBeGreaterThan before
+            }
         }
     })
