Judge failing workers by where their tasks end afterwards, and never a whole pool

WorkerFailures replaces FailingWorkers. A failure counts against a worker once its task is done on another one, half until then (once a job), and not at all when the task has failed elsewhere too. The evidence is a sequential ratio test against how often the peers in the pool fail. At most a quarter of a pool is avoided; an avoided worker comes back on probation with one short task at a time. Starts without an answer count as failures while the worker answers holds. The record is discarded with the incarnation.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
@@ -103,7 +103,7 @@
     private fun countsAsSupply(view: InstanceView): Boolean {
         if (view.isOrdered) return true
         val worker = workerOf(view) ?: return view.instance.state != InstanceState.UP || loop.nowMs - view.joinedAtMs < JOIN_TIMEOUT_MS
-        return worker.drainingSinceMs == null && worker.failingUntilMs <= loop.nowMs + MAX_AVOIDED_MS
+        return worker.drainingSinceMs == null && worker.record.avoidedUntilMs <= loop.nowMs + MAX_AVOIDED_MS
     }
 
     private fun peakNeed(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -176,13 +176,19 @@
             worker.consecutiveLostHolds == 0 &&
             loop.nowMs >= worker.avoidUntilMs
 
-    private fun isFailing(worker: WorkerView): Boolean = loop.nowMs < worker.failingUntilMs
+    private fun isFailing(worker: WorkerView): Boolean = worker.record.isAvoided(loop.nowMs)
 
-    /** Only long-running tasks are placed on failing workers, when no other has capacity: they are to run at all times. */
+    /**
+     * Only long-running tasks are placed on failing workers, when no other has capacity: they are to run at all times. A worker on
+     * probation takes one other task at a time.
+     */
     private fun mayTake(
         worker: WorkerView,
         step: Step,
-    ): Boolean = step.isLongRunning || !isFailing(worker)
+    ): Boolean =
+        step.isLongRunning ||
+            !isFailing(worker) &&
+            (!worker.record.isOnProbation(loop.nowMs) || worker.runs.values.all { it.stepRun.step.isLongRunning })
 
     /** Assigns the waiting tasks of [candidate]; false when one of them found no worker with capacity. */
     private fun placeStep(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -13,6 +13,7 @@
 import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
+import io.corianderrock.jobs.workers.WorkerFailures
 
 /** Applies the lists of workers to the jobs in [registry]. Used on the event loop only. */
 internal class RunLists(
@@ -23,11 +24,11 @@
     private val orders: RunOrders,
     private val register: WorkerRegister,
     private val crashes: CrashTracker,
+    private val failures: WorkerFailures,
     private val onRunEnd: (EndedRun) -> Unit,
 ) {
     private val loop = context.loop
     private val log = context.log
-    private val failing = FailingWorkers(loop, log)
 
     /** Called with the [lists] that [worker] has sent in answer to [order], sent at loop time [sentAtMs]. */
     fun onListed(
@@ -76,7 +77,7 @@
     ) {
         task.lastRunNumber = maxOf(task.lastRunNumber, end.runNumber)
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
-        failing.onEnded(worker, task, end.kind)
+        failures.onEnded(worker, task, end.kind)
         applyEnd(worker, task, end)
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -14,6 +14,7 @@
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.UnansweredStart
 import io.corianderrock.jobs.state.WorkerView
+import io.corianderrock.jobs.workers.WorkerFailures
 
 /** Starts and stops runs. All methods and callbacks run on the event loop. */
 internal class RunOrders(
@@ -21,6 +22,7 @@
     private val workers: WorkerTable,
     private val leaseRows: WorkerLeaseRows,
     private val holds: WorkerHolds,
+    private val failures: WorkerFailures,
 ) {
     private val loop = context.loop
     private val log = context.log
@@ -175,6 +177,8 @@
             context.onChange(worker.entry.pool)
             return
         }
+        // A worker that leaves holds unanswered too is not judged by its runs, but lost.
+        if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker, task)
         worker.unansweredStarts[task.id] = UnansweredStart(task.runNumber, sentAtMs)
         stop(task)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -15,6 +15,7 @@
 import io.corianderrock.jobs.runtimes.EndedRun
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
+import io.corianderrock.jobs.workers.WorkerFailures
 
 /** How long a worker that did not answer, or reported itself unhealthy, gets no new work. */
 internal const val AVOID_UNHEALTHY_MS = 1_000L
@@ -40,9 +41,10 @@
     private val crashes = CrashTracker(registry, log)
     private val leaseRows = WorkerLeaseRows(table, committer)
     private val holds = WorkerHolds(context, table, longestLeaseMs, onLists = ::onLists, onOtherWorker = ::onOtherWorker)
-    private val orders = RunOrders(context, table, leaseRows, holds)
+    private val failures = WorkerFailures(loop, log, { table.all }, table::find)
+    private val orders = RunOrders(context, table, leaseRows, holds, failures)
     private val register = WorkerRegister(context, table, leaseRows, holds, orders, crashes, inheritedLeases)
-    private val runLists = RunLists(context, registry, leaseRows, holds, orders, register, crashes, onRunEnd)
+    private val runLists = RunLists(context, registry, leaseRows, holds, orders, register, crashes, failures, onRunEnd)
 
     init {
         registry.onFinal = orders::stopRunsOf
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -43,6 +43,9 @@
     var waitingSinceMs: Long = 0
     var lastFailedWorkerId: String? = null
 
+    /** True once the task has failed on more than one worker, so that its failures tell nothing of a worker. */
+    var hasFailedOnSeveralWorkers: Boolean = false
+
     /**
      * True once this owner has started the task or has adopted its run: an earlier owner may not have left a run of it on
      * another worker, since it starts a task only after the last run of it has ended.
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -5,6 +5,7 @@
 package io.corianderrock.jobs.state
 
 import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.workers.WorkerRecord
 
 /** Lower bound on the rate of a worker's clock relative to the loop's: it may be up to 2% slow. */
 internal const val MIN_WORKER_CLOCK_RATE = 0.98
@@ -85,9 +86,9 @@
     /** Loop time until which no new tasks are placed here, set after refusals and orders without an answer. */
     var avoidUntilMs: Long = 0
 
-    /** Loop time until which new tasks are placed here only as a last resort, set after failures that point at the worker. */
-    var failingUntilMs: Long = 0
-    val recentFailedJobIds = LinkedHashSet<String>()
+    /** What the runs of this incarnation tell of the worker. */
+    var record = WorkerRecord()
+        private set
     var isLeaseRowStored: Boolean = false
     var isLeaseRowStoring: Boolean = false
 
@@ -150,7 +151,7 @@
         isReconciled = false
         isHoldInFlight = false
         holdNumber++
-        recentFailedJobIds.clear()
+        record = WorkerRecord()
     }
 
     fun leaseLeftMs(nowMs: Long): Long = maxOf(0, leaseEndsAtMs - nowMs)
