Keep one worker of a pool open during a wave

The last open worker of a pool is now cordoned only if the wave has no other instance of the pool in work and its long-running tasks may all be unavailable at once.

The instances of a pool that never has a second worker stay unmaintained where their tasks may not be evicted.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/Drainer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/Drainer.kt
@@ -45,6 +45,13 @@
         }
     }
 
+    /** True if the long-running tasks on [worker] may all be unavailable at once. */
+    fun mayEvictAll(worker: WorkerView): Boolean =
+        worker.runs.values.filter { it.stepRun.step.isLongRunning }.groupBy { it.stepRun }.all { (stepRun, tasks) ->
+            val max = stepRun.step.maxUnavailable ?: return@all true
+            stepRun.tasks.count { it in tasks || !isConfirmedAtWork(it) } <= max
+        }
+
     private fun mayEvict(task: TaskRun): Boolean {
         val max = task.stepRun.step.maxUnavailable ?: return true
         return task.stepRun.tasks.count { it !== task && !isConfirmedAtWork(it) } < max
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/WaveDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/WaveDriver.kt
@@ -127,12 +127,32 @@
         val isIdleOnlyPhase = loop.wallMs - state.startedWallMs < wave.durationS * MS_PER_S * IDLE_ONLY_SHARE
         val candidates = if (isIdleOnlyPhase) free.filter(fleet::isConfirmedEmpty) else free
         val ordered = candidates.sortedBy { fleet.workerOf(it)?.occupied?.cpuMilli ?: -1 }
-        for (view in ordered.take(maxOf(0, slots))) {
+        var slotsLeft = slots
+        for (view in ordered) {
+            if (slotsLeft <= 0) break
+            if (mustStayOpen(view, due)) continue
+            slotsLeft--
             log.write("wave_chooses", "wave", wave.number, "instance", view.instance.id, "pool", view.instance.pool, "due", due.size)
             fleet.cordon(view, CordonReason.MAINTENANCE)
         }
     }
 
+    /**
+     * True if no other worker of the pool is open, because of the wave with the instances [due] or because there is none, unless
+     * [view] alone may be emptied: tasks that are evicted would have no place, and those that may not be evicted besides would keep
+     * the instance from being maintained.
+     */
+    private fun mustStayOpen(
+        view: InstanceView,
+        due: List<InstanceView>,
+    ): Boolean {
+        val worker = fleet.workerOf(view) ?: return false
+        val pool = view.instance.pool
+        if (fleet.workersOf(pool).any { it !== worker }) return false
+        val isPoolInWave = due.any { it !== view && it.instance.pool == pool && it.cordonReason == CordonReason.MAINTENANCE }
+        return isPoolInWave || !fleet.drainer.mayEvictAll(worker)
+    }
+
     private fun maintain(
         wave: MaintenanceWave,
         state: WaveProgress,
