Judge workers by the speed of their runs

A worker that turned four to seven times slower for 6 to 8 s kept getting work until its first runs had ended.

WorkerSpeeds (SchedulingSettings.judgesWorkerSpeed, off by default) compares run times, and from half of the usual time on the time that reported progress points to, with what is usual for the class of work, and weighs slow runs against their share on the peers. Fewer are enough in a rack with slow workers. WorkerAvoidance, shared with WorkerFailures, avoids at most a third of a pool and lets a worker back through single short tasks. An unanswered start now counts in full, since its task cannot be the cause.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -14,6 +14,7 @@
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
 import io.corianderrock.jobs.workers.WorkerFailures
+import io.corianderrock.jobs.workers.WorkerSpeeds
 
 /** Applies the lists of workers to the jobs in [registry]. Used on the event loop only. */
 internal class RunLists(
@@ -25,6 +26,7 @@
     private val register: WorkerRegister,
     private val crashes: CrashTracker,
     private val failures: WorkerFailures,
+    private val speeds: WorkerSpeeds?,
     private val onRunEnd: (EndedRun) -> Unit,
 ) {
     private val loop = context.loop
@@ -61,6 +63,7 @@
         worker.orphanedRuns.remove(end.task)
         val current = worker.runs[end.task]
         if (current != null && current.runNumber == end.runNumber) {
+            if (end.kind == EndKind.DONE) speeds?.onDone(worker, current, loop.nowMs - current.startedAtMs)
             onRunEnd(EndedRun(current.stepRun, worker, loop.nowMs - current.startedAtMs, end.kind))
             worker.releaseRun(current, loop.nowMs)
         }
@@ -131,6 +134,7 @@
     ) {
         if (row.checkpoint.isNotEmpty()) task.checkpoint = row.checkpoint
         task.isAtWork = row.percent == FULL_PERCENT
+        if (task.phase == TaskPhase.RUNNING) speeds?.onProgress(worker, task, row.percent)
         crashes.onRunning(task, loop.nowMs)
         if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts && task !in worker.startQueue) {
             task.phase = TaskPhase.RUNNING
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -178,7 +178,7 @@
             return
         }
         // A worker that leaves holds unanswered too is not judged by its runs, but lost.
-        if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker, task)
+        if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker)
         worker.unansweredStarts[task.id] = UnansweredStart(task.runNumber, sentAtMs)
         stop(task)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -60,6 +60,7 @@
             onChange = ::requestPlacement,
             onFenced = ::onFenced,
             onRunEnd = runTimeModel::observe,
+            speedModel = runTimeModel.takeIf { settings.judgesWorkerSpeed },
         )
     private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder)
     private val demand = PoolDemand(loop, registry, runTimes)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -13,9 +13,12 @@
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.ports.WorkerLink
 import io.corianderrock.jobs.runtimes.EndedRun
+import io.corianderrock.jobs.runtimes.RunTimeModel
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
+import io.corianderrock.jobs.workers.WorkerAvoidance
 import io.corianderrock.jobs.workers.WorkerFailures
+import io.corianderrock.jobs.workers.WorkerSpeeds
 
 /** How long a worker that did not answer, or reported itself unhealthy, gets no new work. */
 internal const val AVOID_UNHEALTHY_MS = 1_000L
@@ -34,6 +37,8 @@
     onChange: (String?) -> Unit,
     onFenced: () -> Unit,
     onRunEnd: (EndedRun) -> Unit,
+    /** Expected run times by which workers are judged; null if their speed is not judged. */
+    speedModel: RunTimeModel? = null,
 ) {
     private val context = WorkerOrderContext(loop, link, log, epoch, mayOrder, onChange, onFenced)
     private val table = WorkerTable()
@@ -41,10 +46,12 @@
     private val crashes = CrashTracker(registry, log)
     private val leaseRows = WorkerLeaseRows(table, committer)
     private val holds = WorkerHolds(context, table, longestLeaseMs, onLists = ::onLists, onOtherWorker = ::onOtherWorker)
-    private val failures = WorkerFailures(loop, log, { table.all }, table::find)
+    private val avoidance = WorkerAvoidance(loop, log) { table.all }
+    private val failures = WorkerFailures(avoidance, table::find)
+    private val speeds = speedModel?.let { WorkerSpeeds(avoidance, it) }
     private val orders = RunOrders(context, table, leaseRows, holds, failures)
     private val register = WorkerRegister(context, table, leaseRows, holds, orders, crashes, inheritedLeases)
-    private val runLists = RunLists(context, registry, leaseRows, holds, orders, register, crashes, failures, onRunEnd)
+    private val runLists = RunLists(context, registry, leaseRows, holds, orders, register, crashes, failures, speeds, onRunEnd)
 
     init {
         registry.onFinal = orders::stopRunsOf
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -46,6 +46,9 @@
     /** True once the task has failed on more than one worker, so that its failures tell nothing of a worker. */
     var hasFailedOnSeveralWorkers: Boolean = false
 
+    /** The run that was counted as slow, or 0. */
+    var slowRunNumber: Long = 0
+
     /**
      * True once this owner has started the task or has adopted its run: an earlier owner may not have left a run of it on
      * another worker, since it starts a task only after the last run of it has ended.
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -7,6 +7,7 @@
 import io.corianderrock.jobs.ports.HoldOrder
 import io.corianderrock.jobs.ports.StartOrder
 import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.runs.SchedulingSettings
 import io.corianderrock.jobs.world.JobWorld
 import io.corianderrock.jobs.world.OrderTampering
 import io.corianderrock.jobs.world.Workload
@@ -40,6 +41,16 @@
                     }
                 violations.take(20).shouldBeEmpty()
             }
+
+            // Guards against judgements of workers that keep work from a pool or interrupt runs (LOST).
+            it("violate no invariant while workers are judged by their speed") {
+                val violations =
+                    (FIRST_SEED until FIRST_SEED + SEEDS).flatMap { seed ->
+                        val world = JobWorld(seed, settings = SchedulingSettings(judgesWorkerSpeed = true))
+                        world.run().violations.map { "seed $seed: $it" }
+                    }
+                violations.take(20).shouldBeEmpty()
+            }
         }
         describe("simulations with many long-running tasks and workers that are lost for good") {
             for (leaseMs in LONGEST_LEASES_MS) {
