--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -13,6 +13,8 @@
 import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
+import io.corianderrock.jobs.workers.WorkerFailures
+import io.corianderrock.jobs.workers.WorkerSpeeds
 
 /** Applies the lists of workers to the jobs in [registry]. Used on the event loop only. */
 internal class RunLists(
@@ -23,11 +25,12 @@
     private val orders: RunOrders,
     private val register: WorkerRegister,
     private val crashes: CrashTracker,
+    private val failures: WorkerFailures,
+    private val speeds: WorkerSpeeds?,
     private val onRunEnd: (EndedRun) -> Unit,
 ) {
     private val loop = context.loop
     private val log = context.log
-    private val failing = FailingWorkers(loop, log)
 
     /** Called with the [lists] that [worker] has sent in answer to [order], sent at loop time [sentAtMs]. */
     fun onListed(
@@ -60,6 +63,7 @@
         worker.orphanedRuns.remove(end.task)
         val current = worker.runs[end.task]
         if (current != null && current.runNumber == end.runNumber) {
+            if (end.kind == EndKind.DONE) speeds?.onDone(worker, current, loop.nowMs - current.startedAtMs)
             onRunEnd(EndedRun(current.stepRun, worker, loop.nowMs - current.startedAtMs, end.kind))
             worker.releaseRun(current, loop.nowMs)
         }
@@ -76,7 +80,7 @@
     ) {
         task.lastRunNumber = maxOf(task.lastRunNumber, end.runNumber)
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
-        failing.onEnded(worker, task, end.kind)
+        failures.onEnded(worker, task, end.kind)
         applyEnd(worker, task, end)
     }
 
@@ -130,6 +134,7 @@
     ) {
         if (row.checkpoint.isNotEmpty()) task.checkpoint = row.checkpoint
         task.isAtWork = row.percent == FULL_PERCENT
+        if (task.phase == TaskPhase.RUNNING) speeds?.onProgress(worker, task, row.percent)
         crashes.onRunning(task, loop.nowMs)
         if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts && task !in worker.startQueue) {
             task.phase = TaskPhase.RUNNING
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -14,6 +14,7 @@
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.UnansweredStart
 import io.corianderrock.jobs.state.WorkerView
+import io.corianderrock.jobs.workers.WorkerFailures
 
 /** Age up to which an unanswered start counts as still arriving: it may be carried out up to 12 s after it was sent. */
 internal const val LATE_START_WINDOW_MS = 13_000L
@@ -24,6 +25,7 @@
     private val workers: WorkerTable,
     private val leaseRows: WorkerLeaseRows,
     private val holds: WorkerHolds,
+    private val failures: WorkerFailures,
 ) {
     private val loop = context.loop
     private val log = context.log
@@ -178,6 +180,8 @@
             context.onChange(worker.entry.pool)
             return
         }
+        // A worker that leaves holds unanswered too is not judged by its runs, but lost.
+        if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker)
         worker.unansweredStarts[task.id] = UnansweredStart(task.runNumber, sentAtMs)
         stop(task)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -65,6 +65,7 @@
             onChange = ::requestPlacement,
             onFenced = ::onFenced,
             onRunEnd = runTimeModel::observe,
+            speedModel = runTimeModel.takeIf { settings.judgesWorkerSpeed },
         )
     private val gain = RemainingGain(loop, runTimes, runTimeModel)
     private val accountRules = AccountRules(loop, log, ports.configuration, bounds, registry, driver, ::capacityShortageMs)
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -7,6 +7,7 @@
 import io.corianderrock.jobs.ports.HoldOrder
 import io.corianderrock.jobs.ports.StartOrder
 import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.runs.SchedulingSettings
 import io.corianderrock.jobs.state.ClientAccount
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.world.JobWorld
@@ -42,6 +43,16 @@
                     }
                 violations.take(20).shouldBeEmpty()
             }
+
+            // Guards against judgements of workers that keep work from a pool or interrupt runs (LOST).
+            it("violate no invariant while workers are judged by their speed") {
+                val violations =
+                    (FIRST_SEED until FIRST_SEED + SEEDS).flatMap { seed ->
+                        val world = JobWorld(seed, settings = SchedulingSettings(judgesWorkerSpeed = true))
+                        world.run().violations.map { "seed $seed: $it" }
+                    }
+                violations.take(20).shouldBeEmpty()
+            }
         }
         describe("simulations with many long-running tasks and workers that are lost for good") {
             for (leaseMs in LONGEST_LEASES_MS) {
@@ -69,6 +80,13 @@
                 }
             }
         }
+        describe("seeds with many long-running tasks that failed before") {
+            for ((seed, cause) in LONG_RUNNING_REGRESSIONS) {
+                it("seed $seed: $cause") {
+                    longRunningWorld(seed, LONGEST_LEASES_MS.last()).run().violations.shouldBeEmpty()
+                }
+            }
+        }
         describe("seeds that failed before") {
             for ((seed, cause) in REGRESSIONS) {
                 it("seed $seed: $cause") {
@@ -146,9 +164,11 @@
     scheduleEvents = { world -> world.time.after(CAPS_LOWERED_AT_MS) { world.configure(accountsWithCap(12_000)) } },
 )
 
+private val LONG_RUNNING_REGRESSIONS =
+    mapOf(3079 to "a late start of an earlier owner reached a new incarnation that waited for the hold of the last one")
+
 private val KNOWN_FAILURES =
     mapOf(
-        3079 to "a late start of an earlier owner reached a new incarnation before the next owner held it",
         3115 to "an order by the clock of the last incarnation extended a lease in the next one",
     )
 
