Learn run times from ended runs by step, job, account and queue

Callers declare estimates that are off by half to nearly twice, and the present mean knows neither estimates nor spread. The model combines both in logarithms and corrects them by the ended tasks of the same step.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -60,7 +60,7 @@
         worker.orphanedRuns.remove(end.task)
         val current = worker.runs[end.task]
         if (current != null && current.runNumber == end.runNumber) {
-            onRunEnd(EndedRun(current.stepRun, worker, loop.nowMs - current.startedAtMs, end.kind))
+            onRunEnd(EndedRun(current.stepRun, worker, loop.nowMs - current.startedAtMs, end.kind, current.isWholeRun))
             worker.releaseRun(current, loop.nowMs)
         }
         log.write("task_ended", "task", end.task, "run", end.runNumber, "worker", worker.id, "outcome", end.kind)
@@ -153,6 +153,7 @@
         task.runNumber = row.runNumber
         task.lastRunNumber = maxOf(task.lastRunNumber, row.runNumber)
         task.startedAtMs = loop.nowMs
+        task.isWholeRun = false
         worker.addRun(task)
         task.stepRun.job.markStarted()
         confirmRunning(worker, task, row)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -36,6 +36,7 @@
         task.lastRunNumber = maxOf(task.lastRunNumber + 1, (context.epoch - 1) * RUNS_PER_EPOCH + 1)
         task.runNumber = task.lastRunNumber
         task.startedAtMs = loop.nowMs
+        task.isWholeRun = task.checkpoint == null
         task.isAtWork = false
         worker.addRun(task)
         worker.startQueue.addLast(task)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeModel.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeModel.kt
@@ -7,17 +7,22 @@
 import io.corianderrock.jobs.state.StepRun
 import io.corianderrock.jobs.state.WorkerView
 
-/** A run that has ended [tookMs] milliseconds after its start was ordered. Runs that did not end [EndKind.DONE] are censored. */
+/**
+ * A run that has ended [tookMs] milliseconds after its start was ordered. Runs that did not end [EndKind.DONE], and those that were
+ * not observed as a [isWhole] run, are censored: the whole run time of the task is at least [tookMs].
+ */
 internal data class EndedRun(
     val stepRun: StepRun,
     val worker: WorkerView,
     val tookMs: Long,
     val kind: EndKind,
+    /** False if the run continued from a checkpoint or was started by an earlier owner. */
+    val isWhole: Boolean = true,
 )
 
 /** Predicts how long one task of a step runs. */
 internal interface RunTimeModel {
-    /** The expected run time of one task of [stepRun], in milliseconds. */
+    /** The expected run time of one task of [stepRun], in milliseconds: the mean, by which work adds up. */
     fun expectedMs(stepRun: StepRun): Double
 
     /** The run time in milliseconds that a share [quantile], between 0 and 1, of the tasks of [stepRun] does not exceed. */
@@ -26,6 +31,9 @@
         quantile: Double,
     ): Double
 
+    /** Number of ended runs that the prediction for [stepRun] is learned from; 0 if none. */
+    fun sampleCount(stepRun: StepRun): Int = 0
+
     fun observe(run: EndedRun)
 }
 
@@ -51,6 +59,8 @@
         return maxOf(stepRun.step.estimateMs, MIN_ESTIMATE_MS).toDouble()
     }
 
+    override fun sampleCount(stepRun: StepRun): Int = meanByQueue[stepRun.job.queue.name]?.sampleCount ?: 0
+
     /** Knows no spread: every quantile is the mean. */
     override fun quantileMs(
         stepRun: StepRun,
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeRow.kt
@@ -0,0 +1,23 @@
+/*
+ * The stored form of what has been learned about run times.
+ */
+package io.corianderrock.jobs.runtimes
+
+import kotlinx.serialization.Serializable
+
+/** By queue the newest runs, as alternating logarithms of declared estimate and run time in hundredths. */
+@Serializable
+internal data class RunTimeRow(
+    val version: Int,
+    val runsByQueue: Map<String, List<Int>>,
+) {
+    companion object {
+        const val VERSION = 1
+
+        /** Runs stored of each queue: four steps of eight tasks, from which the median is known to a fifth. */
+        const val RUNS_PER_QUEUE = 32
+
+        /** Queues in the row, so that it stays below 25 KB. */
+        const val MAX_QUEUES = 64
+    }
+}
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -3,6 +3,9 @@
  */
 package io.corianderrock.jobs.state
 
+import io.corianderrock.jobs.runtimes.JobRunTimes
+import io.corianderrock.jobs.runtimes.StepRunTimes
+
 /** The phase of a task. */
 internal enum class TaskPhase {
     WAITING,
@@ -52,6 +55,9 @@
     /** True while the worker reports that the task works at its full rate. */
     var isAtWork: Boolean = false
 
+    /** True if this owner has started the current run, and not from a checkpoint: its duration is the run time of the whole task. */
+    var isWholeRun: Boolean = false
+
     val occupiesWorker: Boolean
         get() = phase == TaskPhase.STARTING || phase == TaskPhase.RUNNING || phase == TaskPhase.STOPPING
 
@@ -83,6 +89,9 @@
     var ticketsExpireAtMs: Long = 0
     var isAdviceInFlight: Boolean = false
 
+    /** What is learned about the run times of its tasks; null before the first prediction. */
+    var runTimes: StepRunTimes? = null
+
     val isDone: Boolean get() = doneCount == step.count && !step.isLongRunning
 
     fun markDone(task: TaskRun) {
@@ -139,6 +148,9 @@
 
     /** The last estimate; null before the first. */
     var estimate: JobEstimate? = null
+
+    /** What is learned about the run times of its steps; null before the first run has ended. */
+    var runTimes: JobRunTimes? = null
     val id: String get() = submission.id
     val queue: Queue get() = submission.queue
     val occurrences = sortedMapOf<Int, OccurrenceRun>()
