Store, judge and use learned run times

A new owner continues from a row of the store; forecasts are judged in the log and by queue in the metrics; workers are packed by when their runs end. Slow workers and remote runs do not count as longer work.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -234,6 +234,7 @@
         val step = task.stepRun.step
         capacity.free -= step.occupied
         if (task.isCrashSuspect) capacity.isReserved = true
+        capacity.lastEndMs = null
         driver.start(task, capacity.worker)
     }
 
@@ -244,11 +245,12 @@
     ): WorkerCapacity? {
         val step = task.stepRun.step
         val racks = if (step.isRackSensitive) racksOf(task.stepRun) else emptySet()
+        val durationMs = if (runTimes.predictsEnds) runTimes.durationMs(task.stepRun) else 0.0
         var best: WorkerCapacity? = null
         var bestCost = Double.MAX_VALUE
         for (capacity in capacities) {
             if (!fits(task, capacity, planned[capacity] ?: 0)) continue
-            val cost = cost(task, step, capacity, racks)
+            val cost = cost(task, step, capacity, racks, durationMs)
             if (cost >= bestCost) continue
             best = capacity
             bestCost = cost
@@ -277,6 +279,7 @@
         step: Step,
         capacity: WorkerCapacity,
         racks: Set<String>,
+        durationMs: Double,
     ): Double {
         val unused = capacity.free - step.occupied
         val total = capacity.worker.entry.capacity
@@ -292,9 +295,13 @@
         if (task.crashedRuns.isNotEmpty() && capacity.hasCrashedTask) cost += CRASHED_TOGETHER_COST
         if (task.isCrashSuspect) cost += capacity.worker.runs.size * ENDANGERED_RUN_COST
         if (isFailing(capacity.worker)) cost += FAILING_WORKER_COST
+        if (runTimes.predictsEnds) cost += runTimes.lateEndCost(durationMs, lastEndMs(capacity), loop.nowMs)
         return cost
     }
 
+    private fun lastEndMs(capacity: WorkerCapacity): Double =
+        capacity.lastEndMs ?: runTimes.lastEndMs(capacity.worker, loop.nowMs).also { capacity.lastEndMs = it }
+
     /** Racks of the workers that run tasks of [stepRun]: their labels after the first, which is the worker's kind. */
     private fun racksOf(stepRun: StepRun): Set<String> =
         stepRun.tasks
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
@@ -12,6 +12,9 @@
 ) {
     var free: Demand = worker.free
 
+    /** Loop time by which the last run here is expected to end; null until it is needed. */
+    var lastEndMs: Double? = null
+
     /** True while a crash suspect runs here: no further task is placed beside it. */
     var isReserved: Boolean = worker.runs.values.any { it.isCrashSuspect }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
@@ -15,6 +15,7 @@
     WAVES("waves"),
     INSTANCE_ORDERS("instance_orders"),
     DEMAND_PEAKS("turns"),
+    RUN_TIMES("run_times"),
     ;
 
     /** Name of the table in the platform store. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -21,8 +21,9 @@
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
 import io.corianderrock.jobs.ports.WorkerEntry
-import io.corianderrock.jobs.runtimes.MeanRunTimes
 import io.corianderrock.jobs.runtimes.RunTimeModel
+import io.corianderrock.jobs.runtimes.RunTimeRecords
+import io.corianderrock.jobs.runtimes.runTimeModelOf
 import io.corianderrock.jobs.state.JobProgress
 import io.corianderrock.jobs.state.JobSubmission
 import kotlinx.serialization.builtins.ListSerializer
@@ -43,8 +44,9 @@
     private val loop = ports.loop
     private val log = ports.log
     private val committer = Committer(loop, ports.tables, log, owner, ownerVersion, ::earlierOrdersWindowMs, ::onOwnershipLost)
-    private val runTimeModel: RunTimeModel = MeanRunTimes()
-    private val runTimes = RunTimeEstimator(runTimeModel)
+    private val runTimeModel: RunTimeModel = runTimeModelOf(settings.runTimes)
+    private val runTimes = RunTimeEstimator(runTimeModel, predictsEnds = settings.runTimes == RunTimeSource.LEARNED)
+    private val runTimeRecords = RunTimeRecords(loop, log, runTimeModel) { key, value -> committer.put(key, value = value) }
     private val admissionPolicies: List<AdmissionPolicy> = emptyList()
     private val registry = JobRegistry(loop, committer, log)
     private val driver =
@@ -59,7 +61,7 @@
             mayOrder = ::mayOrder,
             onChange = ::requestPlacement,
             onFenced = ::onFenced,
-            onRunEnd = runTimeModel::observe,
+            onRunEnd = runTimeRecords::observe,
         )
     private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder)
     private val demand = PoolDemand(loop, registry, runTimes)
@@ -219,6 +221,7 @@
         driver.inherit(leases, earlier.ordersEndMs(WORKER_ORDER_FRESHNESS_MS) + driver.worstCaseLeaseMs)
         waveDriver.load(rowsByTable.getValue(Table.WAVES))
         instanceOrders.load(rowsByTable.getValue(Table.INSTANCE_ORDERS))
+        rowsByTable.getValue(Table.RUN_TIMES).forEach { runTimeRecords.load(it.value) }
         rowsByTable.getValue(Table.DEMAND_PEAKS).forEach { row -> decodeStored(DEMAND_PEAKS, row.value)?.let(fleet.sizer::load) }
         // Before any task starts: a job may have been cancelled while there was no owner.
         rowsByTable.getValue(Table.INBOX).forEach(::processInboxRow)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredTables.kt
@@ -46,7 +46,16 @@
 
     private companion object {
         val RESTORED =
-            listOf(Table.JOBS, Table.PROGRESS, Table.WORKER_LEASES, Table.WAVES, Table.INSTANCE_ORDERS, Table.DEMAND_PEAKS, Table.INBOX)
+            listOf(
+                Table.JOBS,
+                Table.PROGRESS,
+                Table.WORKER_LEASES,
+                Table.WAVES,
+                Table.INSTANCE_ORDERS,
+                Table.DEMAND_PEAKS,
+                Table.RUN_TIMES,
+                Table.INBOX,
+            )
 
         /** Delay before a failed scan is retried. */
         const val SCAN_RETRY_MS = 200L
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/LearnedRunTimes.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/LearnedRunTimes.kt
@@ -90,6 +90,8 @@
     /** How much longer runs take on a worker without the step's data, in logarithms. */
     private var remoteOffset = DEFAULT_REMOTE_OFFSET
 
+    private val slowWorkers = SlowWorkerOffsets()
+
     /** Number of queues and of groups that are remembered. */
     val rememberedCount: Int get() = queues.size + groups.size
 
@@ -124,7 +126,9 @@
             tookLog -= remoteOffset
         }
         // A run cut short early tells nothing, and a worker that fails all it starts would fill the window with such runs.
-        if (isCut && tookLog < predictLog(stepRun, state)) return
+        if (isCut && tookLog < prior + state.queue.window.offset(EARLY_QUANTILE)) return
+        if (!isCut) slowWorkers.add(run.worker, tookLog - predictLog(stepRun, state))
+        tookLog = maxOf(0.0, tookLog - slowWorkers.offset(run.worker))
         state.queue.window.add(
             state.declaredLog,
             tookLog,
@@ -133,7 +137,12 @@
                 .hashCode(),
         )
         all.add(0.0, tookLog - state.declaredLog, isCut, state.queue.name.hashCode())
-        if (isCut) return
+        if (isCut) {
+            state.addCut()
+            // The group would otherwise learn from its short runs alone.
+            state.group.add(tookLog - queueLog(state) + CUT_REMAINDER * state.queue.taskSpread)
+            return
+        }
         state.group.add(tookLog - queueLog(state))
         if (options.usesSiblings) observeSibling(stepRun, state, prior, tookLog)
     }
@@ -218,12 +227,12 @@
     private fun queueOf(name: String): QueueRunTimes =
         queues.getOrPut(name) { QueueRunTimes(name, RunTimeWindow(options.windowRuns, options.usesDeclared, options.halfLifeRuns)) }
 
-    /** What a new owner continues from: the newest runs of the queues used last. */
+    /** What a new owner continues from: a sample of the runs of the queues used last. */
     fun snapshot(): RunTimeRow =
         RunTimeRow(
             RunTimeRow.VERSION,
             queues.entries.toList().takeLast(RunTimeRow.MAX_QUEUES).associate { (name, queue) ->
-                name to queue.window.newest(RunTimeRow.RUNS_PER_QUEUE).flatMap { (declared, took) -> listOf(centi(declared), centi(took)) }
+                name to queue.window.sample(RunTimeRow.RUNS_PER_QUEUE).flatMap { (declared, took) -> listOf(centi(declared), centi(took)) }
             },
         )
 
@@ -262,6 +271,12 @@
         const val REMOTE_LEARNING_RATE = 0.03
         const val MEDIAN = 0.5
 
+        /** Few runs end before this quantile, so that leaving out what was cut short before it biases nothing. */
+        const val EARLY_QUANTILE = 0.2
+
+        /** Expected rest of a run that was cut short, in standard deviations: 0.8 for one cut at the median, 0.5 a deviation later. */
+        const val CUT_REMAINDER = 0.7
+
         /** Lower bound on declared estimates, since callers may declare zero. */
         const val MIN_ESTIMATE_MS = 100L
 
@@ -272,7 +287,8 @@
     }
 }
 
-private fun <K, V> boundedMap(maxSize: Int): LinkedHashMap<K, V> =
+/** A map that drops the least recently used entry beyond [maxSize]. */
+internal fun <K, V> boundedMap(maxSize: Int): LinkedHashMap<K, V> =
     object : LinkedHashMap<K, V>(16, 0.75f, true) {
         override fun removeEldestEntry(eldest: Map.Entry<K, V>): Boolean = size > maxSize
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeRow.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeRow.kt
@@ -5,7 +5,7 @@
 
 import kotlinx.serialization.Serializable
 
-/** By queue the newest runs, as alternating logarithms of declared estimate and run time in hundredths. */
+/** By queue a sample of its runs, as alternating logarithms of declared estimate and run time in hundredths. */
 @Serializable
 internal data class RunTimeRow(
     val version: Int,
@@ -14,7 +14,7 @@
     companion object {
         const val VERSION = 1
 
-        /** Runs stored of each queue: four steps of eight tasks, from which the median is known to a fifth. */
+        /** Runs stored of each queue, a quarter of the window. */
         const val RUNS_PER_QUEUE = 32
 
         /** Queues in the row, so that it stays below 25 KB. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeWindow.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeWindow.kt
@@ -82,14 +82,22 @@
         return (size * observed + DEFAULT_WEIGHT_RUNS * normalQuantile(quantile) * DEFAULT_SPREAD) / (size + DEFAULT_WEIGHT_RUNS)
     }
 
-    /** The newest [count] runs that were not cut short, oldest first, as pairs of declared estimate and run time. */
-    fun newest(count: Int): List<Pair<Double, Double>> =
-        (1..size)
-            .map { Math.floorMod(next - it, capacity) }
-            .filter { !isCensored[it] }
-            .take(count)
-            .map { declaredLogs[it].toDouble() to tookLogs[it].toDouble() }
+    /**
+     * At most [count] runs that were not cut short, oldest first, as pairs of declared estimate and run time. Evenly spread over
+     * the window, since the tasks of one step resemble one another.
+     */
+    fun sample(count: Int): List<Pair<Double, Double>> {
+        val ended = (1..size).map { Math.floorMod(next - it, capacity) }.filter { !isCensored[it] }
+        val stride = maxOf(1, (ended.size + count - 1) / count)
+        return ended
+            .filterIndexed {
+                rank,
+                _,
+                ->
+                rank % stride == 0
+            }.map { declaredLogs[it].toDouble() to tookLogs[it].toDouble() }
             .reversed()
+    }
 
     private fun refresh() {
         addedSinceRefresh = 0
@@ -101,10 +109,13 @@
 
     /** Weighs newer runs more, and such that one source counts for at most [MAX_SOURCE_SHARE] of the window, unless there is no other. */
     private fun weigh() {
+        var kept = 0f
+        for (count in sourceCounts) kept += minOf(count.toFloat(), MAX_SOURCE_SHARE * size)
+        val scale = size / kept
         for (i in 0 until size) {
             val share = sourceCounts[sources[i].toInt()].toFloat() / size
             val age = Math.floorMod(next - 1 - i, capacity)
-            weights[i] = recency[age] * if (share <= MAX_SOURCE_SHARE) 1f else MAX_SOURCE_SHARE / share
+            weights[i] = scale * recency[age] * if (share <= MAX_SOURCE_SHARE) 1f else MAX_SOURCE_SHARE / share
         }
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/StepRunTimes.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/StepRunTimes.kt
@@ -19,14 +19,12 @@
     val group: GroupOffset,
     val declaredLog: Double,
 ) {
-    /** Null until a run of the step has ended. */
-    var forecast: RunForecast? = null
-
     /** Estimate of the common logarithm of the step's tasks by the runs that have ended; valid if [endedCount] is above zero. */
     var baseLog: Double = 0.0
         private set
     var endedCount: Int = 0
         private set
+    private var cutCount = 0
     private var tookMean = 0.0
     private var tookSquares = 0.0
 
@@ -42,7 +40,7 @@
         taskSpread: Double,
     ) {
         endedCount++
-        val rank = (endedCount - RANK_SHIFT) / (endedCount + runningCount + 1 - 2 * RANK_SHIFT)
+        val rank = (endedCount - RANK_SHIFT) / (endedCount + runningCount + cutCount + 1 - 2 * RANK_SHIFT)
         val corrected = tookLog - taskSpread * normalQuantile(rank)
         val centre = if (endedCount == 1) expectedLog else baseLog
         val bound = if (endedCount == 1) FIRST_CLIP else CLIP
@@ -54,6 +52,11 @@
         tookSquares += delta * (clipped - tookMean)
     }
 
+    /** Records a run that was cut short: like a running one, it is longer than those that have ended. */
+    fun addCut() {
+        cutCount++
+    }
+
     /** Standard deviation between the tasks that have ended; meaningful once all have. */
     val taskSpread: Double get() = sqrt(tookSquares / maxOf(1, endedCount - 1))
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -4,6 +4,7 @@
 package io.corianderrock.jobs.state
 
 import io.corianderrock.jobs.runtimes.JobRunTimes
+import io.corianderrock.jobs.runtimes.RunForecast
 import io.corianderrock.jobs.runtimes.StepRunTimes
 
 /** The phase of a task. */
@@ -92,6 +93,9 @@
     /** What is learned about the run times of its tasks; null before the first prediction. */
     var runTimes: StepRunTimes? = null
 
+    /** What was expected of its tasks when the first of them ended; null before. */
+    var forecast: RunForecast? = null
+
     val isDone: Boolean get() = doneCount == step.count && !step.isLongRunning
 
     fun markDone(task: TaskRun) {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -28,6 +28,7 @@
 import io.corianderrock.jobs.runs.Scheduler
 import io.corianderrock.jobs.runs.SchedulerBounds
 import io.corianderrock.jobs.runs.SchedulerPorts
+import io.corianderrock.jobs.runs.SchedulingSettings
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.JobState
 import io.corianderrock.jobs.state.JobSubmission
@@ -91,7 +92,14 @@
                             waves = { world.waves },
                         )
                     val activeScheduler =
-                        Scheduler(ports, SchedulerBounds(3_000, world.longestLeaseMs), row, version, earlier) { onOwnershipLost() }
+                        Scheduler(
+                            ports,
+                            SchedulerBounds(3_000, world.longestLeaseMs),
+                            row,
+                            version,
+                            earlier,
+                            world.settings,
+                        ) { onOwnershipLost() }
                     scheduler = activeScheduler
                     world.listedWorkers().forEach(activeScheduler::onWorkerListed)
                     activeScheduler.start()
@@ -209,6 +217,7 @@
     /** Schedules further events of the test before the jobs are submitted. */
     private val scheduleEvents: (JobWorld) -> Unit = {},
     private val traces: MutableList<String>? = null,
+    val settings: SchedulingSettings = SchedulingSettings(),
 ) {
     val random = Random(seed)
     val time = SimTime()
--- a/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
@@ -5,11 +5,13 @@
 
 import io.corianderrock.jobs.ports.DecisionLog
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
+import java.util.concurrent.ConcurrentHashMap
 
 /** Counts callers' requests and the scheduler's decisions and records their durations. Thread-safe. */
 public class EntryMetrics {
@@ -43,6 +45,25 @@
             .classicOnly()
             .register(registry)
 
+    private val runTimeRatio =
+        Gauge
+            .builder()
+            .name("corianderrock_run_time_ratio")
+            .help("Median ratio of run times to their estimates in the last report of a queue; 1 is unbiased.")
+            .labelNames("queue")
+            .register(registry)
+
+    private val runTimeBeyondUpper =
+        Gauge
+            .builder()
+            .name("corianderrock_run_time_beyond_upper_ratio")
+            .help("Share of runs that exceeded their estimated 0.9 quantile in the last report of a queue; 0.1 is calibrated.")
+            .labelNames("queue")
+            .register(registry)
+
+    /** Queues with a label; further ones are left out, so that the number of labels is bounded. */
+    private val judgedQueues = ConcurrentHashMap.newKeySet<String>()
+
     /** Records a caller's request that was answered with [status], [tookMs] after its receipt. */
     public fun onRequest(
         method: String,
@@ -62,6 +83,7 @@
         fields: Array<out Any?>,
     ) {
         decisions.labelValues(event).inc()
+        if (event == RUN_TIME_EVENT) observeRunTimes(fields)
         for (index in 0 until fields.size - 1 step 2) {
             val key = fields[index]
             val value = fields[index + 1]
@@ -69,6 +91,18 @@
         }
     }
 
+    private fun observeRunTimes(fields: Array<out Any?>) {
+        val queue = valueOf(fields, "queue")?.toString() ?: return
+        if (queue !in judgedQueues && (judgedQueues.size >= MAX_JUDGED_QUEUES || !judgedQueues.add(queue))) return
+        (valueOf(fields, "medianRatio") as? Number)?.let { runTimeRatio.labelValues(queue).set(it.toDouble()) }
+        (valueOf(fields, "beyondUpperShare") as? Number)?.let { runTimeBeyondUpper.labelValues(queue).set(it.toDouble()) }
+    }
+
+    private fun valueOf(
+        fields: Array<out Any?>,
+        key: String,
+    ): Any? = (0 until fields.size - 1 step 2).firstOrNull { fields[it] == key }?.let { fields[it + 1] }
+
     /** Serves `/metrics` in the Prometheus text format; other paths get a 404. */
     public fun handle(request: Request): Response {
         if (request.uri.path != PATH) return Response(Status.NOT_FOUND)
@@ -78,6 +112,10 @@
     private companion object {
         const val PATH = "/metrics"
         const val MS_PER_S = 1_000.0
+        const val RUN_TIME_EVENT = "run_time_accuracy"
+
+        /** Above the number of queues of the largest deployment, 88. */
+        const val MAX_JUDGED_QUEUES = 128
         val TIME_KEYS = setOf("tookMs", "waitedMs")
 
         /** Bucket bounds from the usual latency of some milliseconds to the callers' deadline of 3 s. */
--- a/transport/src/test/kotlin/io/corianderrock/transport/EntryMetricsTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/EntryMetricsTest.kt
@@ -30,6 +30,16 @@
                 text shouldContain "corianderrock_decision_duration_seconds_count{event=\"task_started\",time=\"waitedMs\"} 1"
                 written shouldContainExactly listOf("task_started")
             }
+            // Guards against errors of run times that no metric shows, and against a label for each queue name ever seen.
+            it("shows the errors of run times by queue, for a bounded number of queues") {
+                val metrics = EntryMetrics()
+                val log = metrics.observing(DecisionLog { _, _ -> })
+                repeat(500) { log.write("run_time_accuracy", "queue", "q$it", "runs", 40, "medianRatio", 1.25, "beyondUpperShare", 0.1) }
+                val text = metrics.handle(Request(Method.GET, "/metrics")).bodyString()
+                text shouldContain "corianderrock_run_time_ratio{queue=\"q0\"} 1.25"
+                text shouldContain "corianderrock_run_time_beyond_upper_ratio{queue=\"q0\"} 0.1"
+                text.lines().count { it.startsWith("corianderrock_run_time_ratio{") } shouldBe 128
+            }
             it("responds with 404 on other paths") {
                 EntryMetrics().handle(Request(Method.GET, "/")).status shouldBe Status.NOT_FOUND
             }
