--- a/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/PackingTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/PackingTest.kt
@@ -3,9 +3,28 @@
  */
 package io.corianderrock.jobs.runtimes
 
+import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.placement.Placer
 import io.corianderrock.jobs.placement.RunTimeEstimator
+import io.corianderrock.jobs.ports.DecisionLog
+import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.StartOrder
+import io.corianderrock.jobs.ports.StopOrder
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.ports.WorkerLink
+import io.corianderrock.jobs.runs.Committer
+import io.corianderrock.jobs.runs.JobRegistry
+import io.corianderrock.jobs.runs.WorkerDriver
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.Queue
+import io.corianderrock.jobs.state.Step
 import io.corianderrock.jobs.state.StepRun
 import io.corianderrock.jobs.state.WorkerView
+import io.corianderrock.jobs.world.SilentTables
+import io.corianderrock.jobs.world.SimLoop
+import io.corianderrock.jobs.world.SimTime
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.doubles.plusOrMinus
 import io.kotest.matchers.shouldBe
@@ -37,6 +56,13 @@
                 estimator.lastEndMs(worker, 900_000) shouldBe 900_000.0
             }
         }
+        describe("a placement pass over a worker with a long run and a slightly fuller one with a short run") {
+            // Guards against a term that is not used, or is used by models that know no single tasks.
+            it("puts a short task beside the long run, and on the fuller worker without learned run times") {
+                placedOn(RunTimeEstimator(LearnedRunTimes(), predictsEnds = true)) shouldBe "rack-1"
+                placedOn(RunTimeEstimator(LearnedRunTimes())) shouldBe "rack-2"
+            }
+        }
         describe("the term of late ends") {
             val taskMs = estimator.durationMs(stepOf(1_000.0))
 
@@ -65,3 +91,57 @@
             }
         }
     })
+
+/** The worker that a task of one second is placed on: `rack-1` has a run of 20 s, `rack-2` one of 0.1 s with a little more demand. */
+private fun placedOn(estimator: RunTimeEstimator): String? {
+    val time = SimTime()
+    val loop = SimLoop(time)
+    val log = DecisionLog { _, _ -> }
+    val committer = Committer(loop, SilentTables, log, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
+    val registry = JobRegistry(loop, committer, log)
+    val driver = WorkerDriver(loop, AnsweringLink(loop), committer, registry, log, 1, 6_000, { true }, {}, {}, {})
+    val placer = Placer(loop, registry, driver, estimator, { _, _, _ -> }, log, { true })
+    driver.open()
+    listOf("rack-1", "rack-2").forEach { driver.onListed(worker(it).entry) }
+    time.runUntil(time.nowMs + 100)
+
+    fun submit(
+        id: String,
+        step: Step,
+    ) {
+        registry.load(JobSubmission(id, Queue("q", "p"), "s", listOf(step)), progress = null, isInherited = false)
+        placer.placeWaitingTasks(listOf("p"))
+    }
+    submit("long", Step(1, Demand(8_000), estimateMs = 20_000, requiredLabel = "rack-1"))
+    submit("short", Step(1, Demand(10_000), estimateMs = 100, requiredLabel = "rack-2"))
+    submit("next", Step(1, Demand(1_000), estimateMs = 1_000))
+    return registry
+        .find("next")
+        ?.tasks
+        ?.first()
+        ?.worker
+        ?.id
+}
+
+/** Workers that report no runs and never answer a start. */
+private class AnsweringLink(
+    private val loop: SimLoop,
+) : WorkerLink {
+    override fun start(
+        entry: WorkerEntry,
+        order: StartOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) = Unit
+
+    override fun stop(
+        entry: WorkerEntry,
+        order: StopOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) = Unit
+
+    override fun hold(
+        entry: WorkerEntry,
+        order: HoldOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) = loop.after(maxOf(1L, order.waitMs.toLong())) { onAnswer(WorkerAnswer.Listed(loop.nowMs, 0, emptyList(), emptyList())) }
+}
