--- a/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
@@ -72,6 +72,25 @@
     /** Accounts that have a label of their own; the scheduler logs configured accounts only. */
     private val accounts = ConcurrentHashMap.newKeySet<String>()
 
+    private val runTimeRatio =
+        Gauge
+            .builder()
+            .name("corianderrock_run_time_ratio")
+            .help("Median ratio of run times to their estimates in the last report of a queue; 1 is unbiased.")
+            .labelNames("queue")
+            .register(registry)
+
+    private val runTimeBeyondUpper =
+        Gauge
+            .builder()
+            .name("corianderrock_run_time_beyond_upper_ratio")
+            .help("Share of runs that exceeded their estimated 0.9 quantile in the last report of a queue; 0.1 is calibrated.")
+            .labelNames("queue")
+            .register(registry)
+
+    /** Queues with a label; further ones are left out, so that the number of labels is bounded. */
+    private val judgedQueues = ConcurrentHashMap.newKeySet<String>()
+
     /** Records a caller's request that was answered with [status], [tookMs] after its receipt. */
     public fun onRequest(
         method: String,
@@ -96,6 +115,8 @@
         decisions.labelValues(event).inc()
         if (event.startsWith(ACCOUNT_EVENT_PREFIX)) observeAccount(event, fields)
         if (event == OWNERSHIP_LOST_EVENT) accountUsage.clear()
+
+        if (event == RUN_TIME_EVENT) observeRunTimes(fields)
         for (index in 0 until fields.size - 1 step 2) {
             val key = fields[index]
             val value = fields[index + 1]
@@ -115,6 +136,13 @@
         }
     }
 
+    private fun observeRunTimes(fields: Array<out Any?>) {
+        val queue = valueOf(fields, "queue")?.toString() ?: return
+        if (queue !in judgedQueues && (judgedQueues.size >= MAX_JUDGED_QUEUES || !judgedQueues.add(queue))) return
+        (valueOf(fields, "medianRatio") as? Number)?.let { runTimeRatio.labelValues(queue).set(it.toDouble()) }
+        (valueOf(fields, "beyondUpperShare") as? Number)?.let { runTimeBeyondUpper.labelValues(queue).set(it.toDouble()) }
+    }
+
     private fun valueOf(
         fields: Array<out Any?>,
         key: String,
@@ -144,6 +172,10 @@
         /** Bounds the labels over many versions of the configuration; far above the accounts of a deployment. */
         const val MAX_ACCOUNT_LABELS = 200
         const val OTHER_ACCOUNTS = "other"
+        const val RUN_TIME_EVENT = "run_time_accuracy"
+
+        /** Above the number of queues of the largest deployment, 88. */
+        const val MAX_JUDGED_QUEUES = 128
         val TIME_KEYS = setOf("tookMs", "waitedMs")
 
         /** Bucket bounds from the usual latency of some milliseconds to the callers' deadline of 3 s. */
