--- a/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountAdmission.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountAdmission.kt
@@ -54,9 +54,9 @@
         return null
     }
 
-    /** Called when [job] is stored. */
+    /** Called when [job] is stored. Long-running tasks are to run at all times, so their instances are ordered in any case. */
     fun onAccepted(job: JobRun) {
-        if (acceptedBeyondShare.remove(job.id)) job.isBeyondShare = true
+        if (acceptedBeyondShare.remove(job.id) && !job.isLongRunning) job.isBeyondShare = true
     }
 
     private fun lengthensOthersWaits(submission: JobSubmission): Boolean {
@@ -105,7 +105,7 @@
     private companion object {
         const val MS_PER_S = 1_000.0
 
-        /** Longest delay told to a caller: by then its demand and that of the others have changed. */
-        const val MAX_RETRY_AFTER_MS = 30_000.0
+        /** Longest delay told to a caller: demand peaks are over by then. */
+        const val MAX_RETRY_AFTER_MS = 10_000.0
     }
 }
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -0,0 +1,99 @@
+/*
+ * Jobs and cancellations that other entries stored directly while they could not reach the owner.
+ */
+package io.corianderrock.jobs.runs
+
+import io.corianderrock.jobs.ports.DecisionLog
+import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.ports.JobTables
+import io.corianderrock.jobs.ports.ReadResult
+import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.StoredRow
+import io.corianderrock.jobs.ports.Table
+import io.corianderrock.jobs.state.JobRun
+import io.corianderrock.jobs.state.JobSubmission
+
+/** Adds the jobs of the inbox to [registry], until [isClosed]. Used on the event loop only. */
+internal class JobInbox(
+    private val loop: EventLoop,
+    private val tables: JobTables,
+    private val registry: JobRegistry,
+    private val committer: Committer,
+    private val log: DecisionLog,
+    private val hadEarlierOwner: Boolean,
+    private val isClosed: () -> Boolean,
+) {
+    private val freshness = Freshness(loop)
+    private var readStartedAtMs = Long.MIN_VALUE / 2
+    private var isReading = false
+
+    /** Age of the last read. */
+    val ageMs: Long get() = freshness.ageMs
+
+    /** Records that the inbox has just been read. */
+    fun confirm() = freshness.confirm()
+
+    fun readIfDue() {
+        if (isReading || loop.nowMs - readStartedAtMs < INBOX_INTERVAL_MS) return
+        isReading = true
+        val sentAt = loop.readClocks()
+        readStartedAtMs = sentAt.loopMs
+        tables.scan(Table.INBOX) { result ->
+            isReading = false
+            if (isClosed() || result !is ReadResult.Rows) return@scan
+            freshness.confirm(sentAt)
+            result.rows.forEach(::process)
+        }
+    }
+
+    fun process(row: StoredRow) {
+        val message = InboxMessage.of(row.key)
+        if (registry.find(message.jobId)?.isStored == true) {
+            apply(message)
+        } else {
+            find(message.jobId) { if (it is Lookup.Found) apply(message) }
+        }
+    }
+
+    /** What the store holds of a job that the registry does not know. */
+    sealed interface Lookup {
+        data class Found(
+            val job: JobRun,
+        ) : Lookup
+
+        data object Absent : Lookup
+
+        data object Unknown : Lookup
+    }
+
+    /** Reads the job [id] from the store and adds it to the registry if it is there. */
+    fun find(
+        id: String,
+        onResult: (Lookup) -> Unit,
+    ) = tables.read(RowKey(Table.JOBS, id)) { result ->
+        val row = (result as? ReadResult.Rows)?.rows?.firstOrNull()
+        val submission = row?.let { decodeStored(JobSubmission.serializer(), it.value) }
+        when {
+            isClosed() || result !is ReadResult.Rows -> onResult(Lookup.Unknown)
+            row == null -> onResult(Lookup.Absent)
+            submission == null -> onResult(Lookup.Unknown)
+            else -> {
+                log.write("job_from_inbox", "job", id, "version", row.version)
+                val job = registry.load(submission, progress = null, isInherited = false)
+                job.mayBeKnownToEarlierOwner = hadEarlierOwner
+                onResult(Lookup.Found(job))
+            }
+        }
+    }
+
+    private fun apply(message: InboxMessage) {
+        val job = registry.find(message.jobId) ?: return
+        val deleteMessage = { committer.put(message.key) { null } }
+        if (message.isCancel) registry.cancel(job) { deleteMessage() } else deleteMessage()
+    }
+
+    private companion object {
+        /** Interval between reads of the inbox. */
+        const val INBOX_INTERVAL_MS = 1_000L
+    }
+}
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -10,6 +10,7 @@
 import io.corianderrock.jobs.contention.LoadAdmission
 import io.corianderrock.jobs.contention.RemainingGain
 import io.corianderrock.jobs.entry.AdmissionPolicy
+import io.corianderrock.jobs.entry.Refusal
 import io.corianderrock.jobs.fleet.DemandPeak
 import io.corianderrock.jobs.fleet.FleetController
 import io.corianderrock.jobs.fleet.InstanceOrders
@@ -22,7 +23,6 @@
 import io.corianderrock.jobs.placement.ObjectiveOrder
 import io.corianderrock.jobs.placement.Placer
 import io.corianderrock.jobs.placement.RunTimeEstimator
-import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
@@ -103,7 +103,9 @@
             mayOrder = ::mayOrderInstances,
         )
     private val waveDriver = WaveDriver(loop, fleet, ports.tables, committer, log, ports.waves)
-    private val storedTables = StoredTables(loop, ports.tables, log) { isClosed }
+    private val storedTables =
+        StoredTables(loop, ports.tables, log, includesRunTimes = settings.runTimes == RunTimeSource.LEARNED) { isClosed }
+    private val inbox = JobInbox(loop, ports.tables, registry, committer, log, earlier.existed) { isClosed }
     private var isLoaded = false
     private var isClosed = false
     private var isPlacementRequested = false
@@ -111,9 +113,6 @@
     private var isEveryPoolToPlace = false
     private var lastPassMs = 0L
     private var fencedAtMs = Long.MIN_VALUE
-    private val inboxFreshness = Freshness(loop)
-    private var inboxReadStartedAtMs = Long.MIN_VALUE / 2
-    private var isReadingInbox = false
     private var tickCount = 0L
 
     /** Loads the stored state, if there was an earlier owner, and starts scheduling. */
@@ -150,13 +149,28 @@
         val isKnown = registry.find(submission.id) != null
         val refusal = if (isKnown) null else admissionPolicies.firstNotNullOfOrNull { it.refusalOf(submission) }
         if (refusal != null) {
-            onResult(SubmitResult.Rejected(refusal.reason, refusal.retryAfterMs))
+            refuseIfAbsent(submission.id, refusal, onResult)
             return
         }
         val onWithdrawn = { onResult(SubmitResult.Unavailable) }
         registry.submit(submission, { onResult(SubmitResult.Unknown) }, onWithdrawn) { onResult(SubmitResult.Accepted) }
     }
 
+    /** Another entry may have stored the job since the inbox was last read, so that a refusal would not be true. */
+    private fun refuseIfAbsent(
+        id: String,
+        refusal: Refusal,
+        onResult: (SubmitResult) -> Unit,
+    ) = inbox.find(id) { found ->
+        onResult(
+            when (found) {
+                is JobInbox.Lookup.Found -> SubmitResult.Accepted
+                is JobInbox.Lookup.Absent -> SubmitResult.Rejected(refusal.reason, refusal.retryAfterMs)
+                is JobInbox.Lookup.Unknown -> SubmitResult.Unavailable
+            },
+        )
+    }
+
     /** False while the store answers no writes. Readable from any thread. */
     public val canWrite: Boolean get() = committer.canWrite
 
@@ -242,10 +256,10 @@
         driver.inherit(leases, earlier.ordersEndMs(WORKER_ORDER_FRESHNESS_MS) + driver.worstCaseLeaseMs)
         waveDriver.load(rowsByTable.getValue(Table.WAVES))
         instanceOrders.load(rowsByTable.getValue(Table.INSTANCE_ORDERS))
-        rowsByTable.getValue(Table.RUN_TIMES).forEach { runTimeRecords.load(it.value) }
+        rowsByTable[Table.RUN_TIMES]?.forEach { runTimeRecords.load(it.value) }
         rowsByTable.getValue(Table.DEMAND_PEAKS).forEach { row -> decodeStored(DEMAND_PEAKS, row.value)?.let(fleet.sizer::load) }
         // Before any task starts: a job may have been cancelled while there was no owner.
-        rowsByTable.getValue(Table.INBOX).forEach(::processInboxRow)
+        rowsByTable.getValue(Table.INBOX).forEach(inbox::process)
         onLoaded()
         log.write(
             "owner_loaded",
@@ -261,7 +275,7 @@
     }
 
     private fun onLoaded() {
-        inboxFreshness.confirm()
+        inbox.confirm()
         isLoaded = true
         driver.open()
         requestPlacement(null)
@@ -275,7 +289,7 @@
         isPlacementRequested = true
         loop.after(maxOf(PLACEMENT_DELAY_MS, lastPassMs * PASS_PAUSE_FACTOR)) {
             isPlacementRequested = false
-            if (!isClosed && inboxFreshness.ageMs < INBOX_FRESHNESS_MS) placeRequested()
+            if (!isClosed && inbox.ageMs < INBOX_FRESHNESS_MS) placeRequested()
         }
     }
 
@@ -311,47 +325,12 @@
                 fleet.tick()
                 waveDriver.tick()
             }
-            readInboxIfDue()
+            inbox.readIfDue()
             if (tickCount % EXPIRY_TICK_INTERVAL == 0L) registry.deleteExpiredJobs()
             if (tickCount % PLACEMENT_TICK_INTERVAL == 0L) requestPlacement(null)
         }
     }
 
-    /** Reads the jobs and cancellations that other entries stored directly while they could not reach this one. */
-    private fun readInboxIfDue() {
-        if (isReadingInbox || loop.nowMs - inboxReadStartedAtMs < INBOX_INTERVAL_MS) return
-        isReadingInbox = true
-        val sentAt = loop.readClocks()
-        inboxReadStartedAtMs = sentAt.loopMs
-        ports.tables.scan(Table.INBOX) { result ->
-            isReadingInbox = false
-            if (isClosed || result !is ReadResult.Rows) return@scan
-            inboxFreshness.confirm(sentAt)
-            result.rows.forEach(::processInboxRow)
-        }
-    }
-
-    private fun processInboxRow(row: StoredRow) {
-        val message = InboxMessage.of(row.key)
-        if (registry.find(message.jobId)?.isStored == true) {
-            applyInboxMessage(message)
-            return
-        }
-        ports.tables.read(RowKey(Table.JOBS, message.jobId)) { result ->
-            val stored = (result as? ReadResult.Rows)?.rows?.firstOrNull() ?: return@read
-            val submission = decodeStored(JobSubmission.serializer(), stored.value) ?: return@read
-            log.write("job_from_inbox", "job", message.jobId, "version", stored.version)
-            registry.load(submission, progress = null, isInherited = false).mayBeKnownToEarlierOwner = earlier.existed
-            applyInboxMessage(message)
-        }
-    }
-
-    private fun applyInboxMessage(message: InboxMessage) {
-        val job = registry.find(message.jobId) ?: return
-        val deleteMessage = { committer.put(message.key) { null } }
-        if (message.isCancel) registry.cancel(job) { deleteMessage() } else deleteMessage()
-    }
-
     private companion object {
         val DEMAND_PEAKS = ListSerializer(DemandPeak.serializer())
         val DEMAND_PEAKS_KEY = RowKey(Table.DEMAND_PEAKS, "all")
@@ -386,9 +365,6 @@
         /** Greatest age of the last inbox read at which tasks are started: a cancellation in the inbox takes effect within 3 s. */
         const val INBOX_FRESHNESS_MS = 2_500L
 
-        /** Interval between reads of the inbox. */
-        const val INBOX_INTERVAL_MS = 1_000L
-
         /** Ticks between two updates of the fleet: 100 ms, short compared to the 1.5 s that a move takes. */
         const val FLEET_TICK_INTERVAL = 2L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredTables.kt
@@ -15,15 +15,18 @@
     private val loop: EventLoop,
     private val tables: JobTables,
     private val log: DecisionLog,
+    includesRunTimes: Boolean,
     private val isClosed: () -> Boolean,
 ) {
+    private val restored = if (includesRunTimes) RESTORED + Table.RUN_TIMES else RESTORED
+
     /** Calls [onRead] with the rows of each table once all of them are read. */
     fun read(onRead: (Map<Table, List<StoredRow>>) -> Unit) {
         val rowsByTable = HashMap<Table, List<StoredRow>>()
-        for (table in RESTORED) {
+        for (table in restored) {
             scan(table) { rows ->
                 rowsByTable[table] = rows
-                if (rowsByTable.size == RESTORED.size) onRead(rowsByTable)
+                if (rowsByTable.size == restored.size) onRead(rowsByTable)
             }
         }
     }
@@ -53,7 +56,6 @@
                 Table.WAVES,
                 Table.INSTANCE_ORDERS,
                 Table.DEMAND_PEAKS,
-                Table.RUN_TIMES,
                 Table.INBOX,
             )
 
