--- a/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/KeyDigest.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/KeyDigest.kt
@@ -12,7 +12,10 @@
 /** Returns the SHA-256 digest of [key], as UTF-8 text, in lower-case hexadecimal. */
 public fun keyDigest(key: String): String = HexFormat.of().formatHex(digestOf(key.toByteArray()))
 
-internal fun digestOf(key: ByteArray): ByteArray = MessageDigest.getInstance("SHA-256").digest(key)
+/** Cloned for each digest, which spares the search for a provider. Never updated, so that threads may share it. */
+private val emptyDigest: MessageDigest = MessageDigest.getInstance("SHA-256")
+
+internal fun digestOf(key: ByteArray): ByteArray = (emptyDigest.clone() as MessageDigest).digest(key)
 
 /** Decodes the hexadecimal digest [text]; null when it is not one. */
 internal fun decodeDigest(text: String): ByteArray? =
