Keep the leases of instances over repeated takeovers

Seen: an instance is ordered by one entry and less than 3 s later by another, so that the platform counts two owners (ONE). It takes two takeovers in a row, one of them by the entry that owned before, as when an entry restarts and soon fails again.

The time to wait and the time to keep the rows were one value. Two related faults led to the same orders: - Whether a restarted owner waits was derived from the earlier orders window of the owner row. That window tells when earlier owners stop sending orders, not when the leases of their orders end; after a release it is 0 at once. - The orders of a term that a process takes over from itself counted as older than the start of the process, however recent they were.

Each stored order now names the entry that sent it. An entry that takes over from itself may repeat its own orders and waits for those of others; rows of both are kept until the lease has passed, so the next owner finds them. An entry writes its own name over that of another only after waiting for the lease, so the name in the row is the only entry that can have ordered the instance within it. Rows without a name, from earlier versions, wait. The end of an entry's earlier terms is now the time at which it last lost the ownership.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceOrders.kt
@@ -1,10 +1,12 @@
 /*
  * Write-ahead journal of orders to instances. Two owners must not order the same instance within its lease, so an order
  * is stored before it is sent, and its row is kept until a successor may order that instance. Instances without a row
- * may be ordered immediately after a takeover.
+ * may be ordered immediately after a takeover. The lease is between entries: an entry that takes over from itself may order
+ * again what it ordered in earlier terms, but keeps the rows, since another entry may take over next.
  */
 package io.corianderrock.jobs.fleet
 
+import io.corianderrock.jobs.ownership.OwnerRow
 import io.corianderrock.jobs.ports.DecisionLog
 import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.ports.RowKey
@@ -15,23 +17,34 @@
 import io.corianderrock.jobs.runs.storedJson
 import kotlinx.serialization.Serializable
 
-/** A stored order; [waveNumber] is null for a move. */
+/**
+ * A stored order; [waveNumber] is null for a move. [holder] and [address] are those of the owner that sent it, empty in rows
+ * stored by versions that did not write them.
+ */
 @Serializable
 internal data class InstanceOrderRow(
     val waveNumber: Int? = null,
+    val holder: String = "",
+    val address: String = "",
 )
 
 internal class InstanceOrders(
     private val loop: EventLoop,
     private val committer: Committer,
     private val log: DecisionLog,
+    private val owner: OwnerRow,
+    /** True when the owner before was this entry in an earlier term, which sends no orders any more. */
+    private val isSameEntry: Boolean,
     /** How long a row is kept after its order was answered or abandoned. */
     private val keepMs: Long,
-    /** Loop time from which instances ordered by an earlier owner may be ordered again. */
+    /** Loop time from which instances ordered by an earlier owner may be ordered again by any entry. */
     private val inheritedUntilMs: Long,
 ) {
     private val inherited = HashMap<String, InstanceOrderRow>()
 
+    /** Instances ordered by this entry in earlier terms; their rows are kept for the next owner. */
+    private val orderedBySameEntry = HashSet<String>()
+
     /** Current rows by instance id; the source of each write. */
     private val recorded = HashMap<String, InstanceOrderRow>()
 
@@ -43,13 +56,21 @@
         for (row in rows) {
             val order = decodeStored(InstanceOrderRow.serializer(), row.value)
             if (order == null) log.write("instance_order_unreadable", "instance", row.key.key)
-            inherited[row.key.key] = order ?: InstanceOrderRow()
+            if (order != null && isOfSameEntry(order)) {
+                orderedBySameEntry.add(row.key.key)
+            } else {
+                inherited[row.key.key] = order ?: InstanceOrderRow()
+            }
         }
         if (rows.isNotEmpty()) {
-            log.write("instance_orders_inherited", "instances", rows.size, "forMs", inheritedUntilMs - loop.nowMs)
+            val forMs = inheritedUntilMs - loop.nowMs
+            log.write("instance_orders_inherited", "instances", inherited.size, "ofSameEntry", orderedBySameEntry.size, "forMs", forMs)
         }
     }
 
+    private fun isOfSameEntry(order: InstanceOrderRow): Boolean =
+        isSameEntry && order.holder == owner.holder && order.address == owner.address
+
     /** True while an earlier owner may have ordered the instance too recently for a new order. */
     fun isInherited(instanceId: String): Boolean = instanceId in inherited
 
@@ -66,7 +87,7 @@
         send: () -> Unit,
     ) {
         answeredAtMs.remove(instanceId)
-        recorded[instanceId] = InstanceOrderRow(waveNumber)
+        recorded[instanceId] = InstanceOrderRow(waveNumber, owner.holder, owner.address)
         store(instanceId, send)
     }
 
@@ -80,10 +101,12 @@
         val expired = answeredAtMs.filterValues { loop.nowMs - it >= keepMs }.keys.toList()
         answeredAtMs.keys.removeAll(expired.toSet())
         expired.forEach(::delete)
-        if (inherited.isEmpty() || loop.nowMs < inheritedUntilMs) return
-        log.write("instance_orders_over", "instances", inherited.size)
-        inherited.keys.filter { it !in recorded }.forEach(::delete)
+        val earlierOrders = inherited.keys + orderedBySameEntry
+        if (earlierOrders.isEmpty() || loop.nowMs < inheritedUntilMs) return
+        log.write("instance_orders_over", "instances", earlierOrders.size)
+        earlierOrders.filter { it !in recorded }.forEach(::delete)
         inherited.clear()
+        orderedBySameEntry.clear()
     }
 
     private fun delete(instanceId: String) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
@@ -22,7 +22,7 @@
 public data class EarlierOwner(
     /** False when there was no owner before. */
     val existed: Boolean,
-    /** True when it was an earlier process of this entry. */
+    /** True when it was this entry, in an earlier process or an earlier term of this one. */
     val isSameEntry: Boolean,
     /** Loop time by which its last write had been made. */
     val lastWriteByMs: Long,
@@ -75,7 +75,9 @@
 
     /** Loop time from which a claim is due, [Long.MAX_VALUE] while none is. */
     private var claimAtMs = Long.MAX_VALUE
-    private val processStartMs = loop.nowMs
+
+    /** Loop time by which earlier terms of this entry had ended: those of earlier processes before the start of this one. */
+    private var earlierTermsEndMs = loop.nowMs
     private var hasReadOnce = false
     private var readAtMs = Long.MIN_VALUE / 2
 
@@ -132,6 +134,7 @@
     /** Called when the scheduler of this entry has lost the ownership; watching resumes. */
     public fun onLost() {
         isOwner = false
+        earlierTermsEndMs = loop.nowMs
         claimAtMs = Long.MAX_VALUE
         readRow()
     }
@@ -289,7 +292,7 @@
         return EarlierOwner(
             existed = row != null,
             isSameEntry = isSameEntry,
-            lastWriteByMs = if (isSameEntry) processStartMs else unchangedSinceMs,
+            lastWriteByMs = if (isSameEntry) earlierTermsEndMs else unchangedSinceMs,
             hasStopped = row == null || row.holder.isEmpty() || isSameEntry,
             earlierOrdersWindowMs = row?.earlierOrdersWindowMs ?: 0,
         )
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -79,14 +79,16 @@
     private val order = accountRules.share(if (settings.ranksByRemainingGain) JobRanking(loop, gain, log) else ObjectiveOrder)
     private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder, order, accountRules.startLimit)
     private val demand = PoolDemand(loop, registry, runTimes, accountRules.demandLimit)
-    private val instanceOrdersFromMs =
-        if (!earlier.existed || earlier.isSameEntry && earlier.earlierOrdersWindowMs == 0L) {
-            loop.nowMs
-        } else {
-            earlier.ordersEndMs(INSTANCE_ORDER_FRESHNESS_MS) + bounds.instanceLeaseMs + TAKEOVER_MARGIN_MS
-        }
     private val instanceOrders =
-        InstanceOrders(loop, committer, log, bounds.instanceLeaseMs + TAKEOVER_MARGIN_MS, instanceOrdersFromMs)
+        InstanceOrders(
+            loop = loop,
+            committer = committer,
+            log = log,
+            owner = owner,
+            isSameEntry = earlier.isSameEntry,
+            keepMs = bounds.instanceLeaseMs + TAKEOVER_MARGIN_MS,
+            inheritedUntilMs = earlier.ordersEndMs(INSTANCE_ORDER_FRESHNESS_MS) + bounds.instanceLeaseMs + TAKEOVER_MARGIN_MS,
+        )
     private val fleet =
         FleetController(
             loop = loop,
