--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -65,7 +65,7 @@
         val sentAtMs = loop.nowMs
         worker.recordLeaseSent(order.expiresAtWorkerMs)
         worker.ordersInFlight++
-        worker.possibleLateStarts[task.id] = UnansweredStart(order.runNumber, sentAtMs)
+        worker.possibleLateStarts[task.id to order.runNumber] = UnansweredStart(order.runNumber, sentAtMs)
         context.link.start(worker.entry, order) { answer ->
             worker.ordersInFlight--
             forgetLateStart(worker, task.id, order.runNumber, answer)
@@ -102,13 +102,15 @@
         answer: WorkerAnswer,
     ) {
         val mayArriveLate = answer is WorkerAnswer.Unanswered && answer.mayBeCarriedOut
-        if (!mayArriveLate && worker.possibleLateStarts[task]?.runNumber == runNumber) worker.possibleLateStarts.remove(task)
+        if (!mayArriveLate) worker.possibleLateStarts.remove(task to runNumber)
     }
 
-    /** Starts sent to [worker] that may still arrive, by task. Drops those that are too old for that. */
+    /** The last starts sent to [worker] that may still arrive, by task; a stop of such a run holds for earlier ones too. Drops those that are too old for that. */
     fun recentLateStarts(worker: WorkerView): Map<TaskId, UnansweredStart> {
         worker.possibleLateStarts.values.removeAll { loop.nowMs - it.sentAtMs >= LATE_START_WINDOW_MS }
-        return worker.possibleLateStarts.toMap()
+        return worker.possibleLateStarts.entries
+            .groupBy({ it.key.first }, { it.value })
+            .mapValues { (_, starts) -> starts.maxBy { it.runNumber } }
     }
 
     private fun onStartAnswer(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -272,7 +272,7 @@
         val interrupted = crashes.interruptedRunsOf(worker)
         val recentStarts = orders.recentLateStarts(worker)
         worker.runs.values
-            .filter { it.id !in recentStarts }
+            .filter { recentStarts[it.id]?.runNumber != it.runNumber }
             .toList()
             .forEach { worker.releaseRun(it, loop.nowMs) }
         worker.unansweredStarts.keys.retainAll(recentStarts.keys)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -43,8 +43,8 @@
     /** Starts whose answer was lost: they may still be carried out, also by a new incarnation. */
     val unansweredStarts = HashMap<TaskId, UnansweredStart>()
 
-    /** The last start of each task that was sent here and may still arrive, also at a new incarnation that knows of no stop. */
-    val possibleLateStarts = HashMap<TaskId, UnansweredStart>()
+    /** Starts by task and run that were sent here and may still arrive, also at a new incarnation that knows of no stop. */
+    val possibleLateStarts = HashMap<Pair<TaskId, Long>, UnansweredStart>()
 
     /** Loop time at which the stop of a task was answered: a report requested later without the run proves that it ended. */
     val stopAnsweredAtMs = HashMap<TaskId, Long>()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -131,7 +131,10 @@
 private const val LONG_RUNNING_SEEDS = 60
 
 private val LONG_RUNNING_REGRESSIONS =
-    mapOf(3079 to "a late start of an earlier owner reached a new incarnation that waited for the hold of the last one")
+    mapOf(
+        3079 to "a late start of an earlier owner reached a new incarnation that waited for the hold of the last one",
+        7066 to "a late start was forgotten once a later run of its task was started on the same worker",
+    )
 
 private val KNOWN_FAILURES =
     mapOf(
