--- a/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
@@ -121,10 +121,11 @@
         for (task in worker.orphanedRuns.keys) chargeById(pool, task)
         if (worker.consecutiveLostHolds == 0) return
         // A worker that is silent may have restarted, and carries out late starts without a record of their stops.
-        for ((task, start) in worker.possibleLateStarts) {
-            val isCounted = task in worker.runs || task in worker.orphanedRuns
-            if (!isCounted && loop.nowMs - start.sentAtMs < LATE_START_WINDOW_MS) chargeById(pool, task)
+        val lateTasks = HashSet<TaskId>()
+        for ((taskAndRun, start) in worker.possibleLateStarts) {
+            if (loop.nowMs - start.sentAtMs < LATE_START_WINDOW_MS) lateTasks.add(taskAndRun.first)
         }
+        for (task in lateTasks) if (task !in worker.runs && task !in worker.orphanedRuns) chargeById(pool, task)
     }
 
     /** Charges [task] by its job's submission, which is kept after the job's end. A task of an unknown job has no known account. */
