Leave open the workers that a waiting long-running task needs, during a wave

A wave now leaves such workers open until the task runs. The feed of the configuration is polled for 1,000 ms, below the silence from which peers are asked.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/configuration/ActiveConfiguration.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/configuration/ActiveConfiguration.kt
@@ -110,9 +110,9 @@
         const val NEVER = Long.MIN_VALUE / 2
 
         /**
-         * Peers are asked from this silence of the feed on: longer than its long poll of 1,800 ms, so that nobody asks while the feed
-         * works, and short enough for a removed key to be refused within 3,000 ms.
+         * Peers are asked from this silence of the feed on: longer than its long poll, so that nobody asks while the feed works, and
+         * short enough for a removed key to be refused within 3,000 ms.
          */
-        const val FEED_SILENCE_MS = 2_100L
+        const val FEED_SILENCE_MS = 1_200L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -32,6 +32,7 @@
     private var isListing = false
     private var listedAtMs = Long.MIN_VALUE / 2
     private var hasList = false
+    private var needs: Map<String, PoolNeed> = emptyMap()
     val drainer = Drainer(loop, driver)
     val sizer = PoolSizer(loop, log, demand, capacityShortageMs, ::workerOf)
 
@@ -40,6 +41,12 @@
     /** Workers of [pool] that are not cordoned. */
     fun workersOf(pool: String): List<WorkerView> = byId.values.filter { it.pool == pool && it.cordonReason == null }.mapNotNull(::workerOf)
 
+    /** True while a long-running task of [pool] has no worker and needs one of the [openWorkerCount] that are not cordoned. */
+    fun needsAllForLongRunning(
+        pool: String,
+        openWorkerCount: Int,
+    ): Boolean = needs[pool]?.let { it.hasWaitingLongRunning && openWorkerCount <= it.longRunningInstanceCount } ?: false
+
     fun find(instanceId: String): InstanceView? = byId[instanceId]
 
     /** True when nothing can run on the instance: its worker reports no runs, or it has no worker and is in standby. */
@@ -64,6 +71,7 @@
         val standby = standbyPools.firstOrNull()?.name ?: return
         cordonNewWorkers()
         val states = sizer.states(pools.map { it.name }, byId.values, ::capacityOf)
+        needs = states.associate { it.pool to it.need }
         for (state in states) if (state.missingWithForecast > 0) reclaimCordoned(state)
         val hasShortage = growAll(states, standby) > 0
         for (state in states) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -20,6 +20,8 @@
     val runningCpuMilli: Int,
     val waitingWorkCoreMs: Double,
     val arrivingCpuMilli: Double,
+    /** True while a long-running task has no worker. */
+    val hasWaitingLongRunning: Boolean = false,
     /** Instances filled by long-running tasks, ignoring `maxPerWorker`. */
     val longRunningInstances: Double = 0.0,
     /** Instances kept filled at the current arrival rate. */
@@ -68,6 +70,7 @@
         var longRunningCpu = 0.0
         var longRunningMemory = 0.0
         var spreadCount = 0
+        var hasWaitingLongRunning = false
         var running = Demand()
         var waitingCpu = 0.0
         var waitingMemory = 0.0
@@ -77,6 +80,7 @@
             val step = run.step
             if (step.isLongRunning) {
                 val count = step.count - run.waitingCount + startableCount(run)
+                if (run.waitingCount > 0) hasWaitingLongRunning = true
                 longRunningCpu += step.occupied.cpuMilli * count
                 longRunningMemory += step.occupied.memoryMb * count
                 step.maxPerWorker?.let { spreadCount = max(spreadCount, wholeInstances(count, max(1, it))) }
@@ -119,6 +123,7 @@
         return PoolNeed(
             instanceCount = total,
             longRunningInstanceCount = longRunningCount,
+            hasWaitingLongRunning = hasWaitingLongRunning,
             runningCpuMilli = running.cpuMilli,
             waitingWorkCoreMs = waitingWork,
             arrivingCpuMilli = arriving,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/WaveDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/WaveDriver.kt
@@ -138,7 +138,7 @@
     }
 
     /**
-     * True if no other worker of the pool is open, because of the wave with the instances [due] or because there is none, unless
+     * True while a long-running task waits for one of the open workers, or if no other worker of the pool is open, because of the wave with the instances [due] or because there is none, unless
      * [view] alone may be emptied: tasks that are evicted would have no place, and those that may not be evicted besides would keep
      * the instance from being maintained.
      */
@@ -148,7 +148,9 @@
     ): Boolean {
         val worker = fleet.workerOf(view) ?: return false
         val pool = view.instance.pool
-        if (fleet.workersOf(pool).any { it !== worker }) return false
+        val openWorkers = fleet.workersOf(pool)
+        if (fleet.needsAllForLongRunning(pool, openWorkers.size)) return true
+        if (openWorkers.any { it !== worker }) return false
         val isPoolInWave = due.any { it !== view && it.instance.pool == pool && it.cordonReason == CordonReason.MAINTENANCE }
         return isPoolInWave || !fleet.drainer.mayEvictAll(worker)
     }
