--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/LearnedRunTimes.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/LearnedRunTimes.kt
@@ -97,7 +97,9 @@
 
     override fun expectedMs(stepRun: StepRun): Double {
         val state = stateOf(stepRun)
-        return exp(predictLog(stepRun, state)) * state.queue.window.meanFactor
+        // What is known of the step narrows the spread, and with it how far the mean lies above the median.
+        val narrowing = spreadFactor(state) * spreadFactor(state)
+        return exp(predictLog(stepRun, state)) * (1 + (state.queue.window.meanFactor - 1) * narrowing)
     }
 
     override fun quantileMs(
@@ -191,7 +193,9 @@
 
     private fun queueLog(state: StepRunTimes): Double {
         val window = state.queue.window
-        val general = state.declaredLog + all.medianLog * all.size / (all.size + RUNS_EQUAL_TO_GENERAL)
+        val declaredLog = if (window.size == 0) state.declaredLog else window.plausible(state.declaredLog)
+        val bias = all.medianLog.coerceIn(-MAX_BIAS, MAX_BIAS)
+        val general = declaredLog + bias * all.size / (all.size + RUNS_EQUAL_TO_GENERAL)
         if (window.size == 0) return general
         val weight = window.size / (window.size + RUNS_EQUAL_TO_GENERAL)
         return general + weight * (window.predictLog(state.declaredLog) - general)
@@ -255,6 +259,9 @@
     private fun logOf(ms: Long): Double = ln(ms.coerceIn(1L, MAX_MS).toDouble())
 
     private companion object {
+        /** A factor of three: the bias of one dominating queue is not that of all others. */
+        const val MAX_BIAS = 1.1
+
         /** Bounds of memory, above 88 pools with four queues and 660 accounts with one class each; least recently used ones are dropped. */
         const val MAX_QUEUES = 384
         const val MAX_GROUPS = 2_048
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeWindow.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeWindow.kt
@@ -10,7 +10,8 @@
 import kotlin.math.sqrt
 
 /**
- * A window of [capacity] runs, of which newer ones weigh more: the weight halves every [halfLifeRuns] runs. All summaries are recomputed by [refresh], in time proportional to the window; reading them takes constant time.
+ * A window of [capacity] runs, of which newer ones weigh more: the weight halves every [halfLifeRuns] runs. All summaries are
+ * recomputed by [refresh], in time proportional to the window; reading them takes constant time.
  */
 internal class RunTimeWindow(
     private val capacity: Int,
@@ -40,6 +41,8 @@
         private set
     var declaredMean: Double = 0.0
         private set
+    private var leastDeclared = 0.0
+    private var greatestDeclared = 0.0
 
     /** Change of the run time with the declared estimate: near 1 if the estimates differ as the run times do, 0 if they tell nothing. */
     var slope: Double = DEFAULT_SLOPE
@@ -71,8 +74,11 @@
         if (++addedSinceRefresh > size / RUNS_PER_REFRESH) refresh()
     }
 
+    /** [declaredLog], but not far beyond the estimates of the window: callers may declare anything. */
+    fun plausible(declaredLog: Double): Double = declaredLog.coerceIn(leastDeclared - DECLARED_MARGIN, greatestDeclared + DECLARED_MARGIN)
+
     /** Median run time given the declared estimate. */
-    fun predictLog(declaredLog: Double): Double = medianLog + slope * (declaredLog - declaredMean)
+    fun predictLog(declaredLog: Double): Double = medianLog + slope * (plausible(declaredLog) - declaredMean)
 
     /** Offset of the [quantile] of the residuals from their median. */
     fun offset(quantile: Double): Double {
@@ -90,12 +96,8 @@
         val ended = (1..size).map { Math.floorMod(next - it, capacity) }.filter { !isCensored[it] }
         val stride = maxOf(1, (ended.size + count - 1) / count)
         return ended
-            .filterIndexed {
-                rank,
-                _,
-                ->
-                rank % stride == 0
-            }.map { declaredLogs[it].toDouble() to tookLogs[it].toDouble() }
+            .filterIndexed { rank, _ -> rank % stride == 0 }
+            .map { declaredLogs[it].toDouble() to tookLogs[it].toDouble() }
             .reversed()
     }
 
@@ -130,6 +132,8 @@
             tookSum += weights[i] * tookLogs[i]
         }
         declaredMean = declaredSum / weight
+        leastDeclared = (0 until size).minOf { declaredLogs[it].toDouble() }
+        greatestDeclared = (0 until size).maxOf { declaredLogs[it].toDouble() }
         if (!usesDeclared) {
             slope = 0.0
             return
@@ -188,6 +192,9 @@
     }
 
     internal companion object {
+        /** A factor of two beyond the least and the greatest estimate, as much as estimates are wrong by. */
+        const val DECLARED_MARGIN = 0.7
+
         /** A shift of the work is the greater part of the weight after this many runs, which are five steps of eight tasks. */
         const val HALF_LIFE_RUNS = 40.0
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/LearnedRunTimesTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/LearnedRunTimesTest.kt
@@ -4,6 +4,7 @@
 package io.corianderrock.jobs.runtimes
 
 import io.corianderrock.jobs.ports.EndKind
+import io.corianderrock.jobs.state.JobRun
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThan
@@ -169,6 +170,17 @@
                 model.quantileMs(step, 0.0) shouldBeGreaterThan 0.0
             }
         }
+        describe("an absurd declared estimate") {
+            // Guards against a caller whose declared estimate orders all instances, as work is estimated by it.
+            it("in a queue that is known predicts at most a few times its usual run time") {
+                val model = LearnedRunTimes().also { SyntheticRuns(21).teach(it, 40) }
+                val usualMs = typicalMs(model, SyntheticRuns(22))
+                val job = SyntheticRuns(23).job().first
+                val absurd = job.submission.copy(steps = job.submission.steps.map { it.copy(estimateMs = Long.MAX_VALUE) })
+                val run = JobRun(absurd, isInherited = false, acceptedAtMs = 0).also { it.addOccurrence(0, 0) }
+                model.expectedMs(stepsOf(run).first()) shouldBeLessThan 30 * usualMs
+            }
+        }
         describe("memory and time") {
             // Guards against growth with queues and accounts, which callers and configurations name.
             it("are bounded for any number of queues and accounts") {
