Let a new owner order instances as soon as the lease of each stored order is over

Each stored order now carries the time on the store's steady clock by which it is sent; an order whose row takes longer than 500 ms to store is not sent. The new owner compares it with the clock in the store's answers. Rows without that time, and answers without the clock, count as before.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -275,8 +275,12 @@
             }
             onDone(answer)
         }
-        orders.record(view.instance.id, order.waveNumber) {
-            if (mayOrder()) callService(onAnswer) else onAnswer(InstanceOrderAnswer.Refused(UNCERTAIN_OWNERSHIP))
+        orders.record(view.instance.id, order.waveNumber) { isInTime ->
+            when {
+                !mayOrder() -> onAnswer(InstanceOrderAnswer.Refused(UNCERTAIN_OWNERSHIP))
+                !isInTime -> onAnswer(InstanceOrderAnswer.Refused(STORED_TOO_LATE))
+                else -> callService(onAnswer)
+            }
         }
     }
 
@@ -376,6 +380,7 @@
 
     private companion object {
         const val UNCERTAIN_OWNERSHIP = "the ownership became uncertain before the order was sent"
+        const val STORED_TOO_LATE = "the order took too long to store"
 
         /** Delay before retrying a failed list call. */
         const val LIST_RETRY_MS = 300L
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceOrders.kt
@@ -13,19 +13,24 @@
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
 import io.corianderrock.jobs.runs.Committer
+import io.corianderrock.jobs.runs.StoreClock
 import io.corianderrock.jobs.runs.decodeStored
+import io.corianderrock.jobs.runs.longestSinceMs
+import io.corianderrock.jobs.runs.readClocks
 import io.corianderrock.jobs.runs.storedJson
 import kotlinx.serialization.Serializable
 
 /**
  * A stored order; [waveNumber] is null for a move. [holder] and [address] are those of the owner that sent it, empty in rows
- * stored by versions that did not write them.
+ * stored by versions that did not write them. The order is not sent after [sentByStoreMs] on the store's clock, null if its owner
+ * did not know that clock.
  */
 @Serializable
 internal data class InstanceOrderRow(
     val waveNumber: Int? = null,
     val holder: String = "",
     val address: String = "",
+    val sentByStoreMs: Long? = null,
 )
 
 internal class InstanceOrders(
@@ -35,12 +40,19 @@
     private val owner: OwnerRow,
     /** True when the owner before was this entry in an earlier term, which sends no orders any more. */
     private val isSameEntry: Boolean,
-    /** How long a row is kept after its order was answered or abandoned. */
+    private val storeClock: StoreClock,
+    /** How long after an order another owner must not order the instance; its row is kept as long after it was answered or abandoned. */
     private val keepMs: Long,
-    /** Loop time from which instances ordered by an earlier owner may be ordered again by any entry. */
+    /** Loop time from which no order of an earlier owner matters any more, whenever it was stored. */
     private val inheritedUntilMs: Long,
 ) {
-    private val inherited = HashMap<String, InstanceOrderRow>()
+    private class InheritedOrder(
+        val row: InstanceOrderRow,
+        /** Loop time from which the instance may be ordered again. */
+        val untilMs: Long,
+    )
+
+    private val inherited = HashMap<String, InheritedOrder>()
 
     /** Instances ordered by this entry in earlier terms; their rows are kept for the next owner. */
     private val orderedBySameEntry = HashSet<String>()
@@ -59,36 +71,63 @@
             if (order != null && isOfSameEntry(order)) {
                 orderedBySameEntry.add(row.key.key)
             } else {
-                inherited[row.key.key] = order ?: InstanceOrderRow()
+                val inheritedOrder = order ?: InstanceOrderRow()
+                inherited[row.key.key] = InheritedOrder(inheritedOrder, untilMs(inheritedOrder))
             }
         }
-        if (rows.isNotEmpty()) {
-            val forMs = inheritedUntilMs - loop.nowMs
-            log.write("instance_orders_inherited", "instances", inherited.size, "ofSameEntry", orderedBySameEntry.size, "forMs", forMs)
-        }
+        if (rows.isNotEmpty()) logInherited()
+    }
+
+    /**
+     * An owner orders many instances at the start of a demand peak. If it fails, its successor would lack all of them for the lease
+     * and longer if each counted as ordered just before the failure.
+     */
+    private fun untilMs(order: InstanceOrderRow): Long {
+        val sentByStoreMs = order.sentByStoreMs ?: return inheritedUntilMs
+        val storeMs = storeClock.earliestMs ?: return inheritedUntilMs
+        return minOf(inheritedUntilMs, loop.nowMs + sentByStoreMs - storeMs + keepMs)
     }
 
+    private fun logInherited() =
+        log.write(
+            "instance_orders_inherited",
+            "instances",
+            inherited.size,
+            "ofSameEntry",
+            orderedBySameEntry.size,
+            "over",
+            inherited.values.count { it.untilMs <= loop.nowMs },
+            "forMs",
+            (inherited.values.maxOfOrNull { it.untilMs } ?: loop.nowMs) - loop.nowMs,
+        )
+
     private fun isOfSameEntry(order: InstanceOrderRow): Boolean =
         isSameEntry && order.holder == owner.holder && order.address == owner.address
 
     /** True while an earlier owner may have ordered the instance too recently for a new order. */
-    fun isInherited(instanceId: String): Boolean = instanceId in inherited
+    fun isInherited(instanceId: String): Boolean = inherited[instanceId]?.let { loop.nowMs < it.untilMs } == true
 
     /** Counts instances, except [alreadyCounted], that an earlier owner may recently have sent to maintenance in wave [waveNumber]. */
     fun inheritedMaintenanceCount(
         waveNumber: Int,
         alreadyCounted: Set<String>,
-    ): Int = inherited.count { (instanceId, order) -> order.waveNumber == waveNumber && instanceId !in alreadyCounted }
+    ): Int = inherited.count { (instanceId, order) -> order.row.waveNumber == waveNumber && instanceId !in alreadyCounted }
 
-    /** Stores a row for an order to [instanceId], then runs [send]. */
+    /**
+     * Stores a row for an order to [instanceId], then runs [send] with whether the order may still be sent: not if storing the row took
+     * so long that a successor may take the order for an older one.
+     */
     fun record(
         instanceId: String,
         waveNumber: Int?,
-        send: () -> Unit,
+        send: (Boolean) -> Unit,
     ) {
+        val recordedAt = loop.readClocks()
+        val sentByStoreMs = storeClock.latestMs?.plus(SEND_WINDOW_MS)
         answeredAtMs.remove(instanceId)
-        recorded[instanceId] = InstanceOrderRow(waveNumber, owner.holder, owner.address)
-        store(instanceId, send)
+        inherited.remove(instanceId)
+        recorded[instanceId] = InstanceOrderRow(waveNumber, owner.holder, owner.address, sentByStoreMs)
+        store(instanceId) { send(sentByStoreMs == null || loop.longestSinceMs(recordedAt) <= SEND_WINDOW_MS) }
     }
 
     /** Marks the order to [instanceId] as answered or abandoned. */
@@ -123,4 +162,9 @@
     }
 
     private fun key(instanceId: String) = RowKey(Table.INSTANCE_ORDERS, instanceId)
+
+    private companion object {
+        /** An order whose row takes longer to store is not sent. Covers a store that is eighty times slower than its usual 4 ms. */
+        const val SEND_WINDOW_MS = 500L
+    }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
@@ -44,9 +44,10 @@
 
 /** The result of a [RowChange]. */
 public sealed interface ChangeResult {
-    /** The whole change was applied in the transaction [version]. */
+    /** The whole change was applied in the transaction [version], when the store's steady clock showed [storeMs]; null if not known. */
     public data class Committed(
         val version: Long,
+        val storeMs: Long? = null,
     ) : ChangeResult
 
     /** Nothing was applied. [rows] are the current rows among the expected ones; absent rows are left out. */
@@ -63,10 +64,14 @@
 
 /** The result of a read. */
 public sealed interface ReadResult {
-    /** A consistent snapshot of the rows. [version] is the version of the store at the snapshot. */
+    /**
+     * A consistent snapshot of the rows. [version] is the version of the store at the snapshot, [storeMs] the time on its steady
+     * clock; null if not known.
+     */
     public data class Rows(
         val rows: List<StoredRow>,
         val version: Long,
+        val storeMs: Long? = null,
     ) : ReadResult
 
     public data class Failed(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Freshness.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Freshness.kt
@@ -15,6 +15,9 @@
 
 internal fun EventLoop.readClocks(): ClockReading = ClockReading(nowMs, wallMs)
 
+/** The longest time that may have passed since [reading], in milliseconds. */
+internal fun EventLoop.longestSinceMs(reading: ClockReading): Long = maxOf(nowMs - reading.loopMs, abs(wallMs - reading.wallMs))
+
 /** Age of the last confirmation, in milliseconds; creation counts as one. Used on the event loop only. */
 internal class Freshness(
     private val loop: EventLoop,
@@ -24,7 +27,7 @@
     /** Loop time of the last confirmation. */
     val confirmedAtMs: Long get() = confirmed.loopMs
 
-    val ageMs: Long get() = maxOf(loop.nowMs - confirmed.loopMs, abs(loop.wallMs - confirmed.wallMs))
+    val ageMs: Long get() = loop.longestSinceMs(confirmed)
 
     /**
      * Records a confirmation as of [at]. For an answer this is the time at which its request was sent: the process may
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -49,7 +49,9 @@
 ) {
     private val loop = ports.loop
     private val log = ports.log
-    private val committer = Committer(loop, ports.tables, log, owner, ownerVersion, ::earlierOrdersWindowMs, ::onOwnershipLost)
+    private val storeClock = StoreClock(loop)
+    private val tables = storeClock.observing(ports.tables)
+    private val committer = Committer(loop, tables, log, owner, ownerVersion, ::earlierOrdersWindowMs, ::onOwnershipLost)
     private val runTimeModel: RunTimeModel = runTimeModelOf(settings.runTimes)
     private val runTimes = RunTimeEstimator(runTimeModel, predictsEnds = settings.runTimes == RunTimeSource.LEARNED)
     private val runTimeRecords = RunTimeRecords(loop, log, runTimeModel) { key, value -> committer.put(key, value = value) }
@@ -88,6 +90,7 @@
             log = log,
             owner = owner,
             isSameEntry = earlier.isSameEntry,
+            storeClock = storeClock,
             keepMs = bounds.instanceLeaseMs + TAKEOVER_MARGIN_MS,
             inheritedUntilMs = earlier.ordersEndMs(INSTANCE_ORDER_FRESHNESS_MS) + bounds.instanceLeaseMs + TAKEOVER_MARGIN_MS,
         )
@@ -106,8 +109,8 @@
         )
     private val waveDriver = WaveDriver(loop, fleet, ports.tables, committer, log, ports.waves)
     private val storedTables =
-        StoredTables(loop, ports.tables, log, includesRunTimes = settings.runTimes == RunTimeSource.LEARNED) { isClosed }
-    private val inbox = JobInbox(loop, ports.tables, registry, committer, log, earlier.existed) { isClosed }
+        StoredTables(loop, tables, log, includesRunTimes = settings.runTimes == RunTimeSource.LEARNED) { isClosed }
+    private val inbox = JobInbox(loop, tables, registry, committer, log, earlier.existed) { isClosed }
     private var isLoaded = false
     private var isClosed = false
     private var isPlacementRequested = false
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
@@ -40,12 +40,20 @@
         version++
         change.puts.forEach { (key, value) -> rows[key] = StoredRow(key, value, version) }
         change.deletes.forEach { rows.remove(it) }
-        return ChangeResult.Committed(version)
+        return ChangeResult.Committed(version, time.nowMs)
     }
 
-    fun rowsOf(table: Table): ReadResult = ReadResult.Rows(rows.values.filter { it.key.table == table }.sortedBy { it.key.key }, version)
-
-    fun row(key: RowKey): ReadResult = ReadResult.Rows(listOfNotNull(rows[key]), version)
+    fun rowsOf(table: Table): ReadResult =
+        ReadResult.Rows(
+            rows.values
+                .filter {
+                    it.key.table == table
+                }.sortedBy { it.key.key },
+            version,
+            time.nowMs,
+        )
+
+    fun row(key: RowKey): ReadResult = ReadResult.Rows(listOfNotNull(rows[key]), version, time.nowMs)
 
     /** The tables as [entry] sees them, with delays and faults. */
     fun tablesFor(entry: SimEntry): JobTables = EntryTables(entry)
