Excuse long-running tasks of a job that was given up for crashes

The check now excuses a job only from the third crash under one of its tasks on, the number at which the scheduler gives up; with fewer crashes it is as strict as before.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
@@ -280,6 +280,8 @@
         task: TaskId,
     ): Boolean {
         if (observed.acceptedAtMs == null || observed.cancelledAtMs != null || observed.mayBeCancelled) return false
+        // A job with a task under which three workers have crashed may be given up and be shown as failed.
+        if (tasksOf(observed.submission).any { (crashes[it] ?: 0) >= CRASHES_BEFORE_BUDGET }) return false
         val endedAtMs = lastEndedAtMs[task] ?: return true
         return time.nowMs - endedAtMs > RESTART_GRACE_MS
     }
