Assume that a late order extends the lease of a worker that restarted under its id

Orders name a worker by its id. An order with a lease that was not answered may arrive up to 12 s later, at an incarnation that started under the same id meanwhile. The worker grants it the longest lease from then on, while the owner assumed only the lease of its own orders and started the tasks of a silent worker elsewhere. The owner now remembers lease extensions without an answer and assumes a new incarnation's lease to last until the last of them can have run out. The new test fails without this.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/WorkerLink.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/WorkerLink.kt
@@ -78,6 +78,9 @@
 
 /** The answer to an order to a worker. */
 public sealed interface WorkerAnswer {
+    /** True if the order may still be carried out, also by a later incarnation of the worker. */
+    public val mayArriveLate: Boolean get() = this is Unanswered && mayBeCarriedOut
+
     /** The order was carried out. */
     public data class Done(
         val workerClockMs: Long,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -9,6 +9,7 @@
 import io.corianderrock.jobs.ports.StopOrder
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.state.JobRun
+import io.corianderrock.jobs.state.LATE_ORDER_WINDOW_MS
 import io.corianderrock.jobs.state.TaskId
 import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.TaskRun
@@ -16,8 +17,8 @@
 import io.corianderrock.jobs.state.WorkerView
 import io.corianderrock.jobs.workers.WorkerFailures
 
-/** Age up to which an unanswered start counts as still arriving: it may be carried out up to 12 s after it was sent. */
-internal const val LATE_START_WINDOW_MS = 13_000L
+/** Age up to which an unanswered start counts as still arriving. */
+internal const val LATE_START_WINDOW_MS = LATE_ORDER_WINDOW_MS
 
 /** Starts and stops runs. All methods and callbacks run on the event loop. */
 internal class RunOrders(
@@ -67,11 +68,12 @@
         }
         val order = startOrder(worker, task)
         val sentAtMs = loop.nowMs
-        worker.recordLeaseSent(order.expiresAtWorkerMs)
+        worker.recordLeaseSent(order.expiresAtWorkerMs, sentAtMs)
         worker.ordersInFlight++
         worker.possibleLateStarts[task.id to order.runNumber] = UnansweredStart(order.runNumber, sentAtMs)
         context.link.start(worker.entry, order) { answer ->
             worker.ordersInFlight--
+            if (!answer.mayArriveLate) worker.recordLeaseAnswered(sentAtMs)
             forgetLateStart(worker, task.id, order.runNumber, answer)
             onStartAnswer(worker, task, order.runNumber, sentAtMs, answer)
             sendQueuedStarts(worker)
@@ -105,8 +107,7 @@
         runNumber: Long,
         answer: WorkerAnswer,
     ) {
-        val mayArriveLate = answer is WorkerAnswer.Unanswered && answer.mayBeCarriedOut
-        if (!mayArriveLate) worker.possibleLateStarts.remove(task to runNumber)
+        if (!answer.mayArriveLate) worker.possibleLateStarts.remove(task to runNumber)
     }
 
     /** The last starts sent to [worker] that may still arrive, by task; a stop of such a run holds for earlier ones too. Drops those that are too old for that. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -71,8 +71,9 @@
         val order = orderFor(worker)
         worker.isHoldWaiting = order.waitMs > 0
         val sentAtMs = loop.nowMs
-        order.expiresAtWorkerMs?.let(worker::recordLeaseSent)
+        order.expiresAtWorkerMs?.let { worker.recordLeaseSent(it, sentAtMs) }
         context.link.hold(worker.entry, order) { answer ->
+            if (order.expiresAtWorkerMs != null && !answer.mayArriveLate) worker.recordLeaseAnswered(sentAtMs)
             if (worker !in workers || worker.holdNumber != holdNumber) return@hold
             worker.isHoldInFlight = false
             onAnswer(worker, order, sentAtMs, answer)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -277,6 +277,7 @@
             .forEach { worker.releaseRun(it, loop.nowMs) }
         worker.unansweredStarts.keys.retainAll(recentStarts.keys)
         worker.beginIncarnation(bornWallMs, loop.nowMs)
+        worker.assumeLateLeases(loop.nowMs, holds.worstCaseLeaseMs)
         // An unanswered start may still reach the new incarnation, which has no record of the fence or of stopped runs.
         for ((taskId, start) in recentStarts) {
             if (taskId !in worker.runs) worker.orphanedRuns[taskId] = start.runNumber
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -10,6 +10,9 @@
 /** Lower bound on the rate of a worker's clock relative to the loop's: it may be up to 2% slow. */
 internal const val MIN_WORKER_CLOCK_RATE = 0.98
 
+/** Age up to which an unanswered order counts as still arriving: it may be carried out up to 12 s after it was sent. */
+internal const val LATE_ORDER_WINDOW_MS = 13_000L
+
 internal class WorkerView(
     var entry: WorkerEntry,
 ) {
@@ -32,6 +35,9 @@
     /** Loop time until which runs may go on if the worker receives no further order. */
     var leaseEndsAtMs: Long = 0
 
+    /** Loop times at which lease extensions were sent that may still arrive, also at a new incarnation. */
+    private val possibleLateLeases = ArrayList<Long>()
+
     /** True once the worker has answered a lease extension by this owner. */
     var isLeaseConfirmed: Boolean = false
     private val runsByTask = LinkedHashMap<TaskId, TaskRun>()
@@ -171,11 +177,34 @@
         clockReadAtMs = nowMs
     }
 
-    /** Records that an order with a lease until [expiresAtWorkerMs] of the worker's clock was sent, whether or not it arrives. */
-    fun recordLeaseSent(expiresAtWorkerMs: Long) {
+    /** Records that an order with a lease until [expiresAtWorkerMs] of the worker's clock was sent at [nowMs], whether or not it arrives. */
+    fun recordLeaseSent(
+        expiresAtWorkerMs: Long,
+        nowMs: Long,
+    ) {
+        possibleLateLeases.removeAll { nowMs - it >= LATE_ORDER_WINDOW_MS }
+        possibleLateLeases.add(nowMs)
         val upperBoundMs = clockReadAtMs + ((expiresAtWorkerMs - clockMs) / MIN_WORKER_CLOCK_RATE).toLong() + 1
         leaseEndsAtMs = maxOf(leaseEndsAtMs, upperBoundMs)
     }
+
+    /** Records that a lease extension sent at [sentAtMs] was answered, so that it cannot arrive later. */
+    fun recordLeaseAnswered(sentAtMs: Long) {
+        possibleLateLeases.remove(sentAtMs)
+    }
+
+    /**
+     * Extends the assumed lease of a new incarnation by what an order to the one before can still grant: such an order names a time
+     * on a clock that is not this incarnation's, and grants the longest lease, [longestLeaseMs] by the loop's clock, on its arrival.
+     */
+    fun assumeLateLeases(
+        nowMs: Long,
+        longestLeaseMs: Long,
+    ) {
+        possibleLateLeases.removeAll { nowMs - it >= LATE_ORDER_WINDOW_MS }
+        val lastSentAtMs = possibleLateLeases.maxOrNull() ?: return
+        leaseEndsAtMs = maxOf(leaseEndsAtMs, lastSentAtMs + LATE_ORDER_WINDOW_MS + longestLeaseMs)
+    }
 }
 
 /** A start whose answer was lost. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
@@ -27,6 +27,8 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 
 private const val WORKER = "w"
@@ -43,6 +45,13 @@
 
 /** Time in which a stop is answered and confirmed by the next report. */
 private const val STOP_MS = 1_500L
+private const val TICK_MS = 50L
+
+/** Time after which an order that was delayed on its way has arrived. */
+private const val LATEST_ORDER_MS = 12_000L
+
+/** Allowance of the owner for slow clocks and timeouts over the end of a late lease. */
+private const val LATE_MARGIN_MS = 2_000L
 private val CAPACITY = Demand(8_000, 32_000)
 
 /** An owner with one worker, whose answers the test controls, and one job with one task. */
@@ -96,6 +105,15 @@
 
     fun pass(durationMs: Long) = time.runUntil(time.nowMs + durationMs)
 
+    /** Lets [durationMs] pass with the checks of leases that the scheduler makes in each tick. */
+    fun passTicking(durationMs: Long) {
+        val endMs = time.nowMs + durationMs
+        while (time.nowMs < endMs) {
+            pass(minOf(TICK_MS, endMs - time.nowMs))
+            driver.tick()
+        }
+    }
+
     /** True if the worker may be given new tasks. */
     val isUsable: Boolean get() = checkNotNull(driver.find(WORKER)).let { it.consecutiveLostHolds == 0 && it.avoidUntilMs <= time.nowMs }
 
@@ -241,6 +259,39 @@
                 owner.isUsable shouldBe false
             }
         }
+        describe("a worker that starts again under its id after the answer to a lease extension was lost") {
+            // Guards against a task started elsewhere while a late hold, by the clock of the last incarnation, keeps its run going (TWICE).
+            it("keeps its tasks while that order can still extend their lease, and no longer") {
+                val owner = OwnerOfOneWorker()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.lostHoldAnswers = 1
+                owner.waitUntil { owner.lostHoldAnswers == 0 }
+                val lostAtMs = owner.time.nowMs
+                owner.startAgain()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.isUp = false
+                owner.passTicking(lostAtMs + LATEST_ORDER_MS + LONGEST_LEASE_MS - owner.time.nowMs)
+                owner.task.worker.shouldNotBeNull()
+                owner.passTicking(LATE_MARGIN_MS)
+                owner.task.worker.shouldBeNull()
+            }
+            it("frees its tasks at the end of their lease if that order was answered") {
+                val owner = OwnerOfOneWorker()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.isUp = false
+                owner.passTicking(LONGEST_LEASE_MS)
+                owner.task.worker.shouldBeNull()
+                owner.startAgain()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.isUp = false
+                owner.passTicking(LONGEST_LEASE_MS)
+                owner.task.worker.shouldBeNull()
+            }
+        }
         describe("a start without an answer on a worker that runs other tasks") {
             // Guards against a task that waits for the end of another run before it may start elsewhere.
             it("frees the task as soon as the stop is answered") {
