Log the cause of failed claims, and connect to owners of keys before an entry is ready

Requests got key-owner-unreachable for four causes, which no log line told apart. claim-failed names the cause, peer-call-failed the status of each call. With them FleetTest shows one cause on a busy machine: an entry opened the connection to the owner of keys with its first claim, and connecting took longer than the 600 ms of each of the two calls (19 of 20 failures). An entry now opens these connections before it is ready. 2 failures remain on a busy machine, on connections that are open: the test stays listed.

--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/RoutedClaims.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/RoutedClaims.kt
@@ -3,6 +3,8 @@
  */
 package io.corianderrock.coordination.claim
 
+import io.corianderrock.coordination.Clock
+import io.corianderrock.coordination.monotonicMs
 import io.corianderrock.coordination.request.Reason
 import io.corianderrock.coordination.request.UpstreamResponse
 import java.util.concurrent.Executor
@@ -31,24 +33,88 @@
     ): Boolean
 }
 
+/** Why no decision on a claim was obtained. All of these are reported to the caller as [Reason.KEY_OWNER_UNREACHABLE]. */
+public enum class ClaimFailure {
+    /** The last scan of the ranges showed no owner: the range is moving, or its owner has stopped. */
+    NO_OWNER,
+
+    /** No call to the owner was answered. */
+    NO_REPLY,
+
+    /** The process at the range's owner by the last scan does not own it any more, or not yet. */
+    NOT_OWNER,
+
+    /** The owner did not commit the claim in time. */
+    NOT_DURABLE,
+}
+
+/** Notified of each claim that failed. Called on the thread of the request. */
+public fun interface ClaimFailureObserver {
+    /** The claim on a key of [range] failed at [peer], an empty text if no owner is known, after [tookMs]. */
+    public fun onFailed(
+        failure: ClaimFailure,
+        range: Int,
+        peer: String,
+        tookMs: Long,
+    )
+}
+
 /** Routes claims to the local [owner] or to [peers]. Releases and completions at peers run on [background]. */
 public class RoutedClaims(
     private val owner: ClaimOwner,
     private val selfInstance: String,
     private val peers: PeerClaims,
     private val background: Executor,
+    private val clock: Clock = Clock.SYSTEM,
+    private val failures: ClaimFailureObserver = ClaimFailureObserver { _, _, _, _ -> },
 ) : KeyClaims {
     override fun claim(request: ClaimRequest): ClaimResult {
+        val startedMs = clock.monotonicMs()
         val range = rangeOf(request.key)
-        if (range in owner.ownedRanges) return resultOf(owner.claim(request), request, selfInstance)
-        val instance = ownerOf(request.key) ?: return unavailable(peer = "range-$range")
+        val instance = if (range in owner.ownedRanges) selfInstance else ownerOf(request.key).orEmpty()
+        val decision = if (range in owner.ownedRanges) owner.claim(request) else claimAtPeer(instance, request)
+        val failure = failureOf(decision, instance) ?: return resultOf(checkNotNull(decision), instance)
+        failures.onFailed(failure, range, instance, clock.monotonicMs() - startedMs)
+        return ClaimResult.Unavailable(Reason.KEY_OWNER_UNREACHABLE, peerName(failure, instance, range), RETRY_AFTER_MS)
+    }
+
+    /** Null if no owner is known, as [instance] is empty, or if none of the calls was answered. */
+    private fun claimAtPeer(
+        instance: String,
+        request: ClaimRequest,
+    ): ClaimDecision? {
+        if (instance.isEmpty()) return null
         repeat(MAX_CLAIM_CALLS) {
-            peers.claim(instance, request)?.let { return resultOf(it, request, instance) }
+            peers.claim(instance, request)?.let { return it }
         }
         releaseUnacknowledged(instance, request)
-        return unavailable(instance)
+        return null
     }
 
+    /** Null if [decision] answers the claim. */
+    private fun failureOf(
+        decision: ClaimDecision?,
+        instance: String,
+    ): ClaimFailure? =
+        when {
+            decision is ClaimDecision.NotOwner -> ClaimFailure.NOT_OWNER
+            decision is ClaimDecision.NotDurable -> ClaimFailure.NOT_DURABLE
+            decision != null -> null
+            instance.isEmpty() -> ClaimFailure.NO_OWNER
+            else -> ClaimFailure.NO_REPLY
+        }
+
+    private fun peerName(
+        failure: ClaimFailure,
+        instance: String,
+        range: Int,
+    ): String =
+        when (failure) {
+            ClaimFailure.NO_OWNER -> "range-$range"
+            ClaimFailure.NO_REPLY -> instance
+            ClaimFailure.NOT_OWNER, ClaimFailure.NOT_DURABLE -> "$instance/range-$range"
+        }
+
     override fun release(
         key: String,
         attempt: String,
@@ -78,7 +144,6 @@
 
     private fun resultOf(
         decision: ClaimDecision,
-        request: ClaimRequest,
         peer: String,
     ): ClaimResult =
         when (decision) {
@@ -86,7 +151,7 @@
             is ClaimDecision.Completed -> ClaimResult.Completed(decision.response)
             is ClaimDecision.Held -> heldResult(decision, peer)
             is ClaimDecision.HistoryIncomplete -> ClaimResult.Unavailable(Reason.KEY_HISTORY_INCOMPLETE, peer, RETRY_AFTER_MS)
-            is ClaimDecision.NotOwner, is ClaimDecision.NotDurable -> unavailable(peer, request)
+            is ClaimDecision.NotOwner, is ClaimDecision.NotDurable -> error("a failed claim has no result: $decision")
         }
 
     private fun heldResult(
@@ -111,14 +176,6 @@
         }
     }
 
-    private fun unavailable(
-        peer: String,
-        request: ClaimRequest? = null,
-    ): ClaimResult.Unavailable {
-        val peerName = if (request == null) peer else "$peer/range-${rangeOf(request.key)}"
-        return ClaimResult.Unavailable(Reason.KEY_OWNER_UNREACHABLE, peerName, RETRY_AFTER_MS)
-    }
-
     private companion object {
         const val MAX_CLAIM_CALLS = 2
         const val MAX_RELEASE_CALLS = 5
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
@@ -31,6 +31,7 @@
 import io.corianderrock.transport.HttpServer
 import io.corianderrock.transport.ListenAddress
 import io.corianderrock.transport.OkHttpUpstreamClient
+import io.corianderrock.transport.PeerCallFailure
 import io.corianderrock.transport.PeerClient
 import io.corianderrock.transport.PeerServer
 import io.corianderrock.transport.PlatformClient
@@ -72,7 +73,9 @@
     private val claimOwner =
         ClaimOwner(platform, clock, self + "/" + UUID.randomUUID(), self, policies.claims, { sync.goneSinceMs(it) }, ::newId)
     private val claimOwnershipLoop = ClaimOwnershipLoop(claimOwner) { ClaimOwnership.choose(sync.entries, self) }
-    private val peerClient = PeerClient({ id -> sync.entries.firstOrNull { it.id == id }?.peersAddress }, settings.peerToken)
+    private val peerClient =
+        PeerClient({ id -> sync.entries.firstOrNull { it.id == id }?.peersAddress }, settings.peerToken, onFailure = ::logPeerCallFailure)
+    private val ownerConnections = ClaimOwnerConnections(clock, self, { claimOwner.lastScannedRanges.values }, peerClient::connect)
     private val peerServer = PeerServer.start(listenAddress(settings.peers), settings.peerToken, PeerHandler(claimOwner, sync, directory))
     private val network: PeerNetwork = newPeerNetwork()
     private val control = newControlLoop()
@@ -101,7 +104,7 @@
     /** The instance id of this entry. */
     public val instanceId: String get() = self
 
-    override val isReady: Boolean get() = !isLeaving && directory.isReady && seats.isSeated
+    override val isReady: Boolean get() = !isLeaving && directory.isReady && seats.isSeated && ownerConnections.haveBeenReady
 
     /** The bound ports; they differ from the settings where these ask for port 0. */
     public val ports: DaemonPorts get() = DaemonPorts(callerServer.port, operatorServer.port, peerServer.port)
@@ -113,6 +116,7 @@
         scheduleEvery(settings.platform.pollIntervalMs) { pollPlatform() }
         scheduleEvery(CONTROL_INTERVAL_MS) { control.tick() }
         scheduleEvery(CLAIM_OWNERSHIP_INTERVAL_MS) { claimOwnershipLoop.tick() }
+        scheduleEvery(OWNER_CONNECTION_INTERVAL_MS) { ownerConnections.tick() }
         scheduleEvery(SWEEP_INTERVAL_MS) { directory.sweep() }
         scheduleEvery(BURN_SAVE_INTERVAL_MS) { saveBurnCounters() }
         claimOwnershipLoop.start()
@@ -246,12 +250,27 @@
             clock = clock,
             services = directory,
             upstream = OkHttpUpstreamClient(httpClient, onLeaving = LeavingBroadcaster(sync, clock, self) { network.broadcast(it) }),
-            claims = if (policies.usesIdempotencyClaims) RoutedClaims(claimOwner, self, peerClient, background) else AlwaysGrantedClaims,
+            claims = if (policies.usesIdempotencyClaims) routedClaims() else AlwaysGrantedClaims,
             overflow = network,
             retryLimits = policies.retries,
             observer = metrics + burnCounters,
         )
 
+    private fun routedClaims(): RoutedClaims =
+        RoutedClaims(claimOwner, self, peerClient, background, clock) { failure, range, peer, tookMs ->
+            log.warn("claim-failed", "cause" eq failure, "range" eq range, "peer" eq peer, "tookMs" eq tookMs)
+        }
+
+    private fun logPeerCallFailure(failure: PeerCallFailure) {
+        log.warn(
+            "peer-call-failed",
+            "peer" eq failure.instance,
+            "method" eq failure.method,
+            "cause" eq failure.cause,
+            "tookMs" eq failure.tookMs,
+        )
+    }
+
     private fun peerHopHeaders(): List<Header> =
         listOf(Header(ContractHeaders.HOPS, "1"), Header(ContractHeaders.PEER_TOKEN, settings.peerToken.reveal()))
 
@@ -311,6 +330,9 @@
         const val BACKGROUND_THREAD_COUNT = 4
         const val CONTROL_INTERVAL_MS = 500L
         const val CLAIM_OWNERSHIP_INTERVAL_MS = 1_000L
+
+        /** Short compared to the 1 s after which a scan shows a new owner: claims are sent to it from then on. */
+        const val OWNER_CONNECTION_INTERVAL_MS = 100L
         const val SWEEP_INTERVAL_MS = 10L
         const val BURN_SAVE_INTERVAL_MS = 60_000L
         const val IDLE_POLL_MS = 10L
--- a/transport/src/main/kotlin/io/corianderrock/transport/PeerClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/PeerClient.kt
@@ -18,6 +18,7 @@
 import io.corianderrock.protocol.asDecision
 import io.corianderrock.protocol.asMessage
 import io.grpc.CallOptions
+import io.grpc.ConnectivityState
 import io.grpc.ManagedChannel
 import io.grpc.Metadata
 import io.grpc.MethodDescriptor
@@ -34,14 +35,23 @@
     public fun of(instance: String): String?
 }
 
+/** A call to a peer that got no response: [cause] is the status of the transport, or tells that the address is unknown. */
+public data class PeerCallFailure(
+    val instance: String,
+    val method: String,
+    val cause: String,
+    val tookMs: Long,
+)
+
 /**
  * Calls peers. Each call blocks for at most [callTimeoutMs] and is not retried. A result of null or false means that no
- * response arrived; the peer may still have run the call.
+ * response arrived; the peer may still have run the call, and [onFailure] tells why.
  */
 public class PeerClient(
     private val addresses: PeerAddresses,
     token: Secret,
     private val callTimeoutMs: Long = 600,
+    private val onFailure: (PeerCallFailure) -> Unit = {},
 ) : PeerClaims,
     AutoCloseable {
     private val channels = ConcurrentHashMap<String, ManagedChannel>()
@@ -90,6 +100,12 @@
         query: DrainQuery,
     ): DrainReply? = invoke(instance, PeerMethods.DRAIN, query)
 
+    /** Opens the connection to [instance] if there is none. Returns true once calls need not wait for it. */
+    public fun connect(instance: String): Boolean {
+        val address = addresses.of(instance) ?: return false
+        return channelTo(address).getState(true) == ConnectivityState.READY
+    }
+
     override fun close() {
         channels.values.forEach { it.shutdownNow() }
     }
@@ -99,15 +115,25 @@
         method: MethodDescriptor<Req, Resp>,
         request: Req,
     ): Resp? {
-        val address = addresses.of(instance) ?: return null
+        val startedNs = System.nanoTime()
+        val address = addresses.of(instance)
+        if (address == null) {
+            onFailure(PeerCallFailure(instance, method.bareMethodName.orEmpty(), "ADDRESS_UNKNOWN", tookMs = 0))
+            return null
+        }
         val options = CallOptions.DEFAULT.withDeadlineAfter(callTimeoutMs, TimeUnit.MILLISECONDS)
         return try {
             ClientCalls.blockingUnaryCall(channelTo(address), method, options, request)
-        } catch (_: StatusRuntimeException) {
+        } catch (e: StatusRuntimeException) {
+            val tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs)
+            onFailure(PeerCallFailure(instance, method.bareMethodName.orEmpty(), causeOf(e), tookMs))
             null
         }
     }
 
+    private fun causeOf(failure: StatusRuntimeException): String =
+        listOfNotNull(failure.status.code, failure.status.description, failure.cause).joinToString(": ")
+
     private fun channelTo(address: String): ManagedChannel =
         channels.computeIfAbsent(address) {
             NettyChannelBuilder
