--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -28,15 +28,14 @@
     private val configuration: () -> JobsConfiguration?,
     private val mayOrder: () -> Boolean,
 ) {
-    private val byId = LinkedHashMap<String, InstanceView>()
-    private var isListing = false
-    private var listedAtMs = Long.MIN_VALUE / 2
-    private var hasList = false
+    private val listing = InstanceListing(loop, service, driver, log)
+    private val byId: Map<String, InstanceView> get() = listing.byId
     private var needs: Map<String, PoolNeed> = emptyMap()
     val drainer = Drainer(loop, driver)
+    private val ledger = MoveLedger(loop, log, ::workerOf)
     val sizer = PoolSizer(loop, log, demand, capacityShortageMs, ::workerOf)
 
-    val isReady: Boolean get() = hasList && mayOrder()
+    val isReady: Boolean get() = listing.hasList && mayOrder()
 
     /** Workers of [pool] that are not cordoned. */
     fun workersOf(pool: String): List<WorkerView> = byId.values.filter { it.pool == pool && it.cordonReason == null }.mapNotNull(::workerOf)
@@ -59,8 +58,9 @@
     fun workerOf(view: InstanceView): WorkerView? = driver.listedOn(view.instance.id) ?: view.instance.workerId?.let(driver::find)
 
     fun tick() {
-        refresh()
+        listing.refresh()
         orders.tick()
+        ledger.tick(byId::get)
         if (!isReady) return
         val (standbyPools, pools) =
             configuration()
@@ -119,8 +119,8 @@
         // Idle instances of other pools come first: they are already paid for and save the move through standby.
         val spare = ArrayDeque(idle + inStandby)
         val shortageCount = states.sumOf { it.missing } - spare.size
-        grow(states, spare) { it.missing }
-        grow(states, spare) { it.missingWithForecast - it.missing }
+        grow(states, spare, isForCurrentWork = true) { it.missing }
+        grow(states, spare, isForCurrentWork = false) { it.missingWithForecast - it.missing }
         return maxOf(0, shortageCount)
     }
 
@@ -134,6 +134,7 @@
     private fun grow(
         states: List<PoolState>,
         spare: ArrayDeque<InstanceView>,
+        isForCurrentWork: Boolean,
         missingOf: (PoolState) -> Int,
     ) {
         val shortages = states.map { PoolShortage(it.pool, it.supply.size, missingOf(it)) }
@@ -159,7 +160,9 @@
                         "need",
                         state.need,
                     )
+                    val from = view.pool
                     move(view, state.pool)
+                    ledger.onOrdered(view.instance.id, from, state, isForCurrentWork)
                 }
             }
         }
@@ -263,6 +266,7 @@
         callService: ((InstanceOrderAnswer) -> Unit) -> Unit,
     ) {
         val worker = workerOf(view)
+        ledger.onLeaving(view.instance.id)
         view.isOrdered = true
         view.movingTo = order.moveTo
         val onAnswer: (InstanceOrderAnswer) -> Unit = { answer ->
@@ -287,6 +291,7 @@
         onAccepted: () -> Unit,
     ) {
         log.write("machine_ordered", "order", kind, "instance", view.instance.id, "pool", view.instance.pool, "answer", answer)
+        ledger.onAnswered(view.instance.id, answer)
         view.isOrdered = false
         view.movingTo = null
         view.changedAtMs = loop.nowMs
@@ -315,80 +320,12 @@
                 ?.capacity
             ?: Demand()
 
-    private fun refresh() {
-        val isAnyInTransit = byId.values.any { it.instance.state != InstanceState.UP }
-        val intervalMs = if (isAnyInTransit || driver.hasSilentWorkers) LIST_INTERVAL_TRANSIT_MS else LIST_INTERVAL_MS
-        if (isListing || loop.nowMs - listedAtMs < intervalMs) return
-        isListing = true
-        val sentAtMs = loop.nowMs
-        service.list { instances ->
-            isListing = false
-            listedAtMs = loop.nowMs
-            if (instances == null) {
-                log.write("machine_list_lost", "tookMs", loop.nowMs - sentAtMs)
-                listedAtMs += LIST_RETRY_MS - LIST_INTERVAL_MS
-            } else {
-                onList(instances, sentAtMs)
-            }
-        }
-    }
-
-    private fun onList(
-        instances: List<Instance>,
-        sentAtMs: Long,
-    ) {
-        hasList = true
-        driver.onInstancesListed(instances, sentAtMs)
-        for (instance in instances) {
-            val view = byId.getOrPut(instance.id) { InstanceView(instance) }
-            if (view.isOrdered || view.changedAtMs >= sentAtMs) continue
-            if (view.instance.state != instance.state || view.instance.workerId != instance.workerId) logListed(view.instance, instance)
-            if (view.instance.state != InstanceState.UP && instance.state == InstanceState.UP) view.joinedAtMs = loop.nowMs
-            view.instance = instance
-            if (instance.state == InstanceState.UP) driver.onInstanceListed(instance.id, instance.workerId)
-        }
-        val listed = instances.mapTo(HashSet()) { it.id }
-        val unlisted = byId.values.filter { it.instance.id !in listed && it.changedAtMs < sentAtMs }
-        for (view in unlisted) {
-            log.write("instance_unlisted", "instance", view.instance.id, "pool", view.instance.pool, "worker", view.instance.workerId)
-            byId.remove(view.instance.id)
-        }
-    }
-
-    private fun logListed(
-        before: Instance,
-        listed: Instance,
-    ) = log.write(
-        "instance_listed",
-        "instance",
-        listed.id,
-        "pool",
-        listed.pool,
-        "state",
-        listed.state,
-        "worker",
-        listed.workerId,
-        "stateBefore",
-        before.state,
-        "workerBefore",
-        before.workerId,
-    )
-
     private companion object {
         const val UNCERTAIN_OWNERSHIP = "the ownership became uncertain before the order was sent"
 
-        /** Delay before retrying a failed list call. */
-        const val LIST_RETRY_MS = 300L
-
         /** Least time that an instance stays in a pool after joining it. */
         const val MIN_STAY_MS = 1_500L
 
-        /** Interval between list calls. */
-        const val LIST_INTERVAL_MS = 3_000L
-
-        /** Interval between list calls while some instance is not up or some worker with runs does not answer. */
-        const val LIST_INTERVAL_TRANSIT_MS = 500L
-
         /** Delay before a refused order may be retried. */
         const val REFUSED_RETRY_MS = 500L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PeakForecast.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PeakForecast.kt
@@ -80,23 +80,23 @@
 
     private fun median(values: List<Double>): Double = values.sorted()[values.size / 2]
 
-    private companion object {
+    companion object {
         /** Less than this is no peak: the one instance that each pool keeps serves it without a move. */
-        const val MIN_PEAK_INSTANCES = 1.0
+        private const val MIN_PEAK_INSTANCES = 1.0
 
         /** Least time between the starts of two peaks, as long as a move, so that noise does not count as a peak. */
-        const val MIN_PEAK_INTERVAL_MS = 1_500L
+        private const val MIN_PEAK_INTERVAL_MS = 1_500L
 
         /** For this long after the start of a peak, the measured arrival rate lags behind the demand. */
-        const val ONSET_MS = 1_500L
+        private const val ONSET_MS = 1_500L
 
         /** A move takes 1.5 s, listing and polling its worker 0.4 s, and a peak is detected 0.6 s after its start. */
         const val LEAD_TIME_MS = 2_600L
 
         /** A peak that is overdue by more than this is no longer expected. */
-        const val LATE_TOLERANCE_MS = 1_500L
+        private const val LATE_TOLERANCE_MS = 1_500L
 
         /** Three rotations of four pools. */
-        const val MAX_PEAKS = 12
+        private const val MAX_PEAKS = 12
     }
 }
--- a/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
@@ -91,6 +91,14 @@
     /** Queues with a label; further ones are left out, so that the number of labels is bounded. */
     private val judgedQueues = ConcurrentHashMap.newKeySet<String>()
 
+    private val moves =
+        Counter
+            .builder()
+            .name("corianderrock_moves_total")
+            .help("Evaluated moves of instances into serving pools, by whether the instance ran work within the peak and why not.")
+            .labelNames("served", "reason")
+            .register(registry)
+
     /** Records a caller's request that was answered with [status], [tookMs] after its receipt. */
     public fun onRequest(
         method: String,
@@ -117,6 +125,7 @@
         if (event == OWNERSHIP_LOST_EVENT) accountUsage.clear()
 
         if (event == RUN_TIME_EVENT) observeRunTimes(fields)
+        if (event == MOVE_EVENT) moves.labelValues(valueOf(fields, "served").toString(), valueOf(fields, "reason").toString()).inc()
         for (index in 0 until fields.size - 1 step 2) {
             val key = fields[index]
             val value = fields[index + 1]
@@ -172,6 +181,7 @@
         /** Bounds the labels over many versions of the configuration; far above the accounts of a deployment. */
         const val MAX_ACCOUNT_LABELS = 200
         const val OTHER_ACCOUNTS = "other"
+        const val MOVE_EVENT = "move_outcome"
         const val RUN_TIME_EVENT = "run_time_accuracy"
 
         /** Above the number of queues of the largest deployment, 88. */
--- a/transport/src/test/kotlin/io/corianderrock/transport/EntryMetricsTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/EntryMetricsTest.kt
@@ -54,6 +54,17 @@
                 text shouldContain "corianderrock_run_time_beyond_upper_ratio{queue=\"q0\"} 0.1"
                 text.lines().count { it.startsWith("corianderrock_run_time_ratio{") } shouldBe 128
             }
+
+            // Guards against moves that served no caller and that no metric shows.
+            it("counts moves by whether they served work") {
+                val metrics = EntryMetrics()
+                val log = metrics.observing(DecisionLog { _, _ -> })
+                repeat(3) { log.write("move_outcome", "instance", "m$it", "pool", "p", "served", "true", "reason", "ran") }
+                log.write("move_outcome", "instance", "m4", "pool", "p", "served", "false", "reason", "no_run")
+                val text = metrics.handle(Request(Method.GET, "/metrics")).bodyString()
+                text shouldContain "corianderrock_moves_total{reason=\"ran\",served=\"true\"} 3"
+                text shouldContain "corianderrock_moves_total{reason=\"no_run\",served=\"false\"} 1"
+            }
             it("responds with 404 on other paths") {
                 EntryMetrics().handle(Request(Method.GET, "/")).status shouldBe Status.NOT_FOUND
             }
