Release only instances that the current work does not need

After a data centre was cut off at a peak, 32 of 106 instances of a pool were still without a usable worker and counted as supply; 37 usable ones were cordoned and 54 were left where 82 were needed, with 199 core-seconds waiting. Surplus and idle counts now stay within the usable instances beyond the need.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
@@ -78,6 +78,7 @@
         val forecastWanted = maxOf(wanted, ceil(need.longRunningInstances + maxOf(expectedInstances, need.extrapolatedInstances)).toInt())
         val supply = instances.filter { it.instance.state !in ABSENT_STATES && it.cordonReason == null && countsAsSupply(it) }
         val missing = maxOf(wanted - supply.size, missingForStuck(pool, supply))
+        val spareUsable = supply.count(::isUsable) - wanted
         return PoolState(
             pool = pool,
             need = need,
@@ -85,11 +86,18 @@
             supply = supply,
             missing = maxOf(0, missing),
             missingWithForecast = maxOf(0, missing, forecastWanted - supply.size),
-            idleCount = if (missing > 0) 0 else maxOf(0, supply.size - forecastWanted),
-            surplus = if (missing > 0) 0 else maxOf(0, supply.size - peakNeed(pool, forecastWanted)),
+            idleCount = if (missing > 0) 0 else maxOf(0, minOf(supply.size - forecastWanted, spareUsable)),
+            surplus = if (missing > 0) 0 else maxOf(0, minOf(supply.size - peakNeed(pool, forecastWanted), spareUsable)),
         )
     }
 
+    /**
+     * True if tasks can be started on the instance now. Instances that are still joining count as supply, so that no more are
+     * ordered, but must not make those that serve callers look superfluous.
+     */
+    private fun isUsable(view: InstanceView): Boolean =
+        !view.isOrdered && view.instance.state == InstanceState.UP && workerOf(view)?.let { it.isListed && it.isReconciled } == true
+
     /** Requests one instance at a time for tasks that fit on no worker although the total free capacity would suffice. */
     private fun missingForStuck(
         pool: String,
