--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
@@ -0,0 +1,119 @@
+/*
+ * Logs why tasks wait, at most once a second.
+ */
+package io.corianderrock.jobs.placement
+
+import io.corianderrock.jobs.ports.DecisionLog
+import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.runs.JobRegistry
+import io.corianderrock.jobs.runs.WorkerDriver
+import io.corianderrock.jobs.state.TaskPhase
+import io.corianderrock.jobs.state.TaskRun
+
+internal class WaitExplainer(
+    private val loop: EventLoop,
+    private val registry: JobRegistry,
+    private val driver: WorkerDriver,
+    private val choice: WorkerChoice,
+    private val log: DecisionLog,
+    private val isAtLimit: (TaskRun) -> Boolean,
+) {
+    private var explainedAtMs = 0L
+
+    /** By pool: when, in loop time, the jobs that wait for unreconciled workers were last logged. */
+    private val reconcilingLoggedAtMs = HashMap<String, Long>()
+
+    /** Logs at most every [EXPLAIN_INTERVAL_MS] which workers keep the inherited jobs of [pool] from being placed. */
+    fun logReconciling(pool: String) {
+        if (loop.nowMs - (reconcilingLoggedAtMs[pool] ?: 0) < EXPLAIN_INTERVAL_MS) return
+        reconcilingLoggedAtMs[pool] = loop.nowMs
+        val held = registry.liveIn(pool).filter { it.mayBeKnownToEarlierOwner }
+        log.write(
+            "pool_reconciling",
+            "pool",
+            pool,
+            "workers",
+            driver.unreconciledIn(pool).joinToString(","),
+            "jobs",
+            held.size,
+            "waitingTasks",
+            held.sumOf { job -> job.tasks.count { it.phase == TaskPhase.WAITING } },
+        )
+    }
+
+    /** Logs at most every [EXPLAIN_INTERVAL_MS] why the tasks that have waited longest are not placed. */
+    fun explainWaiting(
+        ready: List<Candidate>,
+        capacities: List<WorkerCapacity>,
+    ) {
+        if (loop.nowMs - explainedAtMs < EXPLAIN_INTERVAL_MS) return
+        explainedAtMs = loop.nowMs
+        val waiting = ready.mapNotNull { candidate -> candidate.tasks.firstOrNull { it.phase == TaskPhase.WAITING } }
+        val longest = waiting.filter { loop.nowMs - it.waitingSinceMs > EXPLAIN_AFTER_MS }.sortedBy { it.waitingSinceMs }
+        for (task in longest.take(MAX_EXPLAINED)) explain(task, capacities, waiting.size)
+    }
+
+    private fun explain(
+        task: TaskRun,
+        capacities: List<WorkerCapacity>,
+        waitingCount: Int,
+    ) {
+        val pool = task.stepRun.job.queue.pool
+        val inPool = driver.workers.filter { it.entry.pool == pool && it.isListed }
+        log.write(
+            "task_waits",
+            "task",
+            task.id,
+            "waitedMs",
+            loop.nowMs - task.waitingSinceMs,
+            "waitingSteps",
+            waitingCount,
+            "pool",
+            pool,
+            "account",
+            task.stepRun.job.submission.account,
+            "isAtCap",
+            isAtLimit(task),
+            "workers",
+            inPool.size,
+            "usableWorkers",
+            capacities.size,
+            "withCapacity",
+            capacities.count {
+                task.stepRun.step.occupied
+                    .fitsIn(it.free)
+            },
+            "eligible",
+            capacities.count { choice.fits(task, it, 0) },
+            "cordoned",
+            inPool.count { it.isCordoned },
+            "avoided",
+            inPool.count { loop.nowMs < it.avoidUntilMs || choice.isFailing(it) },
+            "silent",
+            inPool.count { it.consecutiveLostHolds > 0 },
+            "withOrphanedRuns",
+            inPool.count { it.orphanedRuns.isNotEmpty() },
+            "reserved",
+            capacities.count { it.isReserved },
+            "crashes",
+            task.crashedRuns.size,
+            "cpu",
+            task.stepRun.step.occupied.cpuMilli,
+            "memoryMb",
+            task.stepRun.step.occupied.memoryMb,
+            "maxPerWorker",
+            task.stepRun.step.maxPerWorker,
+        )
+    }
+
+    private companion object {
+        /** Minimum time between two explanations of waiting tasks. */
+        const val EXPLAIN_INTERVAL_MS = 1_000L
+
+        /** Wait after which a task is explained. */
+        const val EXPLAIN_AFTER_MS = 1_000L
+
+        /** Maximum number of tasks in one explanation. */
+        const val MAX_EXPLAINED = 3
+    }
+}
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
@@ -0,0 +1,120 @@
+/*
+ * Chooses the worker of a task among those of its pool: best fit, after the rules that exclude workers and the costs that rank them.
+ */
+package io.corianderrock.jobs.placement
+
+import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.state.StepRun
+import io.corianderrock.jobs.state.TaskRun
+import io.corianderrock.jobs.state.WorkerView
+
+internal class WorkerChoice(
+    private val loop: EventLoop,
+    private val runTimes: RunTimeEstimator,
+    private val packsLongRunningTasks: Boolean = false,
+) {
+    fun isFailing(worker: WorkerView): Boolean = worker.record.isAvoided(loop.nowMs)
+
+    /**
+     * Only long-running tasks are placed on failing workers, when no other has capacity: they are to run at all times. A worker on
+     * probation takes one other task at a time.
+     */
+    fun mayTake(
+        worker: WorkerView,
+        step: Step,
+    ): Boolean =
+        step.isLongRunning ||
+            !isFailing(worker) &&
+            (!worker.record.isOnProbation(loop.nowMs) || worker.runs.values.all { it.stepRun.step.isLongRunning })
+
+    /** The worker on which [task] costs least, with [planned] tasks of its gang already on some; null if it fits on none. */
+    fun cheapestWorker(
+        task: TaskRun,
+        capacities: List<WorkerCapacity>,
+        planned: Map<WorkerCapacity, Int> = emptyMap(),
+    ): WorkerCapacity? {
+        val step = task.stepRun.step
+        val racks = if (step.isRackSensitive) racksOf(task.stepRun) else emptySet()
+        val durationMs = if (runTimes.predictsEnds) runTimes.durationMs(task.stepRun) else 0.0
+        var best: WorkerCapacity? = null
+        var bestCost = Double.MAX_VALUE
+        for (capacity in capacities) {
+            if (!fits(task, capacity, planned[capacity] ?: 0)) continue
+            val cost = cost(task, step, capacity, racks, durationMs)
+            if (cost >= bestCost) continue
+            best = capacity
+            bestCost = cost
+        }
+        return best
+    }
+
+    /** True if [task] may start on the worker of [capacity] now, beside [plannedCount] more tasks of its step. */
+    fun fits(
+        task: TaskRun,
+        capacity: WorkerCapacity,
+        plannedCount: Int,
+    ): Boolean {
+        val step = task.stepRun.step
+        if (capacity.isReserved || !mayTake(capacity.worker, step)) return false
+        if (!step.occupied.fitsIn(capacity.free)) return false
+        if (step.requiredLabel != null && step.requiredLabel !in capacity.worker.entry.labels) return false
+        // A best-effort task would slow down a task with a response time target on the same worker.
+        if (step.isBestEffort && capacity.hasServingTask || step.responseTargetMs != null && capacity.hasBestEffortTask) return false
+        if (task.stepRun.job.queue.needsAdvice && capacity.worker.id !in task.stepRun.tickets) return false
+        val max = step.maxPerWorker ?: return true
+        return task.stepRun.taskCountOn(capacity.worker) + plannedCount < max
+    }
+
+    private fun cost(
+        task: TaskRun,
+        step: Step,
+        capacity: WorkerCapacity,
+        racks: Set<String>,
+        durationMs: Double,
+    ): Double {
+        val unused = capacity.free - step.occupied
+        val total = capacity.worker.entry.capacity
+        var cost = unused.cpuMilli.toDouble() / maxOf(1, total.cpuMilli) + unused.memoryMb.toDouble() / maxOf(1, total.memoryMb)
+        if (step.preferredRack != null && step.preferredRack !in capacity.worker.entry.labels) cost += REMOTE_RACK_COST
+        if (racks.isNotEmpty() &&
+            capacity.worker.entry.labels
+                .none { it in racks }
+        ) {
+            cost += REMOTE_RACK_COST
+        }
+        if (task.lastFailedWorkerId == capacity.worker.id) cost += FAILED_WORKER_COST
+        if (task.crashedRuns.isNotEmpty() && capacity.hasCrashedTask) cost += CRASHED_TOGETHER_COST
+        if (task.isCrashSuspect) cost += capacity.worker.runs.size * ENDANGERED_RUN_COST
+        if (isFailing(capacity.worker)) cost += FAILING_WORKER_COST
+        if (runTimes.predictsEnds) cost += runTimes.lateEndCost(durationMs, lastEndMs(capacity), loop.nowMs)
+        return cost
+    }
+
+    private fun lastEndMs(capacity: WorkerCapacity): Double =
+        capacity.lastEndMs ?: runTimes.lastEndMs(capacity.worker, loop.nowMs).also { capacity.lastEndMs = it }
+
+    /** Racks of the workers that run tasks of [stepRun]: their labels after the first, which is the worker's kind. */
+    private fun racksOf(stepRun: StepRun): Set<String> =
+        stepRun.tasks
+            .mapNotNull { it.worker }
+            .flatMap { it.entry.labels.drop(1) }
+            .toSet()
+
+    private companion object {
+        /** Exceeds any cost of unused capacity: a run in another rack takes 1.5 to 2 times as long. */
+        const val REMOTE_RACK_COST = 4.0
+
+        /** Exceeds any cost of unused capacity: the worker may have caused the task's last failure. */
+        const val FAILED_WORKER_COST = 3.0
+
+        /** Exceeds any cost of unused capacity: tasks that shared a crash are separated, so that another crash shows which caused it. */
+        const val CRASHED_TOGETHER_COST = 3.0
+
+        /** Exceeds any cost of unused capacity: the worker of a crash suspect may crash with all runs on it. */
+        const val ENDANGERED_RUN_COST = 3.0
+
+        /** Exceeds all other costs together: a failing worker is the last resort. */
+        const val FAILING_WORKER_COST = 20.0
+    }
+}
