Wait for preferred racks, pack long-running tasks, keep room for wide ones

A task whose rack is full ran remotely at once.

Change: RackWaits holds a task while its rack is expected to have capacity sooner than a remote run costs, never for more than 1.5 s (waitsForPreferredRack). WorkerChoice prefers workers that have a long-running task (packsLongRunningTasks). WideTaskRoom keeps the workers that have room soonest for tasks that fit nowhere (keepsRoomForWideTasks). `remoteFactor` of the platform's bounds reaches the scheduler.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -25,6 +25,8 @@
     private val order: CandidateOrder = ObjectiveOrder,
     private val startLimit: StartLimit = StartLimit { true },
     private val choice: WorkerChoice = WorkerChoice(loop, runTimes),
+    private val rackWaits: RackWaits? = null,
+    private val wideTaskRoom: WideTaskRoom? = null,
 ) {
     private val explainer = WaitExplainer(loop, registry, driver, choice, log) { !mayStartAny(it.stepRun, listOf(it)) }
 
@@ -46,9 +48,18 @@
             capacityShortageSinceMs.remove(pool)
             return
         }
-        val capacity = PoolCapacity(driver.workers.filter { it.entry.pool == pool && isUsable(it) }.map(::WorkerCapacity))
+        val capacity =
+            PoolCapacity(driver.workers.filter { it.entry.pool == pool && isUsable(it) }.map(::WorkerCapacity), loop.nowMs, runTimes)
+        rackWaits?.beginPass()
         var isShort = false
-        for (candidate in ready) if (!placeStep(candidate, capacity)) isShort = true
+        for (candidate in ready) {
+            if (placeStep(candidate, capacity)) {
+                wideTaskRoom?.onPlaced(candidate.stepRun)
+            } else {
+                isShort = true
+                wideTaskRoom?.onUnplaced(candidate.stepRun, capacity)
+            }
+        }
         if (isShort) capacityShortageSinceMs.putIfAbsent(pool, loop.nowMs) else capacityShortageSinceMs.remove(pool)
         explainer.explainWaiting(ready, capacity.workers)
     }
@@ -102,12 +113,13 @@
         val stepRun = candidate.stepRun
         // Before the search for capacity: work that a limit holds back is no shortage of capacity.
         if (!mayStartAny(stepRun, candidate.tasks)) return true
-        if (!capacity.hasRoomFor(stepRun.step.occupied)) return false
+        if (!capacity.hasRoomFor(stepRun, choice.expectedEndMs(stepRun))) return false
         val capacities = capacity.workers
         if (stepRun.job.queue.needsAdvice && !ensureTickets(stepRun, capacities)) return true
         if (stepRun.step.isGang) return placeGang(stepRun, capacities)
         for (task in candidate.tasks.filter { it.phase == TaskPhase.WAITING }) {
             if (!startLimit.mayStart(task)) return true
+            if (rackWaits?.holds(task, capacity) == true) continue
             val chosen = choice.cheapestWorker(task, capacities) ?: return false
             assign(task, chosen)
         }
@@ -157,6 +169,7 @@
         capacity.free -= step.occupied
         if (task.isCrashSuspect) capacity.isReserved = true
         capacity.lastEndMs = null
+        capacity.room?.onAssigned(task.stepRun, choice.expectedEndMs(task.stepRun))
         driver.start(task, capacity.worker)
         startLimit.onStarted(task)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
@@ -4,6 +4,7 @@
 package io.corianderrock.jobs.placement
 
 import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.StepRun
 import io.corianderrock.jobs.state.WorkerView
 
 /** The capacity of [worker] that the pass has not assigned yet. */
@@ -21,6 +22,9 @@
     /** True if a task runs here under which a worker has crashed before. */
     val hasCrashedTask: Boolean get() = worker.runs.values.any { it.crashedRuns.isNotEmpty() }
 
+    /** What is kept free here for wider tasks, for the candidates that follow theirs in the pass; null for nothing. */
+    var room: WorkerRoom? = null
+
     /** Assigned tasks are among the worker's runs at once, so these need no update during the pass. */
     val hasServingTask: Boolean get() = worker.runs.values.any { it.stepRun.step.responseTargetMs != null }
     val hasBestEffortTask: Boolean get() = worker.runs.values.any { it.stepRun.step.isBestEffort }
@@ -29,19 +33,57 @@
 /** The usable workers of one pool. Their free capacity only decreases during the pass. */
 internal class PoolCapacity(
     val workers: List<WorkerCapacity>,
+    private val nowMs: Long,
+    private val runTimes: RunTimeEstimator,
 ) {
-    /** Demands that fitted on no worker, without those that exceed another of them. */
-    private val unplaceable = ArrayList<Demand>()
+    private val byWorker by lazy(LazyThreadSafetyMode.NONE) { workers.associateBy { it.worker } }
+
+    /** True if this pass chooses all rooms for wide tasks anew. */
+    var choosesRooms: Boolean = false
+
+    private val byLabel = HashMap<String, List<WorkerCapacity>>()
+    private val outlooks = HashMap<WorkerCapacity, WorkerOutlook>()
+
+    private class Unplaceable(
+        val demand: Demand,
+        /** Loop time: tasks that end before are not refused by this. */
+        val endMs: Double,
+    ) {
+        fun covers(other: Unplaceable): Boolean = demand.fitsIn(other.demand) && endMs <= other.endMs
+    }
+
+    /** What fitted on no worker, without what is covered by another of them. */
+    private val unplaceable = ArrayList<Unplaceable>()
 
     /**
-     * True if some worker has [demand] free. In a backlog most steps fit nowhere, so what does not fit is remembered: nothing
-     * that needs at least as much fits later in the pass.
+     * True if some worker has capacity for a task of [stepRun] that ends at loop time [endMs], beside what is kept for others. In a
+     * backlog most steps fit nowhere, so what does not fit is remembered: nothing that needs at least as much fits later in the
+     * pass, as capacity only decreases and rooms are only added.
      */
-    fun hasRoomFor(demand: Demand): Boolean {
-        if (unplaceable.any { it.fitsIn(demand) }) return false
-        if (workers.any { !it.isReserved && demand.fitsIn(it.free) }) return true
-        unplaceable.removeAll { demand.fitsIn(it) }
-        unplaceable.add(demand)
+    fun hasRoomFor(
+        stepRun: StepRun,
+        endMs: Double,
+    ): Boolean {
+        val needed = Unplaceable(stepRun.step.occupied, endMs)
+        if (unplaceable.any { it.covers(needed) }) return false
+        var hasCapacity = false
+        for (worker in workers) {
+            if (worker.isReserved || !needed.demand.fitsIn(worker.free)) continue
+            hasCapacity = true
+            if (worker.room?.permits(stepRun, endMs) != false) return true
+        }
+        val refused = if (hasCapacity) needed else Unplaceable(needed.demand, Double.NEGATIVE_INFINITY)
+        unplaceable.removeAll { refused.covers(it) }
+        unplaceable.add(refused)
         return false
     }
+
+    /** The workers with [label], such as those of a rack. */
+    fun withLabel(label: String): List<WorkerCapacity> = byLabel.getOrPut(label) { workers.filter { label in it.worker.entry.labels } }
+
+    /** The capacity of [worker]; null if it is not usable in this pass. */
+    fun of(worker: WorkerView): WorkerCapacity? = byWorker[worker]
+
+    /** When capacity is expected to become free on [capacity], without what waiting tasks have claimed in this pass. */
+    fun outlookOf(capacity: WorkerCapacity): WorkerOutlook = outlooks.getOrPut(capacity) { WorkerOutlook(capacity, runTimes, nowMs) }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
@@ -54,10 +54,28 @@
         task: TaskRun,
         capacity: WorkerCapacity,
         plannedCount: Int,
+    ): Boolean {
+        if (!task.stepRun.step.occupied
+                .fitsIn(capacity.free)
+        ) {
+            return false
+        }
+        val room = capacity.room
+        if (room != null && !room.permits(task.stepRun, expectedEndMs(task.stepRun))) return false
+        return mayRunOn(task, capacity, plannedCount)
+    }
+
+    /** The loop time at which a task of [stepRun] would end if it started now. */
+    fun expectedEndMs(stepRun: StepRun): Double = loop.nowMs + runTimes.durationMs(stepRun)
+
+    /** True if the rules other than capacity let [task] start on the worker of [capacity] now. */
+    fun mayRunOn(
+        task: TaskRun,
+        capacity: WorkerCapacity,
+        plannedCount: Int,
     ): Boolean {
         val step = task.stepRun.step
         if (capacity.isReserved || !mayTake(capacity.worker, step)) return false
-        if (!step.occupied.fitsIn(capacity.free)) return false
         if (step.requiredLabel != null && step.requiredLabel !in capacity.worker.entry.labels) return false
         // A best-effort task would slow down a task with a response time target on the same worker.
         if (step.isBestEffort && capacity.hasServingTask || step.responseTargetMs != null && capacity.hasBestEffortTask) return false
@@ -87,6 +105,7 @@
         if (task.crashedRuns.isNotEmpty() && capacity.hasCrashedTask) cost += CRASHED_TOGETHER_COST
         if (task.isCrashSuspect) cost += capacity.worker.runs.size * ENDANGERED_RUN_COST
         if (isFailing(capacity.worker)) cost += FAILING_WORKER_COST
+        if (packsLongRunningTasks && !capacity.worker.hasLongRunningTask) cost += UNPINNED_WORKER_COST
         if (runTimes.predictsEnds) cost += runTimes.lateEndCost(durationMs, lastEndMs(capacity), loop.nowMs)
         return cost
     }
@@ -105,6 +124,12 @@
         /** Exceeds any cost of unused capacity: a run in another rack takes 1.5 to 2 times as long. */
         const val REMOTE_RACK_COST = 4.0
 
+        /**
+         * Exceeds any cost of unused capacity: an instance with a long-running task is not returned in any case, so that what runs
+         * there costs no further instance. A full one leaves the choice among the others to best fit.
+         */
+        const val UNPINNED_WORKER_COST = 2.5
+
         /** Exceeds any cost of unused capacity: the worker may have caused the task's last failure. */
         const val FAILED_WORKER_COST = 3.0
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -22,7 +22,10 @@
 import io.corianderrock.jobs.ownership.OwnerSighting
 import io.corianderrock.jobs.placement.ObjectiveOrder
 import io.corianderrock.jobs.placement.Placer
+import io.corianderrock.jobs.placement.RackWaits
 import io.corianderrock.jobs.placement.RunTimeEstimator
+import io.corianderrock.jobs.placement.WideTaskRoom
+import io.corianderrock.jobs.placement.WorkerChoice
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
@@ -79,7 +82,22 @@
             accountRules.admission,
         )
     private val order = accountRules.share(if (settings.ranksByRemainingGain) JobRanking(loop, gain, log) else ObjectiveOrder)
-    private val placer = Placer(loop, registry, driver, runTimes, ports.advice, log, ::mayOrder, order, accountRules.startLimit)
+    private val choice = WorkerChoice(loop, runTimes, settings.packsLongRunningTasks)
+    private val placer =
+        Placer(
+            loop = loop,
+            registry = registry,
+            driver = driver,
+            runTimes = runTimes,
+            advice = ports.advice,
+            log = log,
+            mayOrder = ::mayOrder,
+            order = order,
+            startLimit = accountRules.startLimit,
+            choice = choice,
+            rackWaits = if (settings.waitsForPreferredRack) RackWaits(loop, runTimes, choice, bounds.remoteFactor) else null,
+            wideTaskRoom = if (settings.keepsRoomForWideTasks) WideTaskRoom(loop, choice, log) else null,
+        )
     private val demand = PoolDemand(loop, registry, runTimes, accountRules.demandLimit)
     private val instanceOrders =
         InstanceOrders(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerPorts.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerPorts.kt
@@ -32,4 +32,6 @@
     val longestLeaseMs: Long = 6_000,
     /** Time over which the jobs that a client account submits are metered. */
     val accountWindowMs: Long = 5_000,
+    /** How many times as long a task runs outside its preferred rack. */
+    val remoteFactor: Double = 1.5,
 )
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -45,6 +45,9 @@
     var checkpoint: String? = null
     var startedAtMs: Long = 0
     var waitingSinceMs: Long = 0
+
+    /** Loop time since which the task waits for its preferred rack although others have capacity; earlier than [waitingSinceMs] if it does not. */
+    var heldForRackSinceMs: Long = -1
     var lastFailedWorkerId: String? = null
 
     /** True once the task has failed on more than one worker, so that its failures tell nothing of a worker. */
@@ -91,6 +94,12 @@
     private val phaseCounts = IntArray(TaskPhase.entries.size).also { it[TaskPhase.WAITING.ordinal] = step.count }
     val doneCount: Int get() = phaseCounts[TaskPhase.DONE.ordinal]
     val waitingCount: Int get() = phaseCounts[TaskPhase.WAITING.ordinal]
+
+    /** The tasks that wait. */
+    val waiting: List<TaskRun> get() = tasks.filter { it.phase == TaskPhase.WAITING }
+
+    /** Loop time since which every pass has left a task without a worker that has capacity; null after one that did not. */
+    var withoutRoomSinceMs: Long? = null
     val occupyingCount: Int get() = step.count - doneCount - waitingCount
     var tickets: Map<String, String> = emptyMap()
     var ticketsExpireAtMs: Long = 0
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -98,6 +98,10 @@
     /** Total demand of [runs]. */
     var occupied: Demand = Demand()
         private set
+    private var longRunningCount = 0
+
+    /** True while a long-running task is among [runs]: its instance becomes free only by an eviction. */
+    val hasLongRunningTask: Boolean get() = longRunningCount > 0
     val free: Demand get() = entry.capacity - occupied
 
     /** True when it is certain that nothing runs here. */
@@ -107,11 +111,13 @@
         removeRun(task.id)
         runsByTask[task.id] = task
         occupied += task.stepRun.step.occupied
+        if (task.stepRun.step.isLongRunning) longRunningCount++
     }
 
     fun removeRun(id: TaskId) {
         val task = runsByTask.remove(id) ?: return
         occupied -= task.stepRun.step.occupied
+        if (task.stepRun.step.isLongRunning) longRunningCount--
     }
 
     /** Frees the place of [task], whose run here has ended or never began. The task waits again unless it is done. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -54,6 +54,25 @@
                 violations.take(20).shouldBeEmpty()
             }
         }
+        describe("simulations with faults in which tasks wait for racks and for room") {
+            // Guards against tasks that are held although there is capacity, and against work kept off workers for good (LOST).
+            it("violate no invariant") {
+                val violations =
+                    (FIRST_SEED until FIRST_SEED + SEEDS).flatMap { seed ->
+                        JobWorld(seed, settings = PLACEMENT_SETTINGS).run().violations.map { "seed $seed: $it" }
+                    }
+                violations.take(20).shouldBeEmpty()
+            }
+            for (leaseMs in LONGEST_LEASES_MS) {
+                it("violate no invariant with many long-running tasks and leases of up to $leaseMs ms") {
+                    val violations =
+                        (1..LONG_RUNNING_SEEDS).flatMap { seed ->
+                            longRunningWorld(seed, leaseMs, PLACEMENT_SETTINGS).run().violations.map { "seed $seed: $it" }
+                        }
+                    violations.take(20).shouldBeEmpty()
+                }
+            }
+        }
         describe("simulations with many long-running tasks and workers that are lost for good") {
             for (leaseMs in LONGEST_LEASES_MS) {
                 // Guards against long-running tasks that stay away although there is capacity for them (LOST).
@@ -143,6 +162,9 @@
 
 private const val LONG_RUNNING_SEEDS = 60
 
+private val PLACEMENT_SETTINGS =
+    SchedulingSettings(waitsForPreferredRack = true, keepsRoomForWideTasks = true, packsLongRunningTasks = true)
+
 private const val ACCOUNT_SEEDS = 60
 private const val CAPS_LOWERED_AT_MS = 7_000L
 
@@ -178,7 +200,8 @@
 private fun longRunningWorld(
     seed: Int,
     longestLeaseMs: Long,
-) = JobWorld(seed, workload = Workload.LONG_RUNNING_JOBS, longestLeaseMs = longestLeaseMs)
+    settings: SchedulingSettings = SchedulingSettings(),
+) = JobWorld(seed, workload = Workload.LONG_RUNNING_JOBS, longestLeaseMs = longestLeaseMs, settings = settings)
 
 private const val SAME_FENCE = 1_000_000L
 private const val FAR_FUTURE_MS = 1_000_000_000L
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/PackingTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/PackingTest.kt
@@ -124,7 +124,7 @@
 }
 
 /** Workers that report no runs and never answer a start. */
-private class AnsweringLink(
+internal class AnsweringLink(
     private val loop: SimLoop,
 ) : WorkerLink {
     override fun start(
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -97,7 +97,7 @@
                     val activeScheduler =
                         Scheduler(
                             ports,
-                            SchedulerBounds(3_000, world.longestLeaseMs),
+                            SchedulerBounds(3_000, world.longestLeaseMs, remoteFactor = 3.0),
                             row,
                             version,
                             earlier,
@@ -386,7 +386,8 @@
         id: String,
         pool: String,
     ) {
-        instances[id] = Instance(id, pool, InstanceState.UP, "dc", listOf("kind", "rack"), CAPACITY, null)
+        val rack = if (settings.waitsForPreferredRack) "rack-${instances.size % RACK_COUNT}" else "rack"
+        instances[id] = Instance(id, pool, InstanceState.UP, "dc", listOf("kind", rack), CAPACITY, null)
         if (pool != "spare") startWorker(id)
     }
 
@@ -524,6 +525,7 @@
                         } else {
                             listOf(it - 1)
                         },
+                        preferredRack = if (settings.waitsForPreferredRack) "rack-${submissions.size % RACK_COUNT}" else null,
                     )
                 }
             }
@@ -752,6 +754,9 @@
     private companion object {
         val CAPACITY = Demand(8_000, 32_000)
 
+        /** Racks of the instances where steps prefer one. */
+        const val RACK_COUNT = 2
+
         /** Time from the start of a task that crashes its worker to the crash. */
         const val CRASH_DELAY_MS = 10L
 
