--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -61,13 +61,16 @@
         worker.processedEnd = end.number
         val task = registry.find(end.task.jobId)?.takeIf { it.isLive }?.task(end.task)
         worker.orphanedRuns.remove(end.task)
-        val current = worker.runs[end.task]
-        if (current != null && current.runNumber == end.runNumber) {
-            if (end.kind == EndKind.DONE) speeds?.onDone(worker, current, loop.nowMs - current.startedAtMs)
-            onRunEnd(EndedRun(current.stepRun, worker, loop.nowMs - current.startedAtMs, end.kind, current.isWholeRun))
+        val current = worker.runs[end.task]?.takeIf { it.runNumber == end.runNumber }
+        // Runs that this owner did not see from their beginning are at least this long.
+        val ranKey = if (current?.isWholeRun == true) "ranMs" else "ranAtLeastMs"
+        val ranMs = if (current == null) 0 else loop.nowMs - current.startedAtMs
+        if (current != null) {
+            if (end.kind == EndKind.DONE) speeds?.onDone(worker, current, ranMs)
+            onRunEnd(EndedRun(current.stepRun, worker, ranMs, end.kind, current.isWholeRun))
             worker.releaseRun(current, loop.nowMs)
         }
-        log.write("task_ended", "task", end.task, "run", end.runNumber, "worker", worker.id, "outcome", end.kind)
+        log.write("task_ended", "task", end.task, "run", end.runNumber, "worker", worker.id, "outcome", end.kind, ranKey, ranMs)
         if (task != null) recordEnd(worker, task, end)
         // After the job's progress: an ended run is acknowledged only once its effect on the job is stored.
         leaseRows.storeEnd(worker) { holds.onEndsStored(worker) }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -144,10 +144,42 @@
         val job = task.stepRun.job
         job.markStarted()
         val waitedMs = loop.nowMs - task.waitingSinceMs
-        log.write("task_started", "task", task.id, "run", task.runNumber, "worker", worker.id, "waitedMs", waitedMs)
+        logStart(worker, task, waitedMs)
         if (!job.isLive) stop(task)
     }
 
+    /** With all that run time models know of a task before it runs, so that a log is enough to replay them. */
+    private fun logStart(
+        worker: WorkerView,
+        task: TaskRun,
+        waitedMs: Long,
+    ) {
+        val submission = task.stepRun.job.submission
+        val step = task.stepRun.step
+        val isRemote = step.preferredRack != null && step.preferredRack !in worker.entry.labels
+        log.write(
+            "task_started",
+            "task",
+            task.id,
+            "run",
+            task.runNumber,
+            "worker",
+            worker.id,
+            "waitedMs",
+            waitedMs,
+            "queue",
+            submission.queue.name,
+            "account",
+            submission.account ?: "",
+            "tasks",
+            step.count,
+            "estimateMs",
+            step.estimateMs,
+            "isRemote",
+            isRemote,
+        )
+    }
+
     private fun onStartRefused(
         worker: WorkerView,
         task: TaskRun,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/RunTimeRecordsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/RunTimeRecordsTest.kt
@@ -110,6 +110,19 @@
                 reports.last() shouldContain Regex("queue q runs \\d+ medianRatio [01]\\.\\d+ beyondUpperShare 0\\.[01]\\d*")
             }
         }
+        describe("the log of a simulation") {
+            // Guards against a log that cannot be replayed: the models need what was declared and how long each run took.
+            it("has queue, account, estimate and task count with each start, and the run time with each end") {
+                val lines = ArrayList<String>()
+                JobWorld(1, traces = lines).run()
+                val starts = lines.filter { "task_started" in it }
+                starts.shouldNotBeEmpty()
+                starts.filterNot { Regex("queue \\S+ account \\S* ?tasks \\d+ estimateMs \\d+ isRemote (true|false)") in it }.shouldBeEmpty()
+                val ends = lines.filter { "task_ended" in it }
+                ends.filter { Regex("outcome DONE ranMs \\d+") in it }.shouldNotBeEmpty()
+                ends.filterNot { Regex("(ranMs|ranAtLeastMs) \\d+") in it }.shouldBeEmpty()
+            }
+        }
         describe("simulations with faults and learned run times") {
             // Guards against packing or forecasts that break a rule, and against a row that the next owner does not find.
             it("violate no invariant, and later owners load the row") {
