--- a/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/RunTimeRecordsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/RunTimeRecordsTest.kt
@@ -117,7 +117,12 @@
                 JobWorld(1, traces = lines).run()
                 val starts = lines.filter { "task_started" in it }
                 starts.shouldNotBeEmpty()
-                starts.filterNot { Regex("queue \\S+ account \\S* ?tasks \\d+ estimateMs \\d+ isRemote (true|false)") in it }.shouldBeEmpty()
+                starts
+                    .filterNot {
+                        Regex(
+                            "queue \\S+ account \\S* ?tasks \\d+ estimateMs \\d+ isRemote (true|false)",
+                        ) in it
+                    }.shouldBeEmpty()
                 val ends = lines.filter { "task_ended" in it }
                 ends.filter { Regex("outcome DONE ranMs \\d+") in it }.shouldNotBeEmpty()
                 ends.filterNot { Regex("(ranMs|ranAtLeastMs) \\d+") in it }.shouldBeEmpty()
