--- a/jobs/src/main/kotlin/io/corianderrock/jobs/configuration/ActiveConfiguration.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/configuration/ActiveConfiguration.kt
@@ -8,6 +8,8 @@
 import io.corianderrock.jobs.ports.DecisionLog
 import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.state.JobsConfiguration
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** When keys are trusted. */
 public data class KeyTrustRule(
@@ -34,6 +36,8 @@
     public var current: ConfigurationInForce? = null
         private set
 
+    private val firstKnown = CountDownLatch(1)
+
     @Volatile
     private var confirmedAtMs = NEVER
     private var feedAnsweredAtMs = loop.nowMs
@@ -47,6 +51,12 @@
     /** True while the feed from the store fails or has not answered for [FEED_SILENCE_MS]. */
     public val isFeedSilent: Boolean get() = hasFeedFailed || loop.nowMs - feedAnsweredAtMs > FEED_SILENCE_MS
 
+    /** The configuration in force; waits up to [waitMs] for the first one and returns null if there is none. Not to be called on [loop]. */
+    public fun awaitFirst(waitMs: Long): ConfigurationInForce? {
+        if (current == null) firstKnown.await(waitMs, TimeUnit.MILLISECONDS)
+        return current
+    }
+
     /** What this entry tells its peers; null while it has no configuration. */
     public fun sighting(): ConfigurationSighting? {
         val version = version ?: return null
@@ -63,6 +73,7 @@
         if (before != null && next.version <= before) return
         val inForce = ConfigurationInForce(next)
         current = inForce
+        firstKnown.countDown()
         log.write(
             "configuration_in_force",
             "version",
