--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
@@ -38,4 +38,6 @@
     val keepsRoomForWideTasks: Boolean = false,
     /** Packs long-running tasks together and other tasks beside them, so that other workers empty. */
     val packsLongRunningTasks: Boolean = false,
+    /** Serves callers from the store, or refuses their queries, when the owner does not answer in time. */
+    val bypassesSilentOwner: Boolean = false,
 )
