--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PeakForecast.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PeakForecast.kt
@@ -17,6 +17,11 @@
 
 internal class PeakForecast(
     peaks: List<DemandPeak> = emptyList(),
+    /**
+     * True to expect the next peak from the lower to the upper of two middle intervals. An outage during a peak delays its
+     * detection, so that one interval is too long; by the upper one alone the next peak is expected after it has begun.
+     */
+    private val toleratesUnevenIntervals: Boolean = false,
 ) {
     private val history = ArrayList(peaks)
 
@@ -52,8 +57,8 @@
         val present = history.lastOrNull() ?: return emptyMap()
         val ageMs = wallMs - present.startedWallMs
         if (ageMs < ONSET_MS) return mapOf(present.pool to (peakBefore(present) ?: 0.0))
-        val intervalMs = peakIntervalMs() ?: return emptyMap()
-        if (ageMs !in intervalMs - LEAD_TIME_MS..intervalMs + LATE_TOLERANCE_MS) return emptyMap()
+        val intervalsMs = peakIntervalsMs() ?: return emptyMap()
+        if (ageMs !in intervalsMs.first - LEAD_TIME_MS..intervalsMs.last + LATE_TOLERANCE_MS) return emptyMap()
         return successorsOf(present, pools).associateWith { pool -> lastPeakOf(pool) ?: medianPeak() }
     }
 
@@ -73,9 +78,12 @@
         return pools.filter { pool -> history.none { it.pool == pool } }
     }
 
-    private fun peakIntervalMs(): Long? {
+    /** The least and the greatest interval after which the next peak is expected. */
+    private fun peakIntervalsMs(): LongRange? {
         if (history.size < 2) return null
-        return median(history.zipWithNext { earlier, later -> (later.startedWallMs - earlier.startedWallMs).toDouble() }).toLong()
+        val sorted = history.zipWithNext { earlier, later -> later.startedWallMs - earlier.startedWallMs }.sorted()
+        val upper = sorted[sorted.size / 2]
+        return (if (toleratesUnevenIntervals) sorted[(sorted.size - 1) / 2] else upper)..upper
     }
 
     private fun median(values: List<Double>): Double = values.sorted()[values.size / 2]
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/PeakForecastTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/PeakForecastTest.kt
@@ -25,6 +25,13 @@
     return (peakCount - 1) * PEAK_INTERVAL_MS
 }
 
+private const val LATE_ONSET_MS = 22_000L
+
+/** Observes the peaks of three pools, the third of them at [LATE_ONSET_MS] instead of 18,000 ms. */
+private fun PeakForecast.playLatePeak() {
+    for ((pool, onsetMs) in listOf("a" to 0L, "b" to 9_000L, "c" to LATE_ONSET_MS)) observe(mapOf(pool to 10.0), onsetMs)
+}
+
 internal class PeakForecastTest :
     DescribeSpec({
         describe("before a full rotation has been observed") {
@@ -40,6 +47,20 @@
                 forecast.expected(POOLS, lastOnsetMs + PEAK_INTERVAL_MS - 1_000) shouldContainExactly mapOf("c" to 10.0, "d" to 10.0)
             }
         }
+        describe("after three peaks, the last of which was detected late because of an outage") {
+            // Guards against a forecast that comes after the peak: an outage of 4 s lengthened the last interval from 9 to 13 s.
+            it("expects the next peak after the shorter and until the longer of the two intervals") {
+                val forecast = PeakForecast(toleratesUnevenIntervals = true).apply { playLatePeak() }
+                forecast.expected(POOLS, LATE_ONSET_MS + 9_000 - 2_000) shouldContainExactly mapOf("d" to 10.0)
+                forecast.expected(POOLS, LATE_ONSET_MS + 13_000 + 1_000) shouldContainExactly mapOf("d" to 10.0)
+                forecast.expected(POOLS, LATE_ONSET_MS + 13_000 + 2_000).shouldBeEmpty()
+            }
+            it("expects it only after the longer one if uneven intervals are not tolerated") {
+                val forecast = PeakForecast().apply { playLatePeak() }
+                forecast.expected(POOLS, LATE_ONSET_MS + 9_000).shouldBeEmpty()
+                forecast.expected(POOLS, LATE_ONSET_MS + 13_000) shouldContainExactly mapOf("d" to 10.0)
+            }
+        }
         describe("after a full rotation") {
             it("expects only the next pool, early enough to move instances") {
                 val forecast = PeakForecast()
