Estimate arrivals at a takeover from the inherited jobs

After a takeover in a peak the arrival rate of a pool fell from 103 to 8 instances and its need from 137 to 97, until a second later 186 were wanted. The jobs in progress, each by its remaining work over its duration, now give the rate. Optional, off by default.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/ArrivalRate.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/ArrivalRate.kt
@@ -22,6 +22,15 @@
             atMs = nowMs
         }
 
+        /** Adds arrivals that have been going on at [steadyRate] for longer than the window. */
+        fun addSteady(
+            steadyRate: Double,
+            nowMs: Long,
+        ) {
+            rate = at(nowMs) + steadyRate
+            atMs = nowMs
+        }
+
         fun at(nowMs: Long): Double = rate * exp((atMs - nowMs) / windowMs)
     }
 
@@ -43,6 +52,17 @@
         squares.add(work * work, nowMs)
     }
 
+    /** Adds one of the jobs that are in progress at [nowMs]: [work] arrived about [inProgressMs] apart, at a rate that did not change. */
+    fun addInProgress(
+        work: Double,
+        inProgressMs: Double,
+        nowMs: Long,
+    ) {
+        if (inProgressMs <= 0) return
+        for (average in listOf(present, quick, slow)) average.addSteady(work / inProgressMs, nowMs)
+        squares.addSteady(work * work / inProgressMs, nowMs)
+    }
+
     /** The current rate. */
     fun at(nowMs: Long): Double = present.at(nowMs)
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -47,13 +47,34 @@
     private val registry: JobRegistry,
     private val runTimes: RunTimeEstimator,
     private val limit: DemandLimit = object : DemandLimit {},
+    /**
+     * True to estimate the arrival rate at the start of a term from the inherited jobs. Otherwise a new owner takes a peak for
+     * the end of one until it has seen arrivals for about a second.
+     */
+    private val estimatesInheritedDemand: Boolean = false,
 ) {
     private val arrivals = HashMap<String, ArrivalRate>()
 
     /** Adds the work of a newly accepted job to the arrival rate of its pool. */
     fun onAccepted(job: JobRun) {
-        if (job.isLongRunning || job.isInherited || !limit.isForecast(job)) return
-        arrivals.getOrPut(job.queue.pool) { ArrivalRate() }.add(runTimes.remainingCoreMs(job), loop.nowMs)
+        if (job.isLongRunning || !limit.isForecast(job)) return
+        if (job.isInherited && !estimatesInheritedDemand) return
+        val rate = arrivals.getOrPut(job.queue.pool) { ArrivalRate() }
+        val work = runTimes.remainingCoreMs(job)
+        // By Little's law, the jobs in progress divided by the time that each takes. The remaining work counts, not the whole: a job
+        // of which only a straggler is left has been in progress for several times that time.
+        if (job.isInherited) rate.addInProgress(work, chainMs(job), loop.nowMs) else rate.add(work, loop.nowMs)
+    }
+
+    /** The expected duration of [job] along its longest chain of steps. */
+    private fun chainMs(job: JobRun): Double {
+        val steps =
+            job.occurrences.values
+                .lastOrNull()
+                ?.steps ?: return 0.0
+        val endsMs = DoubleArray(steps.size)
+        for (run in steps) endsMs[run.number] = (run.step.after.maxOfOrNull { endsMs[it] } ?: 0.0) + runTimes.expectedMs(run)
+        return endsMs.maxOrNull() ?: 0.0
     }
 
     /** Returns the need of each pool with live jobs or earlier arrivals. [capacity] gives the capacity of one instance of a pool. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/ArrivalRateTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/ArrivalRateTest.kt
@@ -48,6 +48,9 @@
 
 private const val LARGE_JOB_CORE_MS = 300_000.0
 private const val SMALL_JOB_COUNT = 100
+private const val JOBS_IN_PROGRESS = 100
+private const val SMALL_JOB_CORE_MS = 12_000.0
+private const val JOB_MS = 1_500.0
 
 internal class ArrivalRateTest :
     DescribeSpec({
@@ -80,6 +83,20 @@
                 rate.extrapolate(20_000) shouldBe (100.0 plusOrMinus 10.0)
             }
         }
+        describe("jobs in progress at a takeover in a peak") {
+            // Guards against a new owner that takes the middle of a peak for its end and orders nothing for a second.
+            it("give the rate at which they arrived, without a rise") {
+                val rate = ArrivalRate()
+                repeat(JOBS_IN_PROGRESS) { rate.addInProgress(SMALL_JOB_CORE_MS, JOB_MS, 0) }
+                rate.at(0) shouldBe (JOBS_IN_PROGRESS * SMALL_JOB_CORE_MS / JOB_MS plusOrMinus 1.0)
+                rate.extrapolate(0) shouldBe (rate.at(0) plusOrMinus 1.0)
+            }
+            it("count less and less if nothing arrives any more") {
+                val rate = ArrivalRate()
+                repeat(JOBS_IN_PROGRESS) { rate.addInProgress(SMALL_JOB_CORE_MS, JOB_MS, 0) }
+                rate.at(3_000) shouldBeLessThan rate.at(0) / 10
+            }
+        }
         describe("falling demand") {
             it("is not extrapolated below the current rate, since queued work must still be served") {
                 val rate = ArrivalRate()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/FleetSharingTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/FleetSharingTest.kt
@@ -64,6 +64,22 @@
                 countBeforeDeadline shouldBeGreaterThan 10
                 countAfterDeadline shouldBeLessThan 2
             }
+            // Guards against an owner that takes over in a peak and counts only running and waiting tasks until new jobs have arrived.
+            it("includes the arrivals that inherited jobs tell of, where this is switched on") {
+                fun arrivingInstances(estimatesInheritedDemand: Boolean): Double {
+                    val loop = SimLoop(SimTime())
+                    val committer = Committer(loop, SilentTables, { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
+                    val registry = JobRegistry(loop, committer, { _, _ -> })
+                    val runTimes = RunTimeEstimator(MeanRunTimes())
+                    val demand = PoolDemand(loop, registry, runTimes, estimatesInheritedDemand = estimatesInheritedDemand)
+                    registry.onAccepted = demand::onAccepted
+                    repeat(30) { number -> registry.load(wideJob("job$number"), progress = null, isInherited = true) }
+                    return demand.needs { CAPACITY }.getValue("pool").arrivingInstances
+                }
+                arrivingInstances(estimatesInheritedDemand = false) shouldBe 0.0
+                // 30 jobs of 8 tasks on 3.8 cores each are in progress at once, with 32 cores to an instance.
+                arrivingInstances(estimatesInheritedDemand = true) shouldBeGreaterThan 25.0
+            }
         }
     })
 
