--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -100,7 +100,7 @@
             rackWaits = if (settings.waitsForPreferredRack) RackWaits(loop, runTimes, choice, bounds.remoteFactor) else null,
             wideTaskRoom = if (settings.keepsRoomForWideTasks) WideTaskRoom(loop, choice, log) else null,
         )
-    private val demand = PoolDemand(loop, registry, runTimes, accountRules.demandLimit)
+    private val demand = PoolDemand(loop, registry, runTimes, accountRules.demandLimit, settings.estimatesInheritedDemand)
     private val instanceOrders =
         InstanceOrders(
             loop = loop,
@@ -124,6 +124,7 @@
             capacityShortageMs = ::capacityShortageMs,
             configuration = ports.configuration,
             mayOrder = ::mayOrderInstances,
+            settings = settings,
         )
     private val waveDriver = WaveDriver(loop, fleet, ports.tables, committer, log, ports.waves)
     private val storedTables =
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
@@ -40,4 +40,10 @@
     val packsLongRunningTasks: Boolean = false,
     /** Serves callers from the store, or refuses their queries, when the owner does not answer in time. */
     val bypassesSilentOwner: Boolean = false,
+    /** Cordons instances soon after the demand of their pool has fallen, and keeps them for the next pool for a while. */
+    val drainsSurplusEarly: Boolean = false,
+    /** A new owner estimates the demand of each pool from the jobs that it inherits. */
+    val estimatesInheritedDemand: Boolean = false,
+    /** Expects a demand peak over a range of times when the intervals between peaks differ. */
+    val toleratesUnevenIntervals: Boolean = false,
 )
