Replay recorded runs in the comparison of run time models

RunTimeComparisonKt takes logs as arguments, learns on the first half of their events and judges the steps that begin later. The table has a column for the expected work of the judged steps as a share of the true one.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/RunTimeComparison.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/RunTimeComparison.kt
@@ -1,9 +1,10 @@
 /*
- * Compares ways of predicting run times on synthetic runs: learns on the first half of them and judges on the second. Prints
- * the table of docs/design/learned-run-times.md.
+ * Compares ways of predicting run times on synthetic runs, or on those of the logs given as arguments: learns on the first half of
+ * them and judges on the second. Prints the tables of docs/design/learned-run-times.md.
  */
 package io.corianderrock.jobs.runtimes
 
+import java.io.File
 import kotlin.math.abs
 
 /** Errors in logarithms: of the median against the true median of the step, before its tasks ran and when half of them had ended. */
@@ -16,7 +17,12 @@
     val beyondUpper: Double,
     /** The same once half of the siblings had ended, of a new task of the step. */
     val beyondUpperAtHalf: Double,
-)
+    /** Expected work of the judged steps before they began, by means, as a share of the true work. */
+    val workRatio: Double,
+) {
+    override fun toString(): String =
+        listOf(atStart, atHalf, upperLoss, beyondUpper, beyondUpperAtHalf, workRatio).joinToString(" | ") { "%.3f".format(it) }
+}
 
 internal fun compare(
     model: RunTimeModel,
@@ -30,12 +36,15 @@
     var beyond = 0
     var beyondAtHalf = 0
     var count = 0
+    var expectedMs = 0.0
+    var ranMs = 0.0
     repeat(jobCount) {
         val (job, bases) = runs.job()
         for (step in stepsOf(job)) {
             val baseMs = bases[step.number]
             atStart.add(abs(logRatio(model.quantileMs(step, 0.5), baseMs)))
             val upperMs = model.quantileMs(step, 0.9)
+            expectedMs += model.expectedMs(step) * step.step.count
             start(step)
             val durations =
                 step.tasks.indices
@@ -51,11 +60,19 @@
                 loss += if (tooShort > 0) 0.9 * tooShort else -0.1 * tooShort
                 if (tooShort > 0) beyond++
                 count++
+                ranMs += run.second
                 end(model, step, run.first, run.second)
             }
         }
     }
-    return RunTimeErrors(atStart.average(), atHalf.average(), loss / count, beyond.toDouble() / count, beyondAtHalf.toDouble() / count)
+    return RunTimeErrors(
+        atStart.average(),
+        atHalf.average(),
+        loss / count,
+        beyond.toDouble() / count,
+        beyondAtHalf.toDouble() / count,
+        expectedMs / ranMs,
+    )
 }
 
 internal val WAYS: Map<String, () -> RunTimeModel> =
@@ -68,15 +85,17 @@
         "regression and siblings" to { LearnedRunTimes() },
     )
 
+/** Arguments are logs to replay; without any, the synthetic runs are compared. */
 public fun main(args: Array<String>) {
-    val windows = args.associate { life -> "both, half-life $life" to { LearnedRunTimes(LearningOptions(halfLifeRuns = life.toDouble())) } }
-    println("| estimate error | way | median at start | median at half | loss of 0.9 | beyond 0.9 | beyond 0.9 at half |")
-    println("| --- | --- | --- | --- | --- | --- | --- |")
+    println("| runs | way | median at start | median at half | loss of 0.9 | beyond 0.9 | beyond 0.9 at half | work |")
+    println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for (file in args.map(::File)) {
+        val runs = file.useLines(block = ::RecordedRuns)
+        println("${file.name}: ${runs.doneCount} runs")
+        for ((way, model) in WAYS) println("| ${file.name} | $way | ${runs.compare(model())} |")
+    }
+    if (args.isNotEmpty()) return
     for (error in listOf(0.2, 0.5, 0.9)) {
-        for ((way, model) in WAYS + windows) {
-            val e = compare(model(), SyntheticRuns(seed = 1, estimateError = error))
-            val figures = listOf(e.atStart, e.atHalf, e.upperLoss, e.beyondUpper, e.beyondUpperAtHalf)
-            println("| $error | $way | ${figures.joinToString(" | ") { "%.3f".format(it) }} |")
-        }
+        for ((way, model) in WAYS) println("| $error | $way | ${compare(model(), SyntheticRuns(seed = 1, estimateError = error))} |")
     }
 }
