Measure run times by the clock of the worker

A run time was the owner's time from the order to the report, so that runs which ended while the owner was frozen passed for longer work. It is now the worker's clock from the answer to the start to the list that reports the end; a run whose end lies in more than 200 ms without a watch counts as at least as long as it was last seen running. MeanRunTimes and WorkerSpeeds keep the owner's time.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -44,7 +44,8 @@
         lists.ended
             .filter { it.number > worker.processedEnd }
             .sortedBy { it.number }
-            .forEach { onRunEnded(worker, it) }
+            .forEach { onRunEnded(worker, it, RunClock(worker.listedClockMs, lists.workerClockMs, loop.nowMs - sentAtMs)) }
+        worker.listedClockMs = lists.workerClockMs
         lists.running.forEach { onRunningRow(worker, it) }
         completeStops(worker, sentAtMs, lists)
         worker.acknowledgedEnd = maxOf(worker.acknowledgedEnd, order.acknowledgedEnd)
@@ -57,19 +58,21 @@
     private fun onRunEnded(
         worker: WorkerView,
         end: EndRow,
+        clock: RunClock,
     ) {
         worker.processedEnd = end.number
         val task = registry.find(end.task.jobId)?.takeIf { it.isLive }?.task(end.task)
         worker.orphanedRuns.remove(end.task)
         val current = worker.runs[end.task]?.takeIf { it.runNumber == end.runNumber }
-        // Runs that this owner did not see from their beginning are at least this long.
-        val ranKey = if (current?.isWholeRun == true) "ranMs" else "ranAtLeastMs"
-        val ranMs = if (current == null) 0 else loop.nowMs - current.startedAtMs
-        if (current != null) {
-            if (end.kind == EndKind.DONE) speeds?.onDone(worker, current, ranMs)
-            onRunEnd(EndedRun(current.stepRun, worker, ranMs, end.kind, current.isWholeRun))
+        val ended = current?.let { clock.endedRun(it, worker, end.kind, loop.nowMs) }
+        if (current != null && ended != null) {
+            if (end.kind == EndKind.DONE) speeds?.onDone(worker, current, ended.occupiedMs)
+            onRunEnd(ended)
             worker.releaseRun(current, loop.nowMs)
         }
+        // Runs that this owner did not see from beginning to end are at least this long.
+        val ranKey = if (ended?.isWhole == true) "ranMs" else "ranAtLeastMs"
+        val ranMs = ended?.tookMs ?: 0
         log.write("task_ended", "task", end.task, "run", end.runNumber, "worker", worker.id, "outcome", end.kind, ranKey, ranMs)
         if (task != null) recordEnd(worker, task, end)
         // After the job's progress: an ended run is acknowledged only once its effect on the job is stored.
@@ -161,6 +164,7 @@
         task.runNumber = row.runNumber
         task.lastRunNumber = maxOf(task.lastRunNumber, row.runNumber)
         task.startedAtMs = loop.nowMs
+        task.startedClockMs = null
         task.isWholeRun = false
         worker.addRun(task)
         task.stepRun.job.markStarted()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -41,6 +41,7 @@
         task.lastRunNumber = maxOf(task.lastRunNumber + 1, (context.epoch - 1) * RUNS_PER_EPOCH + 1)
         task.runNumber = task.lastRunNumber
         task.startedAtMs = loop.nowMs
+        task.startedClockMs = null
         task.isWholeRun = task.checkpoint == null
         task.isAtWork = false
         worker.addRun(task)
@@ -124,7 +125,10 @@
         sentAtMs: Long,
         answer: WorkerAnswer,
     ) {
-        if (task.worker !== worker || task.runNumber != runNumber || task.phase != TaskPhase.STARTING) return
+        if (task.worker !== worker || task.runNumber != runNumber) return
+        // Also if a list has shown the run before.
+        if (answer is WorkerAnswer.Done) task.startedClockMs = answer.workerClockMs
+        if (task.phase != TaskPhase.STARTING) return
         when (answer) {
             is WorkerAnswer.Done -> onStarted(worker, task, answer.workerClockMs)
             is WorkerAnswer.Refused -> onStartRefused(worker, task, answer)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeModel.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeModel.kt
@@ -8,16 +8,18 @@
 import io.corianderrock.jobs.state.WorkerView
 
 /**
- * A run that has ended [tookMs] milliseconds after its start was ordered. Runs that did not end [EndKind.DONE], and those that were
- * not observed as a [isWhole] run, are censored: the whole run time of the task is at least [tookMs].
+ * A run that took [tookMs] milliseconds. Runs that did not end [EndKind.DONE], and those that were not observed as a [isWhole] run, are
+ * censored: the whole run time of the task is at least [tookMs].
  */
 internal data class EndedRun(
     val stepRun: StepRun,
     val worker: WorkerView,
     val tookMs: Long,
     val kind: EndKind,
-    /** False if the run continued from a checkpoint or was started by an earlier owner. */
+    /** False if the run continued from a checkpoint, was started by an earlier owner, or ended while the worker was not watched. */
     val isWhole: Boolean = true,
+    /** Time from the order to the report, with the delays of both. */
+    val occupiedMs: Long = tookMs,
 )
 
 /** Predicts how long one task of a step runs. */
@@ -48,9 +50,9 @@
 
     override fun observe(run: EndedRun) {
         if (run.kind != EndKind.DONE) return
-        val mean = meanByQueue.getOrPut(run.stepRun.job.queue.name) { Mean(run.tookMs.toDouble(), 0) }
+        val mean = meanByQueue.getOrPut(run.stepRun.job.queue.name) { Mean(run.occupiedMs.toDouble(), 0) }
         mean.sampleCount++
-        mean.valueMs += (run.tookMs - mean.valueMs) / minOf(mean.sampleCount, MEAN_WINDOW_RUNS)
+        mean.valueMs += (run.occupiedMs - mean.valueMs) / minOf(mean.sampleCount, MEAN_WINDOW_RUNS)
     }
 
     override fun expectedMs(stepRun: StepRun): Double {
@@ -59,7 +61,8 @@
         return maxOf(stepRun.step.estimateMs, MIN_ESTIMATE_MS).toDouble()
     }
 
-    override fun sampleCount(stepRun: StepRun): Int = meanByQueue[stepRun.job.queue.name]?.sampleCount ?: 0
+    override fun sampleCount(stepRun: StepRun): Int =
+        meanByQueue[stepRun.job.queue.name]?.sampleCount?.takeIf { it >= MIN_SAMPLE_COUNT } ?: 0
 
     /** Knows no spread: every quantile is the mean. */
     override fun quantileMs(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -44,6 +44,9 @@
     val isCrashSuspect: Boolean get() = crashedRuns.size >= CRASHES_BEFORE_ISOLATION
     var checkpoint: String? = null
     var startedAtMs: Long = 0
+
+    /** Reading of the worker's clock when it had started the current run; null if its answer has not come. */
+    var startedClockMs: Long? = null
     var waitingSinceMs: Long = 0
     var lastFailedWorkerId: String? = null
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -61,6 +61,9 @@
     /** Number of the last stored end that the worker knows to be stored, so that it need not report it again. */
     var acknowledgedEnd: Long = 0
 
+    /** Reading of the worker's clock when it last reported its running and ended runs. */
+    var listedClockMs: Long = 0
+
     /** Loop time at which the worker last reported its running and ended runs. */
     var lastReportedAtMs: Long = 0
 
@@ -147,6 +150,7 @@
         this.bornWallMs = bornWallMs
         registeredAtMs = nowMs
         listsWithoutWorker = 0
+        listedClockMs = 0
         processedEnd = 0
         storingEnd = 0
         storedEnd = 0
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -230,6 +230,8 @@
     private val accounts: Map<String, ClientAccount>? = null,
     /** False to hide the accounts from the scheduler, which shows that the checks depend on its rules. */
     private val enforcesAccounts: Boolean = true,
+    /** True to let workers answer holds as soon as a run ends, as real ones do, also while the entry that asked is frozen. */
+    val workersPollThemselves: Boolean = false,
 ) {
     val random = Random(seed)
     val time = SimTime()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -188,6 +188,15 @@
         val sent = world.tampering.hold(entry.id, order)
         if (sent.waitMs == 0) {
             send(entry, { world.tampering.holdAnswer(entry.id, it.hold(sent)) }, onAnswer)
+        } else if (world.workersPollThemselves) {
+            var isAnswered = false
+            val onFirstAnswer = { answer: WorkerAnswer ->
+                if (!isAnswered) onAnswer(answer)
+                isAnswered = true
+            }
+            send(entry, { worker ->
+                worker.hold(sent).also { if (it is WorkerAnswer.Listed) longPoll(entry, sent, onFirstAnswer) }
+            }, onAnswer = { if (it !is WorkerAnswer.Listed) onFirstAnswer(it) })
         } else {
             send(entry, { it.hold(sent) }, onAnswer = { first ->
                 if (first is WorkerAnswer.Listed) longPoll(entry, sent, onAnswer) else onAnswer(first)
@@ -204,7 +213,8 @@
         val worker = world.worker(target.id)
         val isDue = worker == null || !canReach(worker) || waitedMs >= order.waitMs || worker.hasEndAfter(order.acknowledgedEnd)
         if (!isDue) {
-            entry.loop.after(POLL_MS) { longPoll(target, order, onAnswer, waitedMs + POLL_MS.toInt()) }
+            val poll = { longPoll(target, order, onAnswer, waitedMs + POLL_MS.toInt()) }
+            if (world.workersPollThemselves) world.time.after(POLL_MS, poll) else entry.loop.after(POLL_MS, poll)
             return
         }
         send(target, { world.tampering.holdAnswer(target.id, it.hold(order.copy(expiresAtWorkerMs = null))) }, onAnswer)
