Limit runs cut short all at once, show estimates of jobs, and keep predictions

- After a mass cancellation the median rose to 2.7 times (LearnedRunTimesTest, 1.00 in logarithms): at most 6 cut runs in a row enter a window, and one for each run that ends.
- Runs on workers that were found slow are left out of a window until the factor of the worker is known.
- job_ended has the estimate used, the runs behind it, their age, and expected and true mean run times.
- Predictions are kept until a run of the step, a step of the job or the window changes; RemainingGain makes one prediction for a running step instead of two for each of its tasks.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/contention/RemainingGain.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/contention/RemainingGain.kt
@@ -57,16 +57,28 @@
         when {
             run.isDone -> 0.0
             run.waitingCount > 0 -> model.expectedMs(run)
-            else -> run.tasks.maxOf { if (it.phase == TaskPhase.DONE) 0.0 else remainingMs(run, loop.nowMs - it.startedAtMs) }
+            else -> runningMs(run)
         }
 
-    /** A task that has run longer than expected is taken for one of the slowest in a hundred. */
-    private fun remainingMs(
-        run: StepRun,
-        elapsedMs: Long,
-    ): Double {
+    /** The time to the end of the last task of [run]. One that has run longer than expected is taken for one of the slowest in a hundred. */
+    private fun runningMs(run: StepRun): Double {
+        // One prediction for the step, since it is made for each job in each placement pass.
         val expectedMs = model.expectedMs(run)
-        return maxOf(0.0, (if (elapsedMs < expectedMs) expectedMs else model.quantileMs(run, SLOWEST_QUANTILE)) - elapsedMs)
+        var shortestMs = Double.MAX_VALUE
+        var shortestOverdueMs = Double.MAX_VALUE
+        for (task in run.tasks) {
+            if (task.phase == TaskPhase.DONE) continue
+            val elapsedMs = (loop.nowMs - task.startedAtMs).toDouble()
+            if (elapsedMs <
+                expectedMs
+            ) {
+                shortestMs = minOf(shortestMs, elapsedMs)
+            } else {
+                shortestOverdueMs = minOf(shortestOverdueMs, elapsedMs)
+            }
+        }
+        val overdueMs = if (shortestOverdueMs == Double.MAX_VALUE) 0.0 else model.quantileMs(run, SLOWEST_QUANTILE) - shortestOverdueMs
+        return maxOf(0.0, if (shortestMs == Double.MAX_VALUE) 0.0 else expectedMs - shortestMs, overdueMs)
     }
 
     private fun hasBegun(job: JobRun): Boolean = job.occurrences.values.any { it.steps.any { run -> run.waitingCount < run.step.count } }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -222,7 +222,34 @@
 
     private fun logEnd(job: JobRun) {
         val tookMs = loop.nowMs - job.acceptedAtMs
-        log.write("job_ended", "job", job.id, "queue", job.queue.name, "state", job.state, "tookMs", tookMs)
+        val forecasts = job.occurrences.values.flatMap { occurrence -> occurrence.steps.mapNotNull { it.forecast } }
+        val endedCount = forecasts.sumOf { it.endedCount }
+        if (endedCount == 0) {
+            log.write("job_ended", "job", job.id, "queue", job.queue.name, "state", job.state, "tookMs", tookMs)
+            return
+        }
+        val first = forecasts.first()
+        log.write(
+            "job_ended",
+            "job",
+            job.id,
+            "queue",
+            job.queue.name,
+            "state",
+            job.state,
+            "tookMs",
+            tookMs,
+            "estimate",
+            first.source,
+            "samples",
+            first.sampleCount,
+            "sampleAgeMs",
+            first.sampleAgeMs ?: "",
+            "estimateMs",
+            (forecasts.sumOf { it.meanMs * it.endedCount } / endedCount).toLong(),
+            "ranMs",
+            forecasts.sumOf { it.ranMs } / endedCount,
+        )
     }
 
     private fun storeProgress(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/LearnedRunTimes.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/LearnedRunTimes.kt
@@ -17,6 +17,20 @@
     val name: String,
     val window: RunTimeWindow,
 ) {
+    private var cutCredit = MAX_CUT_CREDIT
+
+    /** Called for each run that has ended by itself. */
+    fun addCutCredit() {
+        cutCredit = minOf(cutCredit + CUTS_PER_ENDED_RUN, MAX_CUT_CREDIT)
+    }
+
+    /** True if another run that was cut short may enter the window. */
+    fun takeCutCredit(): Boolean {
+        if (cutCredit < 1) return false
+        cutCredit--
+        return true
+    }
+
     /** Standard deviation between the tasks of a step, in logarithms. */
     var taskSpread: Double = DEFAULT_TASK_SPREAD
         private set
@@ -50,6 +64,15 @@
     }
 
     private companion object {
+        /**
+         * Runs cut short that may follow one another. Those of work that is often cut short come among runs that end; a mass cancellation
+         * ends all at once, and the runs that would tell how long they would have taken are never seen.
+         */
+        const val MAX_CUT_CREDIT = 6
+
+        /** Up to half of the window may be runs that were cut short. */
+        const val CUTS_PER_ENDED_RUN = 1
+
         /** Pull of the slope, as a sum of squares: about eight jobs that deviate by half a unit. */
         const val CORRELATION_RIDGE = 2.0
         const val CORRELATION_CLIP = 1.5
@@ -97,9 +120,27 @@
 
     override fun expectedMs(stepRun: StepRun): Double {
         val state = stateOf(stepRun)
+        refreshPrediction(stepRun, state)
+        return state.predictedMeanMs
+    }
+
+    /**
+     * Predictions are kept until a run of the step has ended, a step of its job, or the window of its queue is summarized anew:
+     * placement passes ask for those of all waiting steps, far more often than runs end.
+     */
+    private fun refreshPrediction(
+        stepRun: StepRun,
+        state: StepRunTimes,
+    ) {
+        val window = state.queue.window
+        val jobSteps = stepRun.job.runTimes?.endedCount ?: 0
+        val from = (window.refreshCount.toLong() shl REFRESH_SHIFT) + (state.endedCount.toLong() shl STEPS_SHIFT) + jobSteps
+        if (window.size > 0 && state.predictedFrom == from) return
+        state.predictedFrom = from
+        state.predictedLog = predictLog(stepRun, state)
         // What is known of the step narrows the spread, and with it how far the mean lies above the median.
         val narrowing = spreadFactor(state) * spreadFactor(state)
-        return exp(predictLog(stepRun, state)) * (1 + (state.queue.window.meanFactor - 1) * narrowing)
+        state.predictedMeanMs = exp(state.predictedLog) * (1 + (window.meanFactor - 1) * narrowing)
     }
 
     override fun quantileMs(
@@ -107,7 +148,8 @@
         quantile: Double,
     ): Double {
         val state = stateOf(stepRun)
-        val median = predictLog(stepRun, state)
+        refreshPrediction(stepRun, state)
+        val median = state.predictedLog
         if (quantile == MEDIAN) return exp(median)
         return exp(median + spreadFactor(state) * state.queue.window.offset(quantile))
     }
@@ -129,6 +171,16 @@
         }
         // A run cut short early tells nothing, and a worker that fails all it starts would fill the window with such runs.
         if (isCut && tookLog < prior + state.queue.window.offset(EARLY_QUANTILE)) return
+        if (isCut && !state.queue.takeCutCredit()) {
+            state.addCut()
+            return
+        }
+        // The factor of a worker that was found slow is known only after some runs; until then its runs tell nothing of the work.
+        if (run.worker.record.isAvoidedAsSlow && !slowWorkers.isKnown(run.worker)) {
+            if (!isCut) slowWorkers.add(run.worker, tookLog - predictLog(stepRun, state))
+            return
+        }
+        if (!isCut) state.queue.addCutCredit()
         if (!isCut) slowWorkers.add(run.worker, tookLog - predictLog(stepRun, state))
         tookLog = maxOf(0.0, tookLog - slowWorkers.offset(run.worker))
         state.queue.window.add(
@@ -278,6 +330,10 @@
         const val REMOTE_LEARNING_RATE = 0.03
         const val MEDIAN = 0.5
 
+        /** Room for the 20,000 tasks of a step and for 65,536 steps of a job in the origin of a prediction. */
+        const val STEPS_SHIFT = 16
+        const val REFRESH_SHIFT = 32
+
         /** Few runs end before this quantile, so that leaving out what was cut short before it biases nothing. */
         const val EARLY_QUANTILE = 0.2
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeRecords.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeRecords.kt
@@ -29,6 +29,7 @@
     }
 
     private val learned = model as? LearnedRunTimes
+    private val lastEndByQueue = boundedMap<String, Long>(MAX_QUEUES)
     private val accuracyByQueue = LinkedHashMap<String, Accuracy>()
     private var storedAtMs = loop.nowMs
     private var loggedAtMs = Long.MIN_VALUE / 2
@@ -37,18 +38,34 @@
     fun observe(run: EndedRun) {
         if (!run.stepRun.step.isLongRunning) {
             val forecast = run.stepRun.forecast ?: forecastOf(run).also { run.stepRun.forecast = it }
-            if (run.kind == EndKind.DONE && run.isWhole) judge(run, forecast)
+            if (run.kind == EndKind.DONE && run.isWhole) {
+                forecast.add(run.tookMs)
+                judge(run, forecast)
+                lastEndByQueue[run.stepRun.job.queue.name] = loop.nowMs
+            }
         }
         model.observe(run)
         storeIfDue()
     }
 
-    private fun forecastOf(run: EndedRun) =
-        RunForecast(
+    private fun forecastOf(run: EndedRun): RunForecast {
+        val sampleCount = model.sampleCount(run.stepRun)
+        return RunForecast(
             medianMs = model.quantileMs(run.stepRun, MEDIAN),
             upperMs = model.quantileMs(run.stepRun, UPPER_QUANTILE),
-            sampleCount = model.sampleCount(run.stepRun),
+            sampleCount = sampleCount,
+            source =
+                if (sampleCount == 0) {
+                    "declared"
+                } else if (learned != null) {
+                    "learned"
+                } else {
+                    "mean"
+                },
+            meanMs = model.expectedMs(run.stepRun),
+            sampleAgeMs = lastEndByQueue[run.stepRun.job.queue.name]?.let { loop.nowMs - it },
         )
+    }
 
     private fun judge(
         run: EndedRun,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeWindow.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/RunTimeWindow.kt
@@ -36,6 +36,10 @@
     var size: Int = 0
         private set
 
+    /** Number of times that the summaries have been recomputed. */
+    var refreshCount: Int = 0
+        private set
+
     /** Median run time at the mean declared estimate [declaredMean]. */
     var medianLog: Double = 0.0
         private set
@@ -103,6 +107,7 @@
 
     private fun refresh() {
         addedSinceRefresh = 0
+        refreshCount++
         weigh()
         fitSlope()
         sortResiduals()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/SlowWorkerOffsets.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/SlowWorkerOffsets.kt
@@ -34,6 +34,10 @@
         deviation.mean += (clipped - deviation.mean) / minOf(deviation.count, MEMORY_RUNS)
     }
 
+    /** True once enough runs have ended on [worker] to tell its [offset]. */
+    fun isKnown(worker: WorkerView): Boolean =
+        deviations[worker.id]?.let { it.bornWallMs == worker.bornWallMs && it.count >= MIN_RUNS } ?: false
+
     /** How much longer runs take on [worker], in logarithms; 0 unless it is clearly slower than the others. */
     fun offset(worker: WorkerView): Double {
         val deviation = deviations[worker.id]?.takeIf { it.bornWallMs == worker.bornWallMs && it.count >= MIN_RUNS } ?: return 0.0
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/StepRunTimes.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runtimes/StepRunTimes.kt
@@ -11,7 +11,24 @@
     val medianMs: Double,
     val upperMs: Double,
     val sampleCount: Int,
-)
+    /** Where the expectation comes from: `learned`, `mean`, or `declared`, also before anything is learned. */
+    val source: String,
+    /** Mean run time that was expected. */
+    val meanMs: Double,
+    /** Time since the last run of the queue had ended when this was expected; null if none had. */
+    val sampleAgeMs: Long?,
+) {
+    /** Number and total run time of the tasks of the step that have ended since and were seen from beginning to end. */
+    var endedCount: Int = 0
+        private set
+    var ranMs: Long = 0
+        private set
+
+    fun add(tookMs: Long) {
+        endedCount++
+        ranMs += tookMs
+    }
+}
 
 /** The ended runs of one step, of [queue] and [group]. */
 internal class StepRunTimes(
@@ -24,6 +41,11 @@
         private set
     var endedCount: Int = 0
         private set
+
+    /** The last prediction, and what it was made from; see [LearnedRunTimes]. */
+    var predictedLog: Double = 0.0
+    var predictedMeanMs: Double = 0.0
+    var predictedFrom: Long = -1
     private var cutCount = 0
     private var tookMean = 0.0
     private var tookSquares = 0.0
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/LearnedRunTimesTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/LearnedRunTimesTest.kt
@@ -5,6 +5,7 @@
 
 import io.corianderrock.jobs.ports.EndKind
 import io.corianderrock.jobs.state.JobRun
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThan
@@ -102,6 +103,20 @@
                 SyntheticRuns(8).teach(model, 60, { if (it % 5 == 0) slow else WORKER }) { if (it % 5 == 0) 4.0 else 1.0 }
                 abs(logRatio(typicalMs(model, SyntheticRuns(9)), typicalMs(undisturbed, SyntheticRuns(9)))) shouldBeLessThan 0.15
             }
+            // Guards against pools that grow because of a rack whose workers were each found slow after two or three runs.
+            it("runs on workers that were found slow do not count as longer work before their factor is known") {
+                val undisturbed = LearnedRunTimes().also { SyntheticRuns(8).teach(it, 60) }
+                val model = LearnedRunTimes()
+                val rack = List(20) { worker("slow-$it").also { slow -> slow.record.isAvoidedAsSlow = true } }
+                var next = 0
+                val ofRack = { index: Int -> if (index % 2 == 0) rack[next++ % rack.size] else WORKER }
+                SyntheticRuns(8).teach(model, 45)
+                SyntheticRuns(18).teach(model, 15, ofRack) { if (it % 2 == 0) 4.0 else 1.0 }
+                val expectedMs = { from: RunTimeModel ->
+                    List(101) { from.expectedMs(stepsOf(SyntheticRuns(9L + it).job().first).first()) }.average()
+                }
+                logRatio(expectedMs(model), expectedMs(undisturbed)) shouldBeLessThan 0.25
+            }
             // Guards against remote runs passing for longer work, and against their factor staying at its default.
             it("runs without their data at hand do not count as longer work") {
                 val model = LearnedRunTimes()
@@ -147,6 +162,34 @@
                 censoredMs[4].shouldBeBetween(850.0, 1_150.0, 0.0)
                 naiveMs[4] shouldBeLessThan 800.0
             }
+            // Guards against a median of the longest runs that were cancelled, until some 30 others have ended.
+            it("all at once leave the median where it was, also if other runs end meanwhile") {
+                fun shift(
+                    seed: Long,
+                    endingShare: Double,
+                ): Double {
+                    val runs = SyntheticRuns(seed, tailShare = 0.0)
+                    val model = LearnedRunTimes().also { runs.teach(it, 20) }
+                    val beforeMs = typicalMs(model, SyntheticRuns(14))
+                    val random = java.util.Random(seed)
+                    repeat(25) {
+                        val (job, bases) = runs.job()
+                        val step = stepsOf(job).first()
+                        start(step)
+                        for (index in step.tasks.indices) {
+                            val wholeMs = runs.taskMs(bases[0])
+                            val isEnding = random.nextDouble() < endingShare
+                            val ageMs = if (isEnding) wholeMs else (wholeMs * random.nextDouble()).toLong()
+                            end(model, step, index, ageMs, kind = if (isEnding) EndKind.DONE else EndKind.STOPPED)
+                        }
+                    }
+                    return logRatio(typicalMs(model, SyntheticRuns(14)), beforeMs)
+                }
+                for (endingShare in listOf(0.0, 0.25)) {
+                    val shifts = (1L..9L).map { shift(it, endingShare) }.sorted()
+                    withClue("share of runs that end: $endingShare, shifts: $shifts") { abs(shifts[4]) shouldBeLessThan 0.25 }
+                }
+            }
             // Guards against a worker that fails all it starts at once: its runs must not displace the ones that ended.
             it("at once tell nothing") {
                 val model = LearnedRunTimes().also { SyntheticRuns(13).teach(it, 20) }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/RunTimeRecordsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/RunTimeRecordsTest.kt
@@ -14,6 +14,7 @@
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -125,6 +126,9 @@
                     }.shouldBeEmpty()
                 val ends = lines.filter { "task_ended" in it }
                 ends.filter { Regex("outcome DONE ranMs \\d+") in it }.shouldNotBeEmpty()
+                // Guards against a job of which operators cannot tell which estimate was used and how wrong it was.
+                val jobEnd = Regex("tookMs \\d+ estimate (declared|mean) samples \\d+ sampleAgeMs \\d* ?estimateMs \\d+ ranMs \\d+")
+                lines.count { "job_ended" in it && jobEnd in it } shouldBeGreaterThan lines.count { "job_ended" in it } / 2
                 ends.filterNot { Regex("(ranMs|ranAtLeastMs) \\d+") in it }.shouldBeEmpty()
             }
         }
