--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -82,7 +82,9 @@
             if (cordoned.isEmpty()) continue
             val serving = state.supply.mapNotNull(::workerOf)
             // The emptiest go first; those that the pool may still reclaim are not emptied by stopping tasks unless another pool needs them.
-            val returning = cordoned.sortedBy { workerOf(it)?.occupied?.cpuMilli ?: 0 }.take(state.returnCount)
+            val movable = cordoned.filter { !it.isOrdered }
+            val byLoad = movable.sortedBy { workerOf(it)?.occupied?.cpuMilli ?: 0 }
+            val returning = if (state.returnCount >= movable.size) cordoned else byLoad.take(state.returnCount)
             for (view in if (hasShortage) cordoned else returning) drain(view, serving, hasShortage)
             for (view in returning) moveToStandbyIfEmpty(view, standby)
         }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
@@ -76,9 +76,10 @@
         val forecastWanted = maxOf(wanted, ceil(need.longRunningInstances + maxOf(expectedInstances, need.extrapolatedInstances)).toInt())
         val supply = instances.filter { it.instance.state !in ABSENT_STATES && it.cordonReason == null && countsAsSupply(it) }
         val missing = maxOf(wanted - supply.size, missingForStuck(pool, supply))
-        val spareUsable = supply.count(::isUsable) - wanted
+        val spareUsable = if (settings.keepsUsableInstances) supply.count(::isUsable) - wanted else supply.size
         val cordonedCount = instances.count { it.cordonReason == CordonReason.SURPLUS && !it.isOrdered }
-        val release = surplusRelease.release(pool, forecastWanted, supply.size, cordonedCount)
+        val release =
+            if (missing > 0) Release(0, cordonedCount) else surplusRelease.release(pool, forecastWanted, supply.size, cordonedCount)
         return PoolState(
             pool = pool,
             need = need,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
@@ -38,4 +38,6 @@
     val estimatesInheritedDemand: Boolean = false,
     /** Expects a demand peak over a range of times when the intervals between peaks differ. */
     val toleratesUnevenIntervals: Boolean = false,
+    /** Releases only usable instances beyond the current work, without counting those that are still joining. */
+    val keepsUsableInstances: Boolean = false,
 )
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/PoolSizerTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/PoolSizerTest.kt
@@ -15,6 +15,7 @@
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.runs.Committer
 import io.corianderrock.jobs.runs.JobRegistry
+import io.corianderrock.jobs.runs.SchedulingSettings
 import io.corianderrock.jobs.runtimes.MeanRunTimes
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.JobSubmission
@@ -47,7 +48,8 @@
     private val registry = JobRegistry(loop, committer, { _, _ -> })
     private val demand = PoolDemand(loop, registry, RunTimeEstimator(MeanRunTimes()))
     private val workers = (0 until joinedCount).associate { "m$it" to workerOn("m$it") }
-    private val sizer = PoolSizer(loop, { _, _ -> }, demand, { 0 }) { workers[it.instance.id] }
+    private val sizer =
+        PoolSizer(loop, { _, _ -> }, demand, { 0 }, SchedulingSettings(keepsUsableInstances = true)) { workers[it.instance.id] }
     val instances =
         workers.keys.map { InstanceView(instance(it, InstanceState.UP)) } +
             (0 until joiningCount).map { InstanceView(instance("j$it", InstanceState.MOVING)) }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
@@ -7,7 +7,13 @@
 import io.corianderrock.jobs.runs.SchedulingSettings
 
 /** All decisions on pool sizes and moves that are off by default. */
-internal val POOL_SETTINGS = SchedulingSettings(drainsSurplusEarly = true, estimatesInheritedDemand = true, toleratesUnevenIntervals = true)
+internal val POOL_SETTINGS =
+    SchedulingSettings(
+        drainsSurplusEarly = true,
+        estimatesInheritedDemand = true,
+        toleratesUnevenIntervals = true,
+        keepsUsableInstances = true,
+    )
 
 internal fun main(args: Array<String>) {
     val first = args[0].toInt()
