Report who holds what share of a pool, whom a task waits behind, and refusals by account

Operators saw what accounts occupy over all pools, but neither the share of a pool nor whom a waiting account waits behind, and refusals for the weight were counted only by a line a second. account_share tells the share and the entitled share for each pool and account every 10 s, task_waits names the account furthest above its weight, and job_refused is written for each refusal and counted by account and reason, where reasons that quote errors count as unreachable. Live jobs are walked only when a line is due.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountAdmission.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountAdmission.kt
@@ -80,6 +80,19 @@
         meter.promisedUntilMs = minOf(loop.nowMs + MAX_RETRY_AFTER_MS, maxOf(freeAtMs, meter.promisedUntilMs + perJobMs))
         val retryAfterMs = (meter.promisedUntilMs - loop.nowMs).toLong() + 1
         meter.refusedCount++
+        log.write(
+            "job_refused",
+            "job",
+            submission.id,
+            "account",
+            account,
+            "reason",
+            "share",
+            "retryAfterMs",
+            retryAfterMs,
+            "pool",
+            submission.queue.pool,
+        )
         if (loop.nowMs - meter.loggedAtMs >= LOG_INTERVAL_MS) {
             meter.loggedAtMs = loop.nowMs
             log.write(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountRules.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountRules.kt
@@ -6,6 +6,7 @@
 
 import io.corianderrock.jobs.fleet.DemandLimit
 import io.corianderrock.jobs.placement.CandidateOrder
+import io.corianderrock.jobs.placement.PoolShares
 import io.corianderrock.jobs.placement.RankedOrder
 import io.corianderrock.jobs.placement.StartLimit
 import io.corianderrock.jobs.ports.DecisionLog
@@ -17,8 +18,8 @@
 
 /** Creates the parts that keep shares and caps and gives them a common view of accounts and usage. */
 internal class AccountRules(
-    private val loop: EventLoop,
-    private val log: DecisionLog,
+    loop: EventLoop,
+    log: DecisionLog,
     configuration: () -> JobsConfiguration?,
     bounds: SchedulerBounds,
     registry: JobRegistry,
@@ -27,8 +28,9 @@
 ) {
     private val accounts = ActiveAccounts(configuration)
     private val usage = AccountUsage(loop, registry, { driver.workers }, driver::unreconciledIn)
-    private var loggedAtMs = loop.nowMs
+    private val accountShares = AccountShares(loop, accounts, usage, registry, log)
 
+    val poolShares: PoolShares = accountShares
     val startLimit: StartLimit = CapLimit(loop, accounts, usage, log)
     val admission: AccountAdmission = AccountAdmission(loop, accounts, registry, log, bounds.accountWindowMs, capacityShortageMs)
     val demandLimit: DemandLimit = AccountDemandLimit(accounts, usage, registry, capacityShortageMs)
@@ -41,20 +43,6 @@
         accounts.refresh()
         if (!accounts.areInForce) return
         usage.recompute()
-        logUsage()
-    }
-
-    private fun logUsage() {
-        if (loop.nowMs - loggedAtMs < USAGE_INTERVAL_MS) return
-        loggedAtMs = loop.nowMs
-        for (name in accounts.names) {
-            val used = usage.of(name)
-            log.write("account_usage", "account", name, "runs", used.taskCount, "cpuMilli", used.cpuMilli, "memoryMb", used.memoryMb)
-        }
-    }
-
-    private companion object {
-        /** Interval between log lines on what each account occupies: metrics are read as seldom. */
-        const val USAGE_INTERVAL_MS = 10_000L
+        accountShares.logIfDue()
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
@@ -140,6 +140,12 @@
         account: String?,
     ): ResourceSum = byPool[pool]?.get(account) ?: NOTHING
 
+    /** The accounts that occupy something in [pool], with null for jobs without an account. */
+    fun accountsIn(pool: String): Set<String?> = byPool[pool]?.keys.orEmpty()
+
+    /** The pools in which something is or was occupied. */
+    val pools: Set<String> get() = byPool.keys
+
     /** The capacity of the listed workers of [pool]. */
     fun capacityOf(pool: String): ResourceSum = capacityByPool[pool] ?: NOTHING
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -27,8 +27,9 @@
     private val choice: WorkerChoice = WorkerChoice(loop, runTimes),
     private val rackWaits: RackWaits? = null,
     private val wideTaskRoom: WideTaskRoom? = null,
+    poolShares: PoolShares = PoolShares { emptyList() },
 ) {
-    private val explainer = WaitExplainer(loop, registry, driver, choice, log) { !mayStartAny(it.stepRun, listOf(it)) }
+    private val explainer = WaitExplainer(loop, registry, driver, choice, log, poolShares) { !mayStartAny(it.stepRun, listOf(it)) }
 
     /** By pool: since when, in loop time, every pass has left a task without capacity. */
     private val capacityShortageSinceMs = HashMap<String, Long>()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
@@ -16,6 +16,7 @@
     private val driver: WorkerDriver,
     private val choice: WorkerChoice,
     private val log: DecisionLog,
+    private val poolShares: PoolShares,
     private val isAtLimit: (TaskRun) -> Boolean,
 ) {
     private var explainedAtMs = 0L
@@ -50,14 +51,25 @@
         explainedAtMs = loop.nowMs
         val waiting = ready.mapNotNull { candidate -> candidate.tasks.firstOrNull { it.phase == TaskPhase.WAITING } }
         val longest = waiting.filter { loop.nowMs - it.waitingSinceMs > EXPLAIN_AFTER_MS }.sortedBy { it.waitingSinceMs }
-        for (task in longest.take(MAX_EXPLAINED)) explain(task, capacities, waiting.size)
+        if (longest.isEmpty()) return
+        val shares =
+            poolShares.sharesIn(
+                ready
+                    .first()
+                    .stepRun.job.queue.pool,
+            )
+        for (task in longest.take(MAX_EXPLAINED)) explain(task, capacities, waiting.size, shares)
     }
 
     private fun explain(
         task: TaskRun,
         capacities: List<WorkerCapacity>,
         waitingCount: Int,
+        shares: List<AccountShare>,
     ) {
+        val account = task.stepRun.job.submission.account
+        val own = shares.find { it.account == account }
+        val holder = shares.firstOrNull { it.share > 0 }
         val pool = task.stepRun.job.queue.pool
         val inPool = driver.workers.filter { it.entry.pool == pool && it.isListed }
         log.write(
@@ -71,9 +83,19 @@
             "pool",
             pool,
             "account",
-            task.stepRun.job.submission.account,
+            account,
             "isAtCap",
             isAtLimit(task),
+            "share",
+            own?.let { roundedShare(it.share) },
+            "entitledShare",
+            own?.let { roundedShare(it.entitledShare) },
+            "holder",
+            holder?.account,
+            "holderShare",
+            holder?.let { roundedShare(it.share) },
+            "holderEntitledShare",
+            holder?.let { roundedShare(it.entitledShare) },
             "workers",
             inPool.size,
             "usableWorkers",
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -99,6 +99,7 @@
             choice = choice,
             rackWaits = if (settings.waitsForPreferredRack) RackWaits(loop, runTimes, choice, bounds.remoteFactor) else null,
             wideTaskRoom = if (settings.keepsRoomForWideTasks) WideTaskRoom(loop, choice, log) else null,
+            poolShares = accountRules.poolShares,
         )
     private val demand = PoolDemand(loop, registry, runTimes, accountRules.demandLimit, settings.estimatesInheritedDemand)
     private val instanceOrders =
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/AccountRulesTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/AccountRulesTest.kt
@@ -5,6 +5,7 @@
 
 import io.corianderrock.jobs.accounts.AccountAdmission
 import io.corianderrock.jobs.accounts.AccountDemandLimit
+import io.corianderrock.jobs.accounts.AccountShares
 import io.corianderrock.jobs.accounts.AccountUsage
 import io.corianderrock.jobs.accounts.ActiveAccounts
 import io.corianderrock.jobs.accounts.CapLimit
@@ -12,12 +13,17 @@
 import io.corianderrock.jobs.fleet.DemandLimit
 import io.corianderrock.jobs.fleet.PoolDemand
 import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.placement.AccountShare
 import io.corianderrock.jobs.placement.Candidate
 import io.corianderrock.jobs.placement.ObjectiveOrder
 import io.corianderrock.jobs.placement.RunTimeEstimator
+import io.corianderrock.jobs.placement.WaitExplainer
+import io.corianderrock.jobs.placement.WorkerChoice
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.runs.Committer
 import io.corianderrock.jobs.runs.JobRegistry
+import io.corianderrock.jobs.runs.WorkerDriver
+import io.corianderrock.jobs.runtimes.AnsweringLink
 import io.corianderrock.jobs.runtimes.MeanRunTimes
 import io.corianderrock.jobs.state.ClientAccount
 import io.corianderrock.jobs.state.Demand
@@ -156,6 +162,83 @@
                 state.submit("again", "a").shouldBeNull()
                 state.submit("again2", "a").shouldNotBeNull()
             }
+            // Guards against refusals that only a line a second sums up, of which a metric would miss the last ones of a burst.
+            it("are logged one by one with account and reason when refused") {
+                val state = Accounts("a" to 1.0, "b" to 1.0)
+                state.job("other", "b")
+                state.shortageMs = 1
+                val refusedCount = List(30) { state.submit("j$it", "a") }.count { it != null }
+                val lines = state.linesOf("job_refused")
+                lines.size shouldBe refusedCount
+                lines.map { it["account"] to it["reason"] }.toSet() shouldBe setOf("a" to "share")
+            }
+        }
+        describe("the report on who holds a pool") {
+            // Guards against an entitlement diluted by accounts that want nothing, and against waiting accounts that are not shown.
+            it("lists accounts with running or waiting tasks, the one furthest above its weight first") {
+                val state = Accounts("a" to 1.0, "b" to 2.0, "c" to 1.0, "idle" to 4.0)
+                state.startAll(state.job("a1", "a", count = 8))
+                state.startAll(state.job("b1", "b", count = 12))
+                state.job("b2", "b", count = 3)
+                state.job("c1", "c", count = 5)
+                state.shares.sharesIn("pool") shouldBe
+                    listOf(
+                        AccountShare("a", 8, 0, 0.25, 0.25),
+                        AccountShare("b", 12, 3, 0.375, 0.5),
+                        AccountShare("c", 0, 5, 0.0, 0.25),
+                    )
+                state.shares.sharesIn("other").size shouldBe 0
+            }
+            // Guards against tasks counted as waiting that wait for their own job only.
+            it("counts no tasks of steps that are not ready") {
+                val state = Accounts("a" to 1.0)
+                val steps = listOf(Step(3, TASK), Step(5, TASK, after = listOf(0)))
+                state.registry.load(JobSubmission("chain", queue(), "work", steps, account = "a"), null, isInherited = false)
+                state.shares.sharesIn("pool").map { it.waitingCount } shouldBe listOf(3)
+            }
+            // Guards against callers of public routes who hold a pool unseen.
+            it("lists the jobs of public routes as one account of mean weight") {
+                val state = Accounts("a" to 1.0, "b" to 3.0)
+                state.startAll(state.job("public", null, count = 8))
+                state.job("a1", "a", count = 1)
+                state.shares.sharesIn("pool").map { Triple(it.account, it.share, it.entitledShare) } shouldBe
+                    listOf(Triple(null, 0.25, 2.0 / 3), Triple("a", 0.0, 1.0 / 3))
+            }
+            // Guards against shares of no capacity, such as after the loss of all workers.
+            it("is empty for a pool without listed workers") {
+                val state = Accounts("a" to 1.0)
+                state.startAll(state.job("a1", "a", count = 8))
+                state.workers.forEach { it.isListed = false }
+                state.usage.recompute()
+                state.shares.sharesIn("pool").size shouldBe 0
+            }
+            // Guards against a walk through all jobs in each pass.
+            it("is logged once in 10 s, with a line for each account in the pool") {
+                val state = Accounts("a" to 1.0, "b" to 1.0, "idle" to 1.0)
+                state.startAll(state.job("a1", "a", count = 8))
+                state.job("b1", "b", count = 2)
+                repeat(3_000) {
+                    state.time.runUntil(state.time.nowMs + 10)
+                    state.shares.logIfDue()
+                }
+                val lines = state.linesOf("account_share")
+                lines.groupingBy { it["account"] }.eachCount() shouldBe mapOf("a" to 3, "b" to 3)
+                val fields = listOf("pool", "share", "entitledShare", "runs", "waitingTasks")
+                fields.map { lines.first()[it] } shouldBe listOf("pool", 0.25, 0.5, 8L, 0)
+            }
+            // Guards against an explanation that leaves open whether a task waits behind its own account or another.
+            it("names in the explanation of a wait the account that is furthest above its weight") {
+                val state = Accounts("a" to 1.0, "b" to 3.0)
+                state.startAll(state.job("a1", "a", count = 24))
+                state.explainWaitOf(state.job("b1", "b", count = 2))
+                state.explainWaitOf(state.job("a2", "a", count = 2))
+                val fields = listOf("account", "share", "entitledShare", "holder", "holderShare", "holderEntitledShare")
+                state.linesOf("task_waits").map { line -> fields.map { line[it] } } shouldBe
+                    listOf(
+                        listOf("b", 0.0, 0.75, "a", 0.75, 0.25),
+                        listOf("a", 0.75, 0.25, "a", 0.75, 0.25),
+                    )
+            }
         }
         describe("the demand for instances") {
             it("counts only what the cap of the account lets start") {
@@ -277,13 +360,13 @@
     private var configuration = configurationWith(capCpuMilli)
     val time = SimTime()
     private val loop = SimLoop(time)
-    private val log = { _: String, _: Array<out Any?> -> }
-    val registry =
-        JobRegistry(
-            loop,
-            Committer(loop, SilentTables, { e, f -> log(e, f) }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {}),
-            { e, f -> log(e, f) },
-        )
+    private val lines = ArrayList<Pair<String, Map<Any?, Any?>>>()
+    private val log = { event: String, fields: Array<out Any?> ->
+        lines.add(event to fields.toList().chunked(2).associate { (key, value) -> key to value })
+        Unit
+    }
+    private val committer = Committer(loop, SilentTables, { e, f -> log(e, f) }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
+    val registry = JobRegistry(loop, committer) { e, f -> log(e, f) }
     val workers =
         MutableList(workerCount) {
             WorkerView(WorkerEntry("w-$it", "w-$it", "pool", "dc", "m-$it", CAPACITY, listOf("kind"), false, null, 1))
@@ -294,7 +377,12 @@
     val usage = newUsage()
     val limit = CapLimit(loop, accounts, usage) { e, f -> log(e, f) }
     val admission = AccountAdmission(loop, accounts, registry, { e, f -> log(e, f) }, windowMs = 5_000) { shortageMs }
+    val shares = AccountShares(loop, accounts, usage, registry) { e, f -> log(e, f) }
     private val runTimes = RunTimeEstimator(MeanRunTimes())
+    private val driver =
+        WorkerDriver(loop, AnsweringLink(loop), committer, registry, { e, f -> log(e, f) }, 1, 6_000, { true }, {}, {}, {})
+    private val explainer =
+        WaitExplainer(loop, registry, driver, WorkerChoice(loop, runTimes), { e, f -> log(e, f) }, shares) { false }
 
     /** The sums computed from nothing. */
     fun newUsage() = AccountUsage(loop, registry, { workers }, { unreconciled }).also { it.recompute() }
@@ -314,7 +402,7 @@
 
     fun job(
         id: String,
-        account: String,
+        account: String?,
         count: Int = 2,
         priority: Int = 0,
         isLongRunning: Boolean = false,
@@ -322,7 +410,7 @@
 
     private fun submission(
         id: String,
-        account: String,
+        account: String?,
         count: Int = 2,
         priority: Int = 0,
         isLongRunning: Boolean = false,
@@ -331,6 +419,16 @@
         return JobSubmission(id, queue(priority), "work", listOf(step), account = account)
     }
 
+    /** The fields of the logged lines of [event]. */
+    fun linesOf(event: String): List<Map<Any?, Any?>> = lines.filter { it.first == event }.map { it.second }
+
+    /** Explains the wait of [job] after two seconds. */
+    fun explainWaitOf(job: JobRun) {
+        time.runUntil(time.nowMs + 2_000)
+        val run = job.occurrences.getValue(0).steps[0]
+        explainer.explainWaiting(listOf(Candidate(run, run.tasks, false, 1.0)), emptyList())
+    }
+
     fun submit(
         id: String,
         account: String,
--- a/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
@@ -61,6 +61,14 @@
             .labelNames("event", "account")
             .register(registry)
 
+    private val refusedJobs =
+        Counter
+            .builder()
+            .name("corianderrock_refused_jobs_total")
+            .help("Jobs that this entry refused, by client account and reason.")
+            .labelNames("account", "reason")
+            .register(registry)
+
     private val accountUsage =
         Gauge
             .builder()
@@ -123,7 +131,7 @@
         decisions.labelValues(event).inc()
         if (event.startsWith(ACCOUNT_EVENT_PREFIX)) observeAccount(event, fields)
         if (event == OWNERSHIP_LOST_EVENT) accountUsage.clear()
-
+        if (event == JOB_REFUSED_EVENT) observeRefusal(fields)
         if (event == RUN_TIME_EVENT) observeRunTimes(fields)
         if (event == MOVE_EVENT) moves.labelValues(valueOf(fields, "served").toString(), valueOf(fields, "reason").toString()).inc()
         for (index in 0 until fields.size - 1 step 2) {
@@ -145,6 +153,12 @@
         }
     }
 
+    private fun observeRefusal(fields: Array<out Any?>) {
+        val account = valueOf(fields, "account")?.toString()?.let(::labelOf) ?: NO_ACCOUNT
+        val reason = valueOf(fields, "reason").toString().takeIf { it in OWNER_REASONS } ?: UNREACHABLE_REASON
+        refusedJobs.labelValues(account, reason).inc()
+    }
+
     private fun observeRunTimes(fields: Array<out Any?>) {
         val queue = valueOf(fields, "queue")?.toString() ?: return
         if (queue !in judgedQueues && (judgedQueues.size >= MAX_JUDGED_QUEUES || !judgedQueues.add(queue))) return
@@ -181,6 +195,14 @@
         /** Bounds the labels over many versions of the configuration; far above the accounts of a deployment. */
         const val MAX_ACCOUNT_LABELS = 200
         const val OTHER_ACCOUNTS = "other"
+
+        /** Label of jobs of public routes. */
+        const val NO_ACCOUNT = "none"
+        const val JOB_REFUSED_EVENT = "job_refused"
+
+        /** Reasons for which the owner refuses a job. Those of other entries quote errors, which would make labels without bound. */
+        val OWNER_REASONS = setOf("load", "share")
+        const val UNREACHABLE_REASON = "unreachable"
         const val MOVE_EVENT = "move_outcome"
         const val RUN_TIME_EVENT = "run_time_accuracy"
 
--- a/transport/src/test/kotlin/io/corianderrock/transport/EntryMetricsTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/EntryMetricsTest.kt
@@ -44,6 +44,21 @@
                 metrics.handle(Request(Method.GET, "/metrics")).bodyString() shouldNotContain "account_usage{account"
             }
 
+            // Guards against refusals that cannot be told apart by account, and against a label for each error text.
+            it("counts refused jobs by account and reason, with a bounded number of labels") {
+                val metrics = EntryMetrics()
+                val log = metrics.observing { _, _ -> }
+                repeat(2) { log.write("job_refused", "job", "j$it", "account", "acme", "reason", "share") }
+                log.write("job_refused", "job", "j3", "account", null, "reason", "load")
+                repeat(300) { log.write("job_refused", "job", "k$it", "account", "a$it", "reason", "owner: error $it") }
+                val text = metrics.handle(Request(Method.GET, "/metrics")).bodyString()
+                text shouldContain "corianderrock_refused_jobs_total{account=\"acme\",reason=\"share\"} 2"
+                text shouldContain "corianderrock_refused_jobs_total{account=\"none\",reason=\"load\"} 1"
+                text shouldContain "corianderrock_refused_jobs_total{account=\"a0\",reason=\"unreachable\"} 1"
+                text shouldContain "corianderrock_refused_jobs_total{account=\"other\",reason=\"unreachable\"} 101"
+                text.lines().count { it.startsWith("corianderrock_refused_jobs_total{") } shouldBe 202
+            }
+
             // Guards against errors of run times that no metric shows, and against a label for each queue name ever seen.
             it("shows the errors of run times by queue, for a bounded number of queues") {
                 val metrics = EntryMetrics()
