Look up each account's weight once per report, and test the reports in whole runs

AccountLoadTest checks that an owner writes the reports during a burst: nothing covered that the scheduler connects them.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountShares.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountShares.kt
@@ -29,19 +29,19 @@
             val count = readyWaitingCount(job)
             if (count > 0) waitingCounts.merge(job.submission.account, count, Int::plus)
         }
-        val present = usage.accountsIn(pool) + waitingCounts.keys
-        val weightSum = present.sumOf(accounts::weightOf)
-        return present
-            .map { account ->
+        val weights = (usage.accountsIn(pool) + waitingCounts.keys).associateWith(accounts::weightOf)
+        val weightSum = weights.values.sum()
+        return weights
+            .map { (account, weight) ->
                 val used = usage.inPool(pool, account)
                 AccountShare(
                     account = account,
                     runCount = used.taskCount,
                     waitingCount = waitingCounts[account] ?: 0,
                     share = dominantShare(used, capacity),
-                    entitledShare = accounts.weightOf(account) / weightSum,
+                    entitledShare = weight / weightSum,
                 )
-            }.sortedWith(compareByDescending<AccountShare> { it.share / accounts.weightOf(it.account) }.thenBy { it.account.orEmpty() })
+            }.sortedWith(compareByDescending<AccountShare> { it.share / it.entitledShare }.thenBy { it.account.orEmpty() })
     }
 
     private fun readyWaitingCount(job: JobRun): Int =
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/AccountLoadTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/AccountLoadTest.kt
@@ -13,6 +13,7 @@
 import io.corianderrock.jobs.world.STEADY_SPEC
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.doubles.shouldBeLessThan
 
@@ -64,6 +65,16 @@
                 }
             }
         }
+        describe("the log of an owner during a burst of the largest account") {
+            // Guards against reports that the scheduler does not connect, so that no entry ever writes them.
+            it("tells the shares of the pool, whom waiting tasks wait behind, and each refusal") {
+                val lines = ArrayList<String>()
+                othersWaitMs(Load(setOf(0), scale = 1.4), isBurst = true, traces = lines)
+                lines.filter { " account_share account account-0 " in it }.shouldNotBeEmpty()
+                lines.filter { " task_waits " in it && " holder account-" in it }.shouldNotBeEmpty()
+                lines.filter { " account account-0 reason share " in it }.shouldNotBeEmpty()
+            }
+        }
     })
 
 /** Mean wait of the jobs that the accounts which do not burst submit during the burst of [load]. */
@@ -72,6 +83,7 @@
     isBurst: Boolean,
     enforcesAccounts: Boolean = true,
     isOwnerKilled: Boolean = false,
+    traces: MutableList<String>? = null,
 ): Double {
     val accounts = NAMES.indices.map { ClientAccount(NAMES[it], weight = 1.5 * load.usualJobsPerS(it)) }
     val world =
@@ -81,6 +93,7 @@
             accounts = accounts.associateBy { it.name },
             enforcesAccounts = enforcesAccounts,
             scheduleEvents = { world -> schedule(world, load, isBurst, isOwnerKilled) },
+            traces = traces,
         )
     world.run().violations.shouldBeEmpty()
     val waitsMs = world.checker.waitsMs { "-during-" in it.id && NAMES.indexOf(it.account) !in load.bursting }
