--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
@@ -89,7 +89,7 @@
             missingWithForecast = maxOf(0, missing, forecastWanted - supply.size),
             idleCount = if (missing > 0) 0 else maxOf(0, minOf(supply.size - forecastWanted, spareUsable)),
             surplus = if (missing > 0) 0 else maxOf(0, minOf(release.cordonCount, spareUsable)),
-            returnCount = release.returnCount,
+            returnCount = if (settings.drainsSurplusEarly) release.returnCount else Int.MAX_VALUE,
         )
     }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -287,4 +287,5 @@
         bypassesSilentOwner = true,
         drainsSurplusEarly = true,
         toleratesUnevenIntervals = true,
+        keepsUsableInstances = true,
     )
