--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/StoreReach.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/StoreReach.kt
@@ -40,11 +40,20 @@
         if (unansweredSinceMs == null) unansweredSinceMs = loop.nowMs
     }
 
-    /** Records the end of a read that took [tookMs]. Reads may overlap. */
+    /** When the last read that was answered had been sent, in loop time. */
+    private var lastAnsweredSentAtMs = Long.MIN_VALUE / 2
+
+    /**
+     * Records the end of a read that took [tookMs]. Reads may overlap: the timeout of one that was sent before the last answered one
+     * tells nothing about the store of now.
+     */
     fun onReadEnded(
         isAnswered: Boolean,
         tookMs: Long,
     ) {
+        val sentAtMs = loop.nowMs - tookMs
+        if (sentAtMs < lastAnsweredSentAtMs) return
+        if (isAnswered) lastAnsweredSentAtMs = sentAtMs
         hasFailed = !isAnswered
         wasSlow = tookMs > SLOW_MS
         waitingSinceMs = null
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/StoreReachTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoreReachTest.kt
@@ -12,6 +12,7 @@
 
 private const val SLOW_READ_MS = 200L
 private const val USUAL_READ_MS = 5L
+private const val TIMEOUT_MS = 900L
 
 internal class StoreReachTest :
     DescribeSpec({
@@ -39,14 +40,37 @@
                 reads.reach.isSlow.shouldBeFalse()
             }
         }
+        describe("a store that answers again after an outage") {
+            // Guards against requests that are refused although the store is back: reads sent in the outage time out after it.
+            it("is not lost again when a read sent before the last answered one fails") {
+                val reads = Reads()
+                reads.read(TIMEOUT_MS, isAnswered = false)
+                reads.time.runUntil(reads.time.nowMs + TIMEOUT_MS / 2)
+                reads.read(USUAL_READ_MS)
+                reads.time.runUntil(reads.time.nowMs + TIMEOUT_MS)
+                reads.reach.isLost.shouldBeFalse()
+                reads.reach.isSlow.shouldBeFalse()
+            }
+            it("is lost when a read sent after the last answered one fails") {
+                val reads = Reads()
+                reads.read(USUAL_READ_MS)
+                reads.time.runUntil(reads.time.nowMs + USUAL_READ_MS)
+                reads.read(TIMEOUT_MS, isAnswered = false)
+                reads.time.runUntil(reads.time.nowMs + TIMEOUT_MS)
+                reads.reach.isLost.shouldBeTrue()
+            }
+        }
     })
 
 private class Reads {
     val time = SimTime()
     val reach = StoreReach(SimLoop(time))
 
-    fun read(tookMs: Long) {
+    fun read(
+        tookMs: Long,
+        isAnswered: Boolean = true,
+    ) {
         reach.onReadSent()
-        time.after(tookMs) { reach.onReadEnded(isAnswered = true, tookMs = tookMs) }
+        time.after(tookMs) { reach.onReadEnded(isAnswered = isAnswered, tookMs = tookMs) }
     }
 }
