Reclaim cordoned instances for stuck tasks after 600 ms again

With 200 ms, a pool that lacked room for one wide task counted as short of an instance most of the time, and a pool that is short releases nothing: the next pool's peak lacked instances.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
@@ -77,7 +77,7 @@
         val supply = instances.filter { it.instance.state !in ABSENT_STATES && isServing(it) && countsAsSupply(it) }
         val spareUsable = if (settings.keepsUsableInstances) supply.count(::isUsable) - wanted else supply.size
         val cordonedCount = instances.count { it.cordonReason == CordonReason.SURPLUS && !it.isOrdered }
-        val missing = maxOf(wanted - supply.size, missingForStuck(pool, supply, cordonedCount))
+        val missing = maxOf(wanted - supply.size, missingForStuck(pool, supply))
         val release =
             if (missing > 0) Release(0, cordonedCount) else surplusRelease.release(pool, forecastWanted, supply.size, cordonedCount)
         return PoolState(
@@ -103,16 +103,11 @@
     /** An instance that is on its way from another pool keeps its cordon there until the order is answered. */
     private fun isServing(view: InstanceView): Boolean = view.cordonReason == null || view.movingTo != null
 
-    /**
-     * Requests one instance at a time for tasks that fit on no worker although the total free capacity would suffice. A cordoned
-     * instance of the pool is reclaimed soon, as that needs no move.
-     */
+    /** Requests one instance at a time for tasks that fit on no worker although the total free capacity would suffice. */
     private fun missingForStuck(
         pool: String,
         supply: List<InstanceView>,
-        cordonedCount: Int,
     ): Int {
-        if (cordonedCount > 0 && capacityShortageMs(pool) > RECLAIM_STUCK_MS) return 1
         val isJoining = supply.any { it.instance.state != InstanceState.UP || loop.nowMs - it.joinedAtMs < STUCK_MS }
         return if (!isJoining && capacityShortageMs(pool) > STUCK_MS) 1 else 0
     }
@@ -189,9 +184,6 @@
         /** A pool with a task that has fitted on no worker for this long needs another instance. */
         const val STUCK_MS = 600L
 
-        /** As [STUCK_MS], while the pool has cordoned instances: two updates of the fleet. */
-        const val RECLAIM_STUCK_MS = 200L
-
         /** Interval between log lines on the state of each pool. */
         const val LOG_INTERVAL_MS = 1_000L
     }
