Drop requests whose connection is closed before their handler runs

A request counted as in flight before its completion listener was added in the handler's thread. If the connection was closed in between, adding the listener threw (UT000139, exchange already complete) and the request stayed counted: a stopping entry waited for it until its grace period was over, and it took one of the concurrent requests for good.

--- a/transport/src/main/kotlin/io/corianderrock/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpServer.kt
@@ -187,19 +187,32 @@
             respond(exchange, refusals.overloaded(headersOf(exchange)))
             return
         }
-        exchange.dispatch(Runnable { handle(exchange, method, body) })
+        if (isCountedUntilComplete(exchange)) exchange.dispatch(Runnable { handle(exchange, method, body) })
     }
 
+    /**
+     * Counts [exchange] as in flight until its response has been written, which may take longer than the handler, or its connection is
+     * closed. False if that has happened already: the request is dropped, as nobody reads its answer.
+     */
+    private fun isCountedUntilComplete(exchange: HttpServerExchange): Boolean =
+        try {
+            exchange.addExchangeCompleteListener { _, next ->
+                inFlight.decrementAndGet()
+                next.proceed()
+            }
+            true
+        } catch (_: IllegalStateException) {
+            inFlight.decrementAndGet()
+            false
+        }
+
     private fun handle(
         exchange: HttpServerExchange,
         method: Method,
         body: ByteArray,
     ) {
-        // The request is in flight until its response has been written, which may take longer than the handler.
-        exchange.addExchangeCompleteListener { _, next ->
-            inFlight.decrementAndGet()
-            next.proceed()
-        }
+        // The connection may have been closed since the request was read; nothing of it has begun.
+        if (exchange.isComplete) return
         val response = handler.handle(requestOf(exchange, method, body), UndertowCallerConnection(exchange))
         respond(exchange, response)
     }
