--- a/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
@@ -325,7 +325,7 @@
         discharge(byPool.getValue(pool), account, amount)
     }
 
-    /** Removes a sum of nothing, so that accounts that are gone take no memory. */
+    /** Removes an empty sum, so that accounts that are gone take no memory. */
     private fun discharge(
         sums: HashMap<String?, ResourceSum>,
         account: String?,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/configuration/ActiveConfiguration.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/configuration/ActiveConfiguration.kt
@@ -124,7 +124,7 @@
     private companion object {
         const val NEVER = Long.MIN_VALUE / 2
 
-        /** Starting entries had their first configuration within 244 ms. */
+        /** Several times what a starting entry takes to read its first configuration. */
         const val FIRST_WAIT_MS = 1_000L
 
         /**
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
@@ -77,7 +77,7 @@
     /** True while the store answers this entry, but takes many times as long as usual. */
     public val isStoreSlow: Boolean
 
-    /** True while neither the store nor a peer answers this entry. */
+    /** True while neither the store nor the owner nor a peer of another data centre answers this entry. */
     public val isCutOff: Boolean
 
     /** How long the store has not answered this entry, in milliseconds; 0 while it does. */
@@ -122,8 +122,8 @@
         /** True once the request may have been carried out without this entry knowing. */
         private var isUncertain = false
 
-        /** What the owner knows of earlier attempts of the caller. */
-        private var attempt: Int? = null
+        /** Which attempt of its caller this is by the owner's count of refusals, null if that is not known. */
+        private var attemptNumber: Int? = null
 
         private val isWrite = request is JobRequest.Submit || request is JobRequest.Cancel
 
@@ -177,7 +177,7 @@
             when (reply) {
                 is SchedulerReply.Answer -> answer(settled(reply.answer))
                 is SchedulerReply.NotHandled -> {
-                    attempt = reply.attempt
+                    attemptNumber = reply.attempt
                     val mayFindOwner = reply.isNotOwner && loop.nowMs - startedAtMs < HANDOVER_WAIT_MS
                     if (mayFindOwner) loop.after(HANDOVER_RETRY_MS) { if (!isFinished) askScheduler() } else askStore(reply.reason)
                 }
@@ -257,7 +257,7 @@
         private fun retryAfterMs(): Long {
             if (request !is JobRequest.Submit) return RETRY_QUERY_MS
             // A job that this entry has refused before is known to come again; others may come from another entry.
-            val known = attempt ?: advice.countRefusal(request.submission.id).takeIf { it > 1 }
+            val known = attemptNumber ?: advice.countRefusal(request.submission.id).takeIf { it > 1 }
             return advice.retryAfterMs(known, reach.storeSilentMs)
         }
 
@@ -322,7 +322,7 @@
 
         /**
          * A job or cancellation waits this long for the owner. The owner reads what was stored around it once a second, so a job is
-         * served sooner by an owner that is merely slow; outside takeovers 8 of 1,000 submissions took more than 150 ms.
+         * served sooner by an owner that is merely slow.
          */
         const val SILENT_WRITE_MS = 250L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -78,18 +78,29 @@
         val hasShortage = growAll(states, standby) > 0
         for (state in states) {
             if (state.surplus > 0) shrink(state, hasShortage)
-            val cordoned = state.instances.filter { it.cordonReason == CordonReason.SURPLUS }
-            if (cordoned.isEmpty()) continue
-            val serving = state.supply.filter { it.cordonReason == null && !it.isOrdered }.mapNotNull(::workerOf)
-            // The emptiest go first; those that the pool may still reclaim are not emptied by stopping tasks unless another pool needs them.
-            val movable = cordoned.filter { !it.isOrdered }
-            val byLoad = movable.sortedBy { workerOf(it)?.occupied?.cpuMilli ?: 0 }
-            val returning = if (state.returnCount >= movable.size) cordoned else byLoad.take(state.returnCount)
-            for (view in if (hasShortage) cordoned else returning) drain(view, serving, hasShortage)
-            for (view in returning) moveToStandbyIfEmpty(view, standby)
+            releaseCordoned(state, standby, hasShortage)
         }
     }
 
+    /**
+     * Empties cordoned instances and returns the empty ones to standby, those with the least load first. Instances that the pool may
+     * still reclaim are not emptied by stopping tasks, unless another pool needs them.
+     */
+    private fun releaseCordoned(
+        state: PoolState,
+        standby: String,
+        hasShortage: Boolean,
+    ) {
+        val cordoned = state.instances.filter { it.cordonReason == CordonReason.SURPLUS }
+        if (cordoned.isEmpty()) return
+        val serving = state.supply.filter { it.cordonReason == null && !it.isOrdered }.mapNotNull(::workerOf)
+        val unordered = cordoned.filter { !it.isOrdered }
+        val byLoad = unordered.sortedBy { workerOf(it)?.occupied?.cpuMilli ?: 0 }
+        val returning = if (state.returnCount >= unordered.size) cordoned else byLoad.take(state.returnCount)
+        for (view in if (hasShortage) cordoned else returning) drain(view, serving, hasShortage)
+        for (view in returning) moveToStandbyIfEmpty(view, standby)
+    }
+
     /** A cordon belongs to the instance: it also holds for a worker that has started there since. */
     private fun cordonNewWorkers() {
         for (view in byId.values) if (view.cordonReason != null) workerOf(view)?.isCordoned = true
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolSizer.kt
@@ -26,7 +26,7 @@
     val idleCount: Int,
     /** The part of [idleCount] that has not been needed for some time and can be cordoned. */
     val surplus: Int,
-    /** How many of the instances cordoned as surplus may be emptied and returned to standby. */
+    /** How many of the instances cordoned as surplus may be emptied and returned to standby; without early draining all of them. */
     val returnCount: Int = Int.MAX_VALUE,
 )
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/SurplusRelease.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/SurplusRelease.kt
@@ -34,8 +34,8 @@
         supplyCount: Int,
         cordonedCount: Int,
     ): Release {
-        val kept = needToKeep.largest(pool, wantedCount, loop.nowMs)
-        val served = needToServe.largest(pool, wantedCount, loop.nowMs)
+        val kept = needToKeep.update(pool, wantedCount, loop.nowMs)
+        val served = needToServe.update(pool, wantedCount, loop.nowMs)
         val returnCount = if (drainsEarly) (supplyCount + cordonedCount - kept).coerceIn(0, cordonedCount) else cordonedCount
         return Release(maxOf(0, supplyCount - served), returnCount)
     }
@@ -49,7 +49,7 @@
     }
 }
 
-/** The largest need of each pool within [windowMs]. */
+/** The need of each pool, which rises at once and falls once it has not been reached for [windowMs]. */
 private class RecentNeed(
     private val windowMs: Long,
 ) {
@@ -60,7 +60,7 @@
 
     private val needs = HashMap<String, Need>()
 
-    fun largest(
+    fun update(
         pool: String,
         count: Int,
         nowMs: Long,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/OwnerElector.kt
@@ -111,7 +111,10 @@
     /** True while the store answers this entry, but slowly. The owner counts as having a sound store. Callable from any thread. */
     public val isStoreSlow: Boolean get() = !isOwner && storeReach.isSlow
 
-    /** How long the store has not answered this entry, in milliseconds; of the owner's writes, the least. Callable from any thread. */
+    /**
+     * How long the store has not answered this entry, in milliseconds; for the owner, the least time after which unanswered writes
+     * count as lost. Callable from any thread.
+     */
     public val storeSilentMs: Long
         get() =
             when {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RackWaits.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RackWaits.kt
@@ -8,6 +8,7 @@
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.TaskRun
 
+/** Used in placement passes on the event loop. */
 internal class RackWaits(
     private val loop: EventLoop,
     private val runTimes: RunTimeEstimator,
@@ -77,7 +78,7 @@
     }
 
     private companion object {
-        /** While a pool is short, others wait too for what a remote run takes longer; with 1, jobs of an overloaded pool end 2 to 5 % later. */
+        /** While a pool is short, other tasks wait as well for the capacity that a remote run occupies for longer. */
         const val SHORTAGE_FACTOR = 3
 
         /** At a peak some passes leave no task because all that wait are held. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WideTaskRoom.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WideTaskRoom.kt
@@ -162,7 +162,7 @@
     }
 
     private companion object {
-        /** Shorter waits mostly end by chance: with 0 more capacity is idle, with 300 wide tasks wait a sixth longer; see the design page. */
+        /** Shorter waits mostly end with the next runs, so that room kept for them would only idle capacity. */
         const val MIN_WAIT_MS = 50L
 
         /** At most one worker in this many is kept, so that wrong forecasts of ends idle little capacity. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
@@ -9,9 +9,11 @@
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
 
+/** Used on the event loop only. Keeps no state between calls. */
 internal class WorkerChoice(
     private val loop: EventLoop,
     private val runTimes: RunTimeEstimator,
+    /** True to prefer workers with a long-running task, so that the others empty and their instances can be returned. */
     private val packsLongRunningTasks: Boolean = false,
 ) {
     fun isFailing(worker: WorkerView): Boolean = worker.record.isAvoided(loop.nowMs)
@@ -110,13 +112,16 @@
         return cost
     }
 
-    /** [unusedCost], raised on workers without long-running tasks and scaled back, so that it still decides only among equal workers. */
+    /**
+     * [unusedCost], raised on workers without a long-running task. Scaled to its former range, so that the costs of other racks, of
+     * failures and of crashes still exceed it.
+     */
     private fun packedCost(
         unusedCost: Double,
         worker: WorkerView,
     ): Double {
-        val raised = if (worker.hasLongRunningTask) unusedCost else unusedCost + UNPINNED_WORKER_COST
-        return raised * MAX_UNUSED_COST / (MAX_UNUSED_COST + UNPINNED_WORKER_COST)
+        val raised = if (worker.hasLongRunningTask) unusedCost else unusedCost + RETURNABLE_WORKER_COST
+        return raised * MAX_UNUSED_COST / (MAX_UNUSED_COST + RETURNABLE_WORKER_COST)
     }
 
     private fun lastEndMs(capacity: WorkerCapacity): Double =
@@ -140,7 +145,7 @@
          * Exceeds any cost of unused capacity: an instance with a long-running task is not returned in any case, so that what runs
          * there costs no further instance. A full one leaves the choice among the others to best fit.
          */
-        const val UNPINNED_WORKER_COST = 2.5
+        const val RETURNABLE_WORKER_COST = 2.5
 
         /** Exceeds any cost of unused capacity: the worker may have caused the task's last failure. */
         const val FAILED_WORKER_COST = 3.0
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
@@ -34,7 +34,7 @@
     val judgesWorkerSpeed: Boolean = false,
     /** Lets tasks wait for their preferred rack while that is shorter than running remotely. */
     val waitsForPreferredRack: Boolean = false,
-    /** Keeps workers free by time for wide tasks that fit on none. */
+    /** Keeps the workers that become free soonest for wide tasks that fit on none. */
     val keepsRoomForWideTasks: Boolean = false,
     /** Packs long-running tasks together and other tasks beside them, so that other workers empty. */
     val packsLongRunningTasks: Boolean = false,
