--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
@@ -378,7 +378,7 @@
         submission.steps.flatMapIndexed { step, spec -> (0 until spec.count).map { TaskId(submission.id, 0, step, it) } }
 
     private fun report(text: String) {
-        violations.add("${time.nowMs}: $text")
+        violations.add("${time.nowMs}: $text" + if (isLateDelivery) " (by an order carried out late)" else "")
     }
 
     private companion object {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -353,6 +353,7 @@
     ): WorkerAnswer {
         val plan = runPlanOf(order.task)
         val answer = worker.start(order, plan)
+        trace("world", "start_received", arrayOf<Any?>(worker.entry.id, order.task, order.runNumber, worker.entry.bornWallMs, answer))
         if (plan.crashesWorker && answer is WorkerAnswer.Done) {
             time.after(CRASH_DELAY_MS) { if (worker.isUp && order.task in worker.runningTasks) crashWorker(worker, CRASHED_FOR_MS) }
         }
@@ -620,7 +621,7 @@
         if (random.nextInt(3) == 0) restart(entries.firstOrNull { it.scheduler != null } ?: entries.random(random), durationMs)
     }
 
-    private fun upWorkers(): List<SimWorker> = workers.values.filter { it.isUp }
+    fun upWorkers(): List<SimWorker> = workers.values.filter { it.isUp }
 
     private fun rack(): List<SimWorker> = upWorkers().shuffled(random).take(RACK_SIZE)
 
@@ -646,10 +647,14 @@
         lostInstances[instanceId] = isInstanceRemoved
     }
 
-    /** Ends [worker] and starts it again [downMs] later under the same id, without any of its state. */
-    private fun restartUnderSameId(
+    /**
+     * Ends [worker] and starts it again [downMs] later under the same id, without any of its state. No entry reaches the new
+     * incarnation for its first [unreachableMs], in which orders that were sent to the last one may still be carried out by it.
+     */
+    fun restartUnderSameId(
         worker: SimWorker,
         downMs: Long,
+        unreachableMs: Long = 0,
     ) {
         trace("world", "worker_restarts", arrayOf<Any?>(worker.entry.id, downMs))
         checker.onWorkerCrashed(worker)
@@ -662,11 +667,22 @@
                 val entry = worker.entry.copy(bornWallMs = time.nowMs)
                 val next = SimWorker(entry, time, if (random.nextBoolean()) 0.98 else 1.0, checker, longestLeaseMs)
                 workers[entry.id] = next
-                listWorker(next)
+                if (unreachableMs == 0L) listWorker(next) else listOnceReachable(next, unreachableMs)
             }
         }
     }
 
+    private fun listOnceReachable(
+        worker: SimWorker,
+        unreachableMs: Long,
+    ) {
+        worker.isReachable = false
+        time.after(unreachableMs) {
+            worker.isReachable = true
+            if (worker.isUp) listWorker(worker)
+        }
+    }
+
     private fun injectFault() {
         val entry = entries.random(random)
         val durationMs = random.nextLong(500, MAX_FAULT_MS)
@@ -693,7 +709,7 @@
         time.after(durationMs, end)
     }
 
-    private fun restart(
+    fun restart(
         entry: SimEntry,
         downMs: Long,
     ) {
@@ -703,12 +719,12 @@
     }
 
     /** Cuts [entry] off from the store, from its peers and from the workers, while its callers still reach it. */
-    private fun isolate(
+    fun isolate(
         entry: SimEntry,
         durationMs: Long,
     ) = during(durationMs, { entry.setIsolated(true) }, { entry.setIsolated(false) })
 
-    private fun freeze(
+    fun freeze(
         entry: SimEntry,
         durationMs: Long,
     ) {
@@ -732,7 +748,7 @@
         time.after(durationMs + 100) { if (worker.isUp) listWorker(worker) }
     }
 
-    private fun crashWorker(
+    fun crashWorker(
         worker: SimWorker,
         durationMs: Long,
     ) {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimTime.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimTime.kt
@@ -47,8 +47,11 @@
     /** Time that the monotonic clock of the process missed while the process was suspended. */
     var suspendedMs = 0L
 
+    /** By how much the time of day of the process is ahead of the others'. */
+    var wallOffsetMs = 0L
+
     override val nowMs: Long get() = time.nowMs - suspendedMs
-    override val wallMs: Long get() = time.nowMs
+    override val wallMs: Long get() = time.nowMs + wallOffsetMs
 
     override fun post(action: () -> Unit) = after(0, action)
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
@@ -1,6 +1,7 @@
 /*
  * Runs the simulation by hand: `WorldMainKt FIRST LAST [WORKLOAD [LEASE_MS [POOL_DECISIONS]]]` prints the violations of a range of
- * seeds, and the decisions as well if the range has a single seed. POOL_DECISIONS true switches on the optional decisions on pools.
+ * seeds, and the decisions as well if the range has a single seed. WORKLOAD is one of [Workload], or LATE_ORDERS for the faults of
+ * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids. POOL_DECISIONS true switches on the optional decisions on pools.
  */
 package io.corianderrock.jobs.world
 
@@ -15,29 +16,34 @@
         keepsUsableInstances = true,
     )
 
+private const val LATE_ORDERS = "LATE_ORDERS"
+private const val LATE_ORDERS_NEW_IDS = "LATE_ORDERS_NEW_IDS"
+
 internal fun main(args: Array<String>) {
     val first = args[0].toInt()
     val last = args.getOrNull(1)?.toInt() ?: first
-    val workload = args.getOrNull(2)?.let(Workload::valueOf) ?: Workload.SHORT_JOBS
+    val workload = args.getOrNull(2) ?: Workload.SHORT_JOBS.name
     val longestLeaseMs = args.getOrNull(3)?.toLong() ?: SimWorker.MAX_LEASE_MS
     val settings = if (args.getOrNull(4).toBoolean()) POOL_SETTINGS else SchedulingSettings()
+
+    fun world(
+        seed: Int,
+        traces: MutableList<String>? = null,
+    ): JobWorld =
+        if (workload == LATE_ORDERS || workload == LATE_ORDERS_NEW_IDS) {
+            lateOrderWorld(seed, keepsIds = workload == LATE_ORDERS, longestLeaseMs, settings, traces)
+        } else {
+            JobWorld(seed, workload = Workload.valueOf(workload), longestLeaseMs = longestLeaseMs, settings = settings, traces = traces)
+        }
     if (first == last) {
         val traces = ArrayList<String>()
-        val checker = JobWorld(first, workload = workload, longestLeaseMs = longestLeaseMs, traces = traces, settings = settings).run()
+        val checker = world(first, traces).run()
         traces.forEach(::println)
         checker.violations.forEach(::println)
         return
     }
     val startNs = System.nanoTime()
-    val found =
-        (first..last).flatMap { seed ->
-            JobWorld(
-                seed,
-                workload = workload,
-                longestLeaseMs = longestLeaseMs,
-                settings = settings,
-            ).run().violations.map { "seed $seed: $it" }
-        }
+    val found = (first..last).flatMap { seed -> world(seed).run().violations.map { "seed $seed: $it" } }
     found.forEach(::println)
     println("${last - first + 1} seeds, ${found.size} violations, ${(System.nanoTime() - startNs) / 1_000_000} ms")
 }
