Keep the tasks of a restarted worker in place until the new incarnation has answered

A worker that restarts under its id knows neither fence nor stops, so a start that is carried out late runs there, also one of an earlier owner that this one knows nothing of. Its tasks were freed as soon as discovery showed the restart, and started elsewhere beside such a run. Now they are freed by the first list under this owner's fence, which no earlier start passes any more, or when the lease that a late start can have is over. A run that the new incarnation lists is adopted whatever its number; before, a lower number made it a stranger, stopped while its task was started elsewhere. WorkerDriverTest failed before (task freed, null worker).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/InheritedWorkerLeases.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/InheritedWorkerLeases.kt
@@ -5,6 +5,7 @@
 package io.corianderrock.jobs.runs
 
 import io.corianderrock.jobs.ports.DecisionLog
+import io.corianderrock.jobs.state.LATE_ORDER_WINDOW_MS
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -32,6 +33,12 @@
     var deadlineMs: Long = 0
         private set
 
+    /**
+     * Loop time until which a start of an earlier owner may run on a worker that has restarted under its id and was not reached
+     * since: the new incarnation has not seen the fence and takes the order as long as it may arrive late.
+     */
+    val lateOrdersDeadlineMs: Long get() = if (deadlineMs == 0L) 0 else deadlineMs + LATE_ORDER_WINDOW_MS
+
     fun inherit(
         leases: List<WorkerLeaseRow>,
         deadlineMs: Long,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -46,6 +46,7 @@
             .sortedBy { it.number }
             .forEach { onRunEnded(worker, it, RunClock(worker.listedClockMs, lists.workerClockMs, loop.nowMs - sentAtMs)) }
         worker.listedClockMs = lists.workerClockMs
+        if (!worker.isReconciled) register.releaseEarlierRuns(worker, lists)
         lists.running.forEach { onRunningRow(worker, it) }
         completeStops(worker, sentAtMs, lists)
         worker.acknowledgedEnd = maxOf(worker.acknowledgedEnd, order.acknowledgedEnd)
@@ -120,13 +121,13 @@
         row: RunningRow,
     ) {
         val current = worker.runs[row.task]
+        val task = registry.find(row.task.jobId)?.takeIf { it.isLive }?.task(row.task)
         if (current != null && current.runNumber == row.runNumber) {
             confirmRunning(worker, current, row)
-            return
-        }
-        val task = registry.find(row.task.jobId)?.takeIf { it.isLive }?.task(row.task)
-        if (task != null && canAdopt(task, row)) {
+        } else if (task != null && canAdopt(worker, task)) {
             adopt(worker, task, row)
+        } else if (current != null) {
+            stopListedRun(worker, current, row)
         } else if (worker.orphanedRuns.put(row.task, row.runNumber) == null) {
             log.write("run_unknown", "task", row.task, "run", row.runNumber, "worker", worker.id)
             orders.sendStop(worker, row.task, row.runNumber)
@@ -148,10 +149,32 @@
         }
     }
 
+    /**
+     * True if a run of [task] that [worker] lists is the only one, whatever its number: the task has none, or its last one was on an
+     * earlier incarnation of this worker. Members of a gang run under one number, which a single one cannot change.
+     */
     private fun canAdopt(
+        worker: WorkerView,
+        task: TaskRun,
+    ): Boolean =
+        task.phase == TaskPhase.WAITING ||
+            task.worker === worker &&
+            task !in worker.startQueue &&
+            task.phase != TaskPhase.STOPPING &&
+            !task.stepRun.step.isGang
+
+    /** Stops the run of [task] in [row], which [worker] carries out instead of the one that this owner knows of. */
+    private fun stopListedRun(
+        worker: WorkerView,
         task: TaskRun,
         row: RunningRow,
-    ): Boolean = task.phase == TaskPhase.WAITING && row.runNumber > task.runNumber
+    ) {
+        log.write("run_superseded", "task", row.task, "run", row.runNumber, "known", task.runNumber, "worker", worker.id)
+        worker.stopAnsweredAtMs.remove(row.task)
+        task.runNumber = row.runNumber
+        task.phase = TaskPhase.STOPPING
+        orders.sendStop(worker, row.task, row.runNumber)
+    }
 
     private fun adopt(
         worker: WorkerView,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -7,6 +7,7 @@
 
 import io.corianderrock.jobs.ports.Instance
 import io.corianderrock.jobs.ports.InstanceState
+import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.WorkerView
@@ -271,20 +272,32 @@
         log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", worker.unansweredStarts.size)
         val interrupted = crashes.interruptedRunsOf(worker)
         val recentStarts = orders.recentLateStarts(worker)
-        worker.runs.values
-            .filter { recentStarts[it.id]?.runNumber != it.runNumber }
-            .toList()
-            .forEach { worker.releaseRun(it, loop.nowMs) }
         worker.unansweredStarts.keys.retainAll(recentStarts.keys)
         worker.beginIncarnation(bornWallMs, loop.nowMs)
         worker.assumeLateLeases(loop.nowMs, holds.worstCaseLeaseMs)
+        worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, inheritedLeases.lateOrdersDeadlineMs)
         // An unanswered start may still reach the new incarnation, which has no record of the fence or of stopped runs.
         for ((taskId, start) in recentStarts) {
             if (taskId !in worker.runs) worker.orphanedRuns[taskId] = start.runNumber
             orders.sendStop(worker, taskId, start.runNumber)
         }
         crashes.onEnded(worker, interrupted)
-        markReconciled(worker.id)
+    }
+
+    /**
+     * Frees the runs of the last incarnation of [worker]. Called with the first list of the next one, [lists]: until then a start by
+     * this or an earlier owner that was carried out late may run the same tasks there.
+     */
+    fun releaseEarlierRuns(
+        worker: WorkerView,
+        lists: WorkerAnswer.Listed,
+    ) {
+        val running = lists.running.mapTo(HashSet()) { it.task }
+        val recentStarts = orders.recentLateStarts(worker)
+        worker.runs.values
+            .filter { it.id !in running && it !in worker.startQueue && recentStarts[it.id]?.runNumber != it.runNumber }
+            .toList()
+            .forEach { worker.releaseRun(it, loop.nowMs) }
     }
 
     private companion object {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
@@ -4,10 +4,13 @@
 package io.corianderrock.jobs
 
 import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.ports.EndKind
+import io.corianderrock.jobs.ports.EndRow
 import io.corianderrock.jobs.ports.HoldOrder
 import io.corianderrock.jobs.ports.Instance
 import io.corianderrock.jobs.ports.InstanceState
 import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.RunningRow
 import io.corianderrock.jobs.ports.StartOrder
 import io.corianderrock.jobs.ports.StopOrder
 import io.corianderrock.jobs.ports.Table
@@ -25,6 +28,7 @@
 import io.corianderrock.jobs.world.SimLoop
 import io.corianderrock.jobs.world.SimTime
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.nulls.shouldBeNull
@@ -52,6 +56,15 @@
 
 /** Allowance of the owner for slow clocks and timeouts over the end of a late lease. */
 private const val LATE_MARGIN_MS = 2_000L
+
+/** Time in which a worker that does not answer is asked again. */
+private const val RETRY_MS = 1_200L
+
+/** A run number that this owner has not given. */
+private const val EARLIER_OWNERS_RUN = 7L
+
+/** The number of the last end that the worker lists. */
+private const val LAST_END = 40L
 private val CAPACITY = Demand(8_000, 32_000)
 
 /** An owner with one worker, whose answers the test controls, and one job with one task. */
@@ -72,7 +85,7 @@
             committer,
             registry,
             log = { _, _ -> },
-            epoch = 1,
+            epoch = 2,
             longestLeaseMs = LONGEST_LEASE_MS,
             mayOrder = { true },
             onChange = {},
@@ -91,6 +104,13 @@
     /** For each start order whether the row that records runs on the worker was stored when it was sent. */
     val wasRowStoredAtStart = ArrayList<Boolean>()
     val stoppedRuns = ArrayList<Long>()
+
+    /** What the worker lists. */
+    var runningRows = emptyList<RunningRow>()
+    var endedRows = emptyList<EndRow>()
+
+    /** The ends that holds have acknowledged, 0 for a hold that acknowledges none. */
+    val acknowledgements = ArrayList<Long>()
     var holdCount = 0
         private set
     val task: TaskRun
@@ -118,7 +138,11 @@
     val isUsable: Boolean get() = checkNotNull(driver.find(WORKER)).let { it.consecutiveLostHolds == 0 && it.avoidUntilMs <= time.nowMs }
 
     fun waitUntil(condition: () -> Boolean) {
-        while (!condition()) pass(1)
+        val latestMs = time.nowMs + LATEST_ORDER_MS
+        while (!condition()) {
+            check(time.nowMs < latestMs) { "the condition does not hold within $LATEST_ORDER_MS ms" }
+            pass(1)
+        }
     }
 
     fun startTask() = driver.start(task, checkNotNull(driver.find(WORKER)))
@@ -131,6 +155,14 @@
         pass(SETTLE_MS)
     }
 
+    /** Lists the worker in a new incarnation with the same id that does not answer. */
+    fun startAgainUnreached() {
+        isUp = false
+        bornWallMs = time.nowMs
+        driver.onListed(entry())
+        pass(SETTLE_MS)
+    }
+
     fun listInstanceAsDown() =
         driver.onInstancesListed(
             listOf(Instance(INSTANCE, POOL, InstanceState.DOWN, "dc", emptyList(), CAPACITY, workerId = null)),
@@ -169,6 +201,7 @@
         onAnswer: (WorkerAnswer) -> Unit,
     ) {
         holdCount++
+        acknowledgements.add(order.acknowledgedEnd)
         if (lostHoldAnswers > 0) {
             lostHoldAnswers--
             loop.after(ORDER_TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("no answer", mayBeCarriedOut = true)) }
@@ -178,7 +211,7 @@
         loop.after(delayMs) {
             onAnswer(
                 if (isUp) {
-                    WorkerAnswer.Listed(clockMs(), bornWallMs, emptyList(), emptyList())
+                    WorkerAnswer.Listed(clockMs(), bornWallMs, runningRows, endedRows)
                 } else {
                     WorkerAnswer.Unanswered("connection refused", mayBeCarriedOut = false)
                 },
@@ -292,6 +325,31 @@
                 owner.task.worker.shouldBeNull()
             }
         }
+        describe("a worker that starts again under its id and is not reached") {
+            // Guards against a task started elsewhere while a late start of an earlier owner runs in the new incarnation (TWICE).
+            it("keeps its tasks until the new incarnation has answered") {
+                val owner = OwnerOfOneWorker()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.startAgainUnreached()
+                owner.task.worker.shouldNotBeNull()
+                owner.isUp = true
+                owner.pass(RETRY_MS)
+                owner.task.worker.shouldBeNull()
+            }
+
+            // Guards against the same where the new incarnation is found to run the task: it must not be started elsewhere beside it.
+            it("goes on with the run of a task that the new incarnation lists, whatever its number") {
+                val owner = OwnerOfOneWorker()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.runningRows = listOf(RunningRow(owner.task.id, EARLIER_OWNERS_RUN, checkpoint = "", percent = 100))
+                owner.startAgain()
+                owner.task.worker.shouldNotBeNull()
+                owner.task.runNumber shouldBe EARLIER_OWNERS_RUN
+                owner.stoppedRuns.shouldBeEmpty()
+            }
+        }
         describe("a start without an answer on a worker that runs other tasks") {
             // Guards against a task that waits for the end of another run before it may start elsewhere.
             it("frees the task as soon as the stop is answered") {
