Acknowledge ended runs once, and none to a worker that has not answered

An acknowledgement counts for one incarnation, but orders name only the worker's id: each hold repeated the last count, so that the first hold after a silence, or one that was carried out late, made a new incarnation drop ends that no owner had read. Now a hold acknowledges only what is not yet acknowledged, and nothing after an unanswered hold. Two tests in WorkerDriverTest failed before (40 instead of 0).

What remains are holds with a new acknowledgement that are themselves carried out late.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -86,9 +86,16 @@
         val hasRuns = worker.runs.isNotEmpty() && isAnswering && context.mayOrder()
         val expiresAtMs = if (hasRuns) nextLeaseEndMs(worker) else null
         val isWaiting = isAnswering && worker.runs.isNotEmpty() && worker.stopAnsweredAtMs.isEmpty()
-        return HoldOrder(expiresAtMs, context.epoch, worker.storedEnd, if (isWaiting) waitMs(worker) else 0)
+        return HoldOrder(expiresAtMs, context.epoch, endToAcknowledge(worker), if (isWaiting) waitMs(worker) else 0)
     }
 
+    /**
+     * The number up to which [worker] may drop ended runs, 0 for none. It counts for one incarnation, while the order names only the
+     * id: a silent worker may have restarted, and an order may arrive late. The next incarnation would drop ends that nobody has read.
+     */
+    private fun endToAcknowledge(worker: WorkerView): Long =
+        if (worker.consecutiveLostHolds == 0 && worker.acknowledgedEnd < worker.storedEnd) worker.storedEnd else 0
+
     /** A lost answer hides the ends of runs until its timeout, so that workers with short tasks are asked more often. */
     private fun waitMs(worker: WorkerView): Int =
         if (worker.runs.values.all { it.stepRun.step.isLongRunning }) LONG_RUNNING_HOLD_WAIT_MS else HOLD_WAIT_MS
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
@@ -350,6 +350,39 @@
                 owner.stoppedRuns.shouldBeEmpty()
             }
         }
+        describe("an acknowledgement of ended runs") {
+            /** An owner that has read the last end of its worker and has not stored it yet. */
+            fun ownerWithLastEnd(): OwnerOfOneWorker {
+                val owner = OwnerOfOneWorker()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.endedRows = listOf(EndRow(LAST_END, owner.task.id, owner.task.runNumber, EndKind.STOPPED, checkpoint = ""))
+                owner.waitUntil { owner.driver.find(WORKER)?.processedEnd == LAST_END }
+                owner.acknowledgements.clear()
+                return owner
+            }
+
+            // Guards against an order by the count of the last incarnation that makes the next one drop ends nobody has read (TWICE).
+            it("is not repeated once the worker has answered it") {
+                val owner = ownerWithLastEnd()
+                owner.waitUntil { LAST_END in owner.acknowledgements }
+                owner.pass(SETTLE_MS)
+                owner.acknowledgements.clear()
+                owner.startTask()
+                owner.pass(STOP_MS)
+                owner.acknowledgements.toSet() shouldBe setOf(0L)
+            }
+
+            // Guards against the same by the first order after a silence, in which the worker may have started again.
+            it("is not sent to a worker that left the last order unanswered") {
+                val owner = ownerWithLastEnd()
+                owner.lostHoldAnswers = 1
+                owner.waitUntil { owner.lostHoldAnswers == 0 }
+                owner.acknowledgements shouldBe listOf(LAST_END)
+                owner.pass(ORDER_TIMEOUT_MS + RETRY_MS)
+                owner.acknowledgements.take(3) shouldBe listOf(LAST_END, 0L, LAST_END)
+            }
+        }
         describe("a start without an answer on a worker that runs other tasks") {
             // Guards against a task that waits for the end of another run before it may start elsewhere.
             it("frees the task as soon as the stop is answered") {
