Fail calls to malformed addresses at once and look names up off the I/O thread

An address from another program's row reached the HTTP client as it was. `127.0.0.1`, `user@127.0.0.1:80` or `[::1]` were called at port 80, and a name was looked up on the thread that serves all connections.

The client now parses the address itself: one that is not a host and a port fails before it reaches the I/O thread, as not sent. Names are looked up on threads of their own, one look-up at a time for each host, within the connect timeout. Attempts to connect are a class of their own that ends exactly once, and waiting calls are started in a task of their own, so that connects that fail at once cannot nest.

--- a/transport/src/main/kotlin/io/corianderrock/transport/AsyncHttpClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/AsyncHttpClient.kt
@@ -10,6 +10,8 @@
 import org.xnio.Options
 import org.xnio.Xnio
 import org.xnio.XnioIoThread
+import java.io.IOException
+import java.net.InetAddress
 import java.util.concurrent.TimeUnit
 
 /** Result of an HTTP call. */
@@ -35,8 +37,11 @@
 public class AsyncHttpClient(
     private val loop: EventLoop,
     private val limits: ClientLimits = ClientLimits(),
+    /** Blocking look-up of a host name; throws [IOException] if there is no such host. */
+    lookUp: (String) -> InetAddress = InetAddress::getByName,
 ) {
     private val ioThread: XnioIoThread = Xnio.getInstance().createWorker(WORKER_OPTIONS).ioThread
+    private val lookup = HostLookup(ioThread, lookUp)
     private val connectionsByAuthority = HashMap<String, HostConnections>()
 
     init {
@@ -45,7 +50,7 @@
 
     /**
      * Sends one request to [url] (`http://host:port/path`), without retries. The call, from connect to last byte, takes at most
-     * [timeoutMs]; [onResult] runs on the loop.
+     * [timeoutMs]; [onResult] runs on the loop, once. A request whose address or headers are not valid fails at once.
      */
     public fun send(
         method: String,
@@ -57,22 +62,33 @@
     ) {
         val target = url.removePrefix("http://")
         val authority = target.substringBefore('/')
+        val address = HostPort.parse(authority) ?: return fail("'${authority.take(SHOWN_LENGTH)}' is not a host and a port", onResult)
         val request = HttpCallRequest(method, authority, "/" + target.substringAfter('/', ""), headers, body)
-        val call = HttpCall(request, ioThread) { result -> loop.post { onResult(result) } }
+        val call =
+            try {
+                HttpCall(request, ioThread) { result -> loop.post { onResult(result) } }
+            } catch (e: IllegalArgumentException) {
+                return fail("invalid request to $authority: ${e.message}", onResult)
+            }
         ioThread.execute {
             call.startTimer(timeoutMs)
-            connectionsByAuthority.getOrPut(authority) { HostConnections(authority, ioThread, limits) }.start(call)
+            connectionsByAuthority.getOrPut(authority) { HostConnections(address, lookup, ioThread, limits) }.start(call)
         }
     }
 
+    private fun fail(
+        reason: String,
+        onResult: (HttpResult) -> Unit,
+    ) = loop.post { onResult(HttpResult.Failed(reason, hasSentBytes = false, isRefused = false)) }
+
     private fun closeExpired() {
+        ioThread.executeAfter(::closeExpired, limits.idleTimeoutMs / EXPIRY_CHECKS_PER_TIMEOUT, TimeUnit.MILLISECONDS)
         val hosts = connectionsByAuthority.values.iterator()
         while (hosts.hasNext()) {
             val host = hosts.next()
             host.closeExpired()
             if (host.isUnused) hosts.remove()
         }
-        ioThread.executeAfter(::closeExpired, limits.idleTimeoutMs / EXPIRY_CHECKS_PER_TIMEOUT, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
@@ -86,6 +102,9 @@
                 .set(Options.THREAD_DAEMON, true)
                 .map
 
+        /** Addresses come from other programs and may have any length. */
+        const val SHOWN_LENGTH = 80
+
         /** Idle connections are closed within a quarter more than the idle timeout. */
         const val EXPIRY_CHECKS_PER_TIMEOUT = 4
     }
--- a/transport/src/main/kotlin/io/corianderrock/transport/HostConnections.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HostConnections.kt
@@ -4,20 +4,14 @@
 package io.corianderrock.transport
 
 import io.undertow.client.ClientConnection
-import io.undertow.client.UndertowClient
-import io.undertow.server.DefaultByteBufferPool
-import org.xnio.IoFuture
 import org.xnio.IoUtils
-import org.xnio.OptionMap
-import org.xnio.Options
 import org.xnio.XnioIoThread
-import java.io.IOException
-import java.net.URI
 import java.util.concurrent.TimeUnit
 
 /** Confined to [ioThread]. */
 internal class HostConnections(
-    private val authority: String,
+    private val target: HostPort,
+    private val lookup: HostLookup,
     private val ioThread: XnioIoThread,
     private val limits: ClientLimits,
 ) {
@@ -78,41 +72,7 @@
 
     private fun connect(call: HttpCall) {
         openCount++
-        val future =
-            try {
-                UndertowClient.getInstance().connect(URI("http://$authority"), ioThread, BUFFERS, OPTIONS)
-            } catch (e: IllegalArgumentException) {
-                onConnectFailed(call, IOException("'$authority' is not a valid host and port", e))
-                return
-            }
-        call.onAbandoned = { future.cancel() }
-        val onTimeout = { call.fail(IOException("no connection within ${limits.connectTimeoutMs} ms")) }
-        val timer = ioThread.executeAfter(onTimeout, limits.connectTimeoutMs, TimeUnit.MILLISECONDS)
-        future.addNotifier(
-            object : IoFuture.HandlingNotifier<ClientConnection, Unit>() {
-                override fun handleDone(
-                    connection: ClientConnection,
-                    attachment: Unit?,
-                ) {
-                    timer.remove()
-                    onConnected(call, connection)
-                }
-
-                override fun handleFailed(
-                    exception: IOException,
-                    attachment: Unit?,
-                ) {
-                    timer.remove()
-                    onConnectFailed(call, exception)
-                }
-
-                override fun handleCancelled(attachment: Unit?) {
-                    timer.remove()
-                    onConnectFailed(call, IOException("connect cancelled"))
-                }
-            },
-            null,
-        )
+        ConnectAttempt(call, target, ioThread, { onConnected(call, it) }, ::onClosed).begin(lookup, limits.connectTimeoutMs)
     }
 
     private fun onConnected(
@@ -123,40 +83,18 @@
         if (call.isDone) release(connection) else call.sendOn(connection, ::release)
     }
 
-    private fun onConnectFailed(
-        call: HttpCall,
-        exception: IOException,
-    ) {
-        call.fail(exception)
-        onClosed()
-    }
-
     private fun onClosed() {
         openCount--
-        if (openCount < MAX_CONNECTIONS) nextWaiting()?.let(::start)
+        // In a task of its own: connections that fail at once, one after the other, would exhaust the stack.
+        if (waiting.isNotEmpty()) ioThread.execute(::startWaiting)
+    }
+
+    private fun startWaiting() {
+        while (openCount < MAX_CONNECTIONS) start(nextWaiting() ?: return)
     }
 
     private companion object {
         /** The number of connections that one worker accepts. */
         const val MAX_CONNECTIONS = 64
-
-        /** Covers nearly all messages: orders and short lists. */
-        const val BUFFER_BYTES = 4_096
-
-        const val MAX_POOLED_BUFFERS = 256
-        const val BUFFERS_PER_THREAD = 4
-
-        val BUFFERS = DefaultByteBufferPool(false, BUFFER_BYTES, MAX_POOLED_BUFFERS, BUFFERS_PER_THREAD)
-
-        /**
-         * A connection is closed with a TCP reset, which discards unsent data. Without it, a request that timed out during a
-         * network partition could still be delivered after the partition heals.
-         */
-        val OPTIONS: OptionMap =
-            OptionMap
-                .builder()
-                .set(Options.TCP_NODELAY, true)
-                .set(Options.CLOSE_ABORT, true)
-                .map
     }
 }
--- a/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
@@ -7,15 +7,19 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import java.io.IOException
 import java.io.InputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.UnknownHostException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -71,6 +75,66 @@
                 }
             }
         }
+        describe("a call to an address that is not valid") {
+            // Guards against calls that wait out their time because a malformed row names the address.
+            for (authority in listOf(
+                "",
+                "a b:80",
+                "[::1",
+                ":80",
+                "127.0.0.1",
+                "127.0.0.1:0",
+                "127.0.0.1:65536",
+                "127.0.0.1:99999999999",
+                "user@127.0.0.1:80",
+                "127.0.0.1:80\n",
+                "127.1:80",
+                "[fe80::1%eth0]:80",
+                "x".repeat(5_000) + ":80",
+            )) {
+                it("fails at once without having been sent: '${authority.take(30).trim()}', ${authority.length} characters") {
+                    val startNs = System.nanoTime()
+                    val failed = client.call(authority, "hello", timeoutMs = 5_000).shouldBeInstanceOf<HttpResult.Failed>()
+                    failed.hasSentBytes shouldBe false
+                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs) shouldBeLessThan 1_000
+                    failed.reason shouldContain "is not a host and a port"
+                }
+            }
+            it("does not take the connection of a call to a sound one") {
+                RawServer { it.answer(OK_ANSWER) }.use { server ->
+                    repeat(200) { client.call("[::1", "hello", timeoutMs = 200) }
+                    client.call(server, "hello").shouldBeInstanceOf<HttpResult.Answer>()
+                }
+            }
+        }
+        describe("a host name whose look-up takes long") {
+            // Guards against a name server that holds up the calls to all other hosts.
+            it("delays only the calls to that host, which share one look-up and connect once it is over") {
+                val canAnswer = CountDownLatch(1)
+                val lookUps = AtomicInteger()
+                val lookUp = { _: String ->
+                    lookUps.incrementAndGet()
+                    canAnswer.await()
+                    InetAddress.getLoopbackAddress()
+                }
+                val named = AsyncHttpClient(loop, ClientLimits(connectTimeoutMs = 300), lookUp)
+                RawServer { it.answer(OK_ANSWER) }.use { server ->
+                    val calls = List(200) { named.start("worker.example:${server.port}", "hello", timeoutMs = 400) }
+                    named.call(server, "hello").shouldBeInstanceOf<HttpResult.Answer>()
+                    val results = calls.map { it.get(2, TimeUnit.SECONDS).shouldBeInstanceOf<HttpResult.Failed>() }
+                    results.none { it.hasSentBytes } shouldBe true
+                    lookUps.get() shouldBe 1
+                    canAnswer.countDown()
+                    named.call("worker.example:${server.port}", "hello").shouldBeInstanceOf<HttpResult.Answer>()
+                }
+            }
+            it("makes the call fail where there is no such host") {
+                val unknown = AsyncHttpClient(loop, ClientLimits(), lookUp = { throw UnknownHostException(it) })
+                val failed = unknown.call("worker.example:80", "hello").shouldBeInstanceOf<HttpResult.Failed>()
+                failed.hasSentBytes shouldBe false
+                failed.reason shouldContain "look-up of worker.example failed"
+            }
+        }
         describe("a call without an answer") {
             it("is known not to have been received where nothing listens") {
                 val port = ServerSocket(0).use { it.localPort }
