Refuse headers that cannot be sent as they are, and bound answers

A worker's id is sent in a header of each order.

An unexpected exception in the write, the read or a callback of a call fails the call instead of leaving it to its timeout, and an answer of more than 32 MB is given up: an address may lead to any server.

--- a/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
@@ -30,7 +30,10 @@
     val body: ByteArray,
 )
 
-/** Confined to [ioThread]. [onResult] is called once, on that thread. */
+/**
+ * Confined to [ioThread]. [onResult] is called once, on that thread. Throws [IllegalArgumentException] if a header cannot be sent as
+ * it is.
+ */
 internal class HttpCall(
     private val request: HttpCallRequest,
     private val ioThread: XnioIoThread,
@@ -40,6 +43,7 @@
     private var connection: ClientConnection? = null
     private var onReusable: (ClientConnection) -> Unit = {}
     private val received = ByteArrayOutputStream()
+    private val message = clientRequest()
     var isDone = false
         private set
 
@@ -57,13 +61,12 @@
     ) {
         connection = chosen
         this.onReusable = onReusable
-        chosen.sendRequest(
-            clientRequest(),
+        val onSending =
             callback { exchange ->
                 exchange.setResponseListener(callback { read(it, it.responseChannel) })
                 if (request.body.isNotEmpty()) write(exchange.requestChannel, ByteBuffer.wrap(request.body))
-            },
-        )
+            }
+        orFail { chosen.sendRequest(message, onSending) }
     }
 
     /** Ends the call with [exception], unless it has ended. The request may have been received once it had a connection. */
@@ -81,6 +84,8 @@
             if (used.isOpen) IoUtils.safeClose(used.performUpgrade())
         } catch (_: IOException) {
             IoUtils.safeClose(used)
+        } catch (_: RuntimeException) {
+            IoUtils.safeClose(used)
         }
     }
 
@@ -100,13 +105,16 @@
         fields.put(Headers.HOST, request.authority)
         if (request.method == "POST") fields.put(Headers.CONTENT_TYPE, "application/json")
         if (request.method != "GET") fields.put(Headers.CONTENT_LENGTH, request.body.size.toString())
-        for ((name, value) in request.headers) fields.put(HttpString(name), value)
+        for ((name, value) in request.headers) {
+            require(value.all { it in ' '..'~' }) { "header $name has a character that is not printable ASCII" }
+            fields.put(HttpString(name), value)
+        }
         return message
     }
 
     private fun callback(onCompleted: (ClientExchange) -> Unit): ClientCallback<ClientExchange> =
         object : ClientCallback<ClientExchange> {
-            override fun completed(exchange: ClientExchange) = onCompleted(exchange)
+            override fun completed(exchange: ClientExchange) = orFail { onCompleted(exchange) }
 
             override fun failed(e: IOException) = fail(e)
         }
@@ -149,6 +157,7 @@
                         channel.resumeReads()
                         return@orFail
                     }
+                    if (received.size() + count > MAX_ANSWER_BYTES) throw IOException("the answer has more than $MAX_ANSWER_BYTES bytes")
                     received.write(buffer.array(), buffer.arrayOffset(), count)
                 }
             }
@@ -166,6 +175,13 @@
             action()
         } catch (e: IOException) {
             fail(e)
+        } catch (e: RuntimeException) {
+            fail(IOException("unexpected failure: $e", e))
         }
     }
+
+    private companion object {
+        /** Many times the largest page of the store, 1 MB in Base64. */
+        const val MAX_ANSWER_BYTES = 32_000_000
+    }
 }
--- a/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
@@ -135,6 +135,39 @@
                 failed.reason shouldContain "look-up of worker.example failed"
             }
         }
+        describe("an answer that is not valid") {
+            // Guards against calls that wait out their time, and against memory filled by one answer.
+            for (answer in listOf(
+                "nonsense\r\n\r\n",
+                "HTTP/1.1 abc OK\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 33000000\r\n\r\n" + "x".repeat(33_000_000),
+            )) {
+                it("makes the call fail at once, and later ones use another connection: ${answer.take(50).trim().lines()}") {
+                    val attempts = AtomicInteger()
+                    RawServer { it.answer(if (attempts.getAndIncrement() == 0) answer else OK_ANSWER) }.use { server ->
+                        val startNs = System.nanoTime()
+                        client.call(server, "hello", timeoutMs = 5_000).shouldBeInstanceOf<HttpResult.Failed>().hasSentBytes shouldBe true
+                        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs) shouldBeLessThan 4_000
+                        client.call(server, "hello").shouldBeInstanceOf<HttpResult.Answer>()
+                    }
+                }
+            }
+        }
+        describe("a header that cannot be sent as it is") {
+            // Guards against header lines that another program's row adds to a request.
+            for (value in listOf("a\nX-Other: 1", "a\r\n\r\n", "a\u0000", "\u00e9")) {
+                it("makes the call fail at once: ${value.map { it.code }}") {
+                    RawServer { it.answer(OK_ANSWER) }.use { server ->
+                        val result = CompletableFuture<HttpResult>()
+                        val url = "http://127.0.0.1:${server.port}/path"
+                        client.send("POST", url, ByteArray(0), 1_000, mapOf("X-Name" to value)) { result.complete(it) }
+                        result.get(3, TimeUnit.SECONDS).shouldBeInstanceOf<HttpResult.Failed>().hasSentBytes shouldBe false
+                        server.connectionCount.get() shouldBe 0
+                    }
+                }
+            }
+        }
         describe("a call without an answer") {
             it("is known not to have been received where nothing listens") {
                 val port = ServerSocket(0).use { it.localPort }
