--- a/transport/src/main/kotlin/io/corianderrock/transport/EventLog.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/EventLog.kt
@@ -53,13 +53,18 @@
 
     private fun quoteIfNeeded(value: String): String {
         if (value.isNotEmpty() && value.all(::needsNoQuotes)) return value
-        return "\"" +
-            value
-                .replace("\\", "\\\\")
-                .replace("\"", "\\\"")
-                .replace("\n", "\\n")
-                .replace("\r", "\\r") + "\""
+        return value.asSequence().joinToString("", "\"", "\"", transform = ::escape)
     }
 
-    private fun needsNoQuotes(char: Char): Boolean = char > ' ' && char != '"' && char != '=' && char != '\\'
+    /** Values may come from other programs: control characters would split the line or act on a terminal. */
+    private fun escape(char: Char): String =
+        when {
+            char == '\\' || char == '"' -> "\\$char"
+            char == '\n' -> "\\n"
+            char == '\r' -> "\\r"
+            char.isISOControl() -> "\\u%04x".format(char.code)
+            else -> char.toString()
+        }
+
+    private fun needsNoQuotes(char: Char): Boolean = char > ' ' && char != '"' && char != '=' && char != '\\' && !char.isISOControl()
 }
