Keep a worker beside a row of the same instance that has no start

A row names the instance of its worker, and each boot of an instance has a worker of its own, so a row with a later start ends the runs of the earlier worker. A row without a start did so too: one that another program wrote had the runs of a sound worker started a second time (TWICE; WorkerDriverTest, the task had no worker before). Only a row that tells a start that is not earlier does now.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -108,11 +108,14 @@
         log.write("worker_listed", "worker", entry.id, "pool", entry.pool, "instance", entry.instanceId, "draining", entry.isDraining)
     }
 
-    /** Removes older workers of the same instance: each boot has a worker of its own, so their runs have ended. */
+    /**
+     * Removes older workers of the same instance: each boot has a worker of its own, so their runs have ended. A row without a start
+     * does not tell that it is the newer one.
+     */
     private fun removeEarlierWorkers(entry: WorkerEntry) {
         val instanceId = entry.instanceId ?: return
         for (other in workers.all.filter { it.id != entry.id && it.entry.instanceId == instanceId }) {
-            if (other.entry.bornWallMs != 0L && entry.bornWallMs != 0L && other.entry.bornWallMs > entry.bornWallMs) continue
+            if (other.entry.bornWallMs > entry.bornWallMs) continue
             log.write("worker_replaced", "worker", other.id, "replacedBy", entry.id, "instance", instanceId)
             removeEnded(other)
         }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
@@ -137,6 +137,9 @@
             requestedAtMs = time.nowMs,
         )
 
+    /** Lists another worker of the same instance. */
+    fun listOther(bornWallMs: Long) = driver.onListed(entry().copy(id = "other", bornWallMs = bornWallMs))
+
     private fun entry() = WorkerEntry(WORKER, WORKER, POOL, "dc", INSTANCE, CAPACITY, emptyList(), false, null, bornWallMs)
 
     override fun start(
@@ -206,6 +209,27 @@
                 owner.wasRowStoredAtStart shouldBe listOf(true, true)
             }
         }
+        describe("a worker beside whose row another program lists one of the same instance") {
+            // Guards against runs that are started again because a row without a start names the instance of a running worker (TWICE).
+            it("keeps its tasks if that row does not tell when its worker started") {
+                val owner = OwnerOfOneWorker()
+                owner.startAgain()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.listOther(bornWallMs = 0)
+                owner.pass(ANSWER_MS)
+                owner.task.worker?.id shouldBe WORKER
+            }
+            it("loses them if that worker started later") {
+                val owner = OwnerOfOneWorker()
+                owner.startAgain()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.listOther(bornWallMs = owner.time.nowMs)
+                owner.pass(ANSWER_MS)
+                owner.task.worker shouldBe null
+            }
+        }
         describe("a worker that ends, by the platform's list, while a start is on its way") {
             // Guards against a start that reaches the new incarnation while the task runs elsewhere (TWICE).
             it("is told to stop that run when it starts again under its id") {
