--- a/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
@@ -6,6 +6,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
@@ -135,6 +136,31 @@
                 failed.reason shouldContain "look-up of worker.example failed"
             }
         }
+        describe("a host that accepts no connection") {
+            // Guards against attempts that were given up and keep the places of later calls, once the host is reachable again.
+            it("is reached as soon as it accepts connections again, after more calls than it may have connections") {
+                ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
+                    val filling = List(4) { Socket() }
+                    filling.forEach { thread(isDaemon = true) { runCatching { it.connect(listener.localSocketAddress) } } }
+                    Thread.sleep(200)
+                    val authority = "127.0.0.1:${listener.localPort}"
+                    val given = List(100) { client.start(authority, "hello", timeoutMs = 400) }.map { it.get(2, TimeUnit.SECONDS) }
+                    given.count { "no connection" in (it as HttpResult.Failed).reason } shouldBeGreaterThanOrEqual 64
+                    // The system repeats an unanswered attempt after 1 s, 3 s and 7 s.
+                    Thread.sleep(3_000)
+                    thread(isDaemon = true) {
+                        while (true) {
+                            listener.accept().let { socket ->
+                                thread(isDaemon = true) { answerOnce(socket) }
+                            }
+                        }
+                    }
+                    filling.forEach { it.close() }
+                    Thread.sleep(100)
+                    client.call(authority, "hello", timeoutMs = 900).shouldBeInstanceOf<HttpResult.Answer>()
+                }
+            }
+        }
         describe("an answer that is not valid") {
             // Guards against calls that wait out their time, and against memory filled by one answer.
             for (answer in listOf(
@@ -226,6 +252,12 @@
     timeoutMs: Long = 1_000,
 ): HttpResult = start(authority, body, timeoutMs).get(timeoutMs + 2_000, TimeUnit.MILLISECONDS)
 
+private fun answerOnce(socket: Socket) =
+    socket.use {
+        it.inputStream.read(ByteArray(1_000))
+        it.outputStream.write(OK_ANSWER.toByteArray())
+    }
+
 /** One request that a [RawServer] has read. */
 private class RawRequest(
     private val server: RawServer,
