--- a/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
@@ -6,16 +6,21 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import java.io.IOException
 import java.io.InputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.UnknownHostException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -71,6 +76,124 @@
                 }
             }
         }
+        describe("a call to an address that is not valid") {
+            // Guards against calls that wait out their time because a malformed row names the address.
+            for (authority in listOf(
+                "",
+                "a b:80",
+                "[::1",
+                ":80",
+                "127.0.0.1",
+                "127.0.0.1:0",
+                "127.0.0.1:65536",
+                "127.0.0.1:99999999999",
+                "user@127.0.0.1:80",
+                "127.0.0.1:80\n",
+                "127.1:80",
+                "[fe80::1%eth0]:80",
+                "x".repeat(5_000) + ":80",
+            )) {
+                it("fails at once without having been sent: '${authority.take(30).trim()}', ${authority.length} characters") {
+                    val startNs = System.nanoTime()
+                    val failed = client.call(authority, "hello", timeoutMs = 5_000).shouldBeInstanceOf<HttpResult.Failed>()
+                    failed.hasSentBytes shouldBe false
+                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs) shouldBeLessThan 1_000
+                    failed.reason shouldContain "is not a host and a port"
+                }
+            }
+            it("does not take the connection of a call to a sound one") {
+                RawServer { it.answer(OK_ANSWER) }.use { server ->
+                    repeat(200) { client.call("[::1", "hello", timeoutMs = 200) }
+                    client.call(server, "hello").shouldBeInstanceOf<HttpResult.Answer>()
+                }
+            }
+        }
+        describe("a host name whose look-up takes long") {
+            // Guards against a name server that holds up the calls to all other hosts.
+            it("delays only the calls to that host, which share one look-up and connect once it is over") {
+                val canAnswer = CountDownLatch(1)
+                val lookUps = AtomicInteger()
+                val lookUp = { _: String ->
+                    lookUps.incrementAndGet()
+                    canAnswer.await()
+                    InetAddress.getLoopbackAddress()
+                }
+                val named = AsyncHttpClient(loop, ClientLimits(connectTimeoutMs = 300), lookUp)
+                RawServer { it.answer(OK_ANSWER) }.use { server ->
+                    val calls = List(200) { named.start("worker.example:${server.port}", "hello", timeoutMs = 400) }
+                    named.call(server, "hello").shouldBeInstanceOf<HttpResult.Answer>()
+                    val results = calls.map { it.get(2, TimeUnit.SECONDS).shouldBeInstanceOf<HttpResult.Failed>() }
+                    results.none { it.hasSentBytes } shouldBe true
+                    lookUps.get() shouldBe 1
+                    canAnswer.countDown()
+                    named.call("worker.example:${server.port}", "hello").shouldBeInstanceOf<HttpResult.Answer>()
+                }
+            }
+            it("makes the call fail where there is no such host") {
+                val unknown = AsyncHttpClient(loop, ClientLimits(), lookUp = { throw UnknownHostException(it) })
+                val failed = unknown.call("worker.example:80", "hello").shouldBeInstanceOf<HttpResult.Failed>()
+                failed.hasSentBytes shouldBe false
+                failed.reason shouldContain "look-up of worker.example failed"
+            }
+        }
+        describe("a host that accepts no connection") {
+            // Guards against attempts that were given up and keep the places of later calls, once the host is reachable again.
+            it("is reached as soon as it accepts connections again, after more calls than it may have connections") {
+                ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
+                    val filling = List(4) { Socket() }
+                    filling.forEach { thread(isDaemon = true) { runCatching { it.connect(listener.localSocketAddress) } } }
+                    Thread.sleep(200)
+                    val authority = "127.0.0.1:${listener.localPort}"
+                    val given = List(100) { client.start(authority, "hello", timeoutMs = 400) }.map { it.get(2, TimeUnit.SECONDS) }
+                    given.count { "no connection" in (it as HttpResult.Failed).reason } shouldBeGreaterThanOrEqual 64
+                    // The system repeats an unanswered attempt after 1 s, 3 s and 7 s.
+                    Thread.sleep(3_000)
+                    thread(isDaemon = true) {
+                        while (true) {
+                            listener.accept().let { socket ->
+                                thread(isDaemon = true) { answerOnce(socket) }
+                            }
+                        }
+                    }
+                    filling.forEach { it.close() }
+                    Thread.sleep(100)
+                    client.call(authority, "hello", timeoutMs = 900).shouldBeInstanceOf<HttpResult.Answer>()
+                }
+            }
+        }
+        describe("an answer that is not valid") {
+            // Guards against calls that wait out their time, and against memory filled by one answer.
+            for (answer in listOf(
+                "nonsense\r\n\r\n",
+                "HTTP/1.1 abc OK\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 33000000\r\n\r\n" + "x".repeat(33_000_000),
+            )) {
+                it("makes the call fail at once, and later ones use another connection: ${answer.take(50).trim().lines()}") {
+                    val attempts = AtomicInteger()
+                    RawServer { it.answer(if (attempts.getAndIncrement() == 0) answer else OK_ANSWER) }.use { server ->
+                        val startNs = System.nanoTime()
+                        client.call(server, "hello", timeoutMs = 5_000).shouldBeInstanceOf<HttpResult.Failed>().hasSentBytes shouldBe true
+                        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs) shouldBeLessThan 4_000
+                        client.call(server, "hello").shouldBeInstanceOf<HttpResult.Answer>()
+                    }
+                }
+            }
+        }
+        describe("a header that cannot be sent as it is") {
+            // Guards against header lines that another program's row adds to a request.
+            for (value in listOf("a\nX-Other: 1", "a\r\n\r\n", "a\u0000", "\u00e9")) {
+                it("makes the call fail at once: ${value.map { it.code }}") {
+                    RawServer { it.answer(OK_ANSWER) }.use { server ->
+                        val result = CompletableFuture<HttpResult>()
+                        val url = "http://127.0.0.1:${server.port}/path"
+                        client.send("POST", url, ByteArray(0), 1_000, mapOf("X-Name" to value)) { result.complete(it) }
+                        result.get(3, TimeUnit.SECONDS).shouldBeInstanceOf<HttpResult.Failed>().hasSentBytes shouldBe false
+                        server.connectionCount.get() shouldBe 0
+                    }
+                }
+            }
+        }
         describe("a call without an answer") {
             it("is known not to have been received where nothing listens") {
                 val port = ServerSocket(0).use { it.localPort }
@@ -129,6 +252,12 @@
     timeoutMs: Long = 1_000,
 ): HttpResult = start(authority, body, timeoutMs).get(timeoutMs + 2_000, TimeUnit.MILLISECONDS)
 
+private fun answerOnce(socket: Socket) =
+    socket.use {
+        it.inputStream.read(ByteArray(1_000))
+        it.outputStream.write(OK_ANSWER.toByteArray())
+    }
+
 /** One request that a [RawServer] has read. */
 private class RawRequest(
     private val server: RawServer,
