Stop and adopt runs of restarted workers without losing sight of others

A lone member of a gang with a lower number is not adopted (GANG). - Tasks on a restarted worker that has not answered counted as at work (AVAIL). The model forgot a second run of a task when the first one ended, on whichever worker; it no longer does.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -39,6 +39,7 @@
         sentAtMs: Long,
         lists: WorkerAnswer.Listed,
     ) {
+        val bornBeforeMs = worker.bornWallMs
         register.onAnsweredBy(worker, lists.bornWallMs)
         crashes.onAnswered(worker)
         lists.ended
@@ -49,7 +50,8 @@
         if (!worker.isReconciled) register.releaseEarlierRuns(worker, lists)
         lists.running.forEach { onRunningRow(worker, it) }
         completeStops(worker, sentAtMs, lists)
-        worker.acknowledgedEnd = maxOf(worker.acknowledgedEnd, order.acknowledgedEnd)
+        // What the last incarnation has acknowledged says nothing of this one's ends.
+        if (bornBeforeMs == worker.bornWallMs) worker.acknowledgedEnd = maxOf(worker.acknowledgedEnd, order.acknowledgedEnd)
         if (!worker.isReconciled) {
             worker.isReconciled = true
             register.markReconciled(worker.id)
@@ -124,7 +126,7 @@
         val task = registry.find(row.task.jobId)?.takeIf { it.isLive }?.task(row.task)
         if (current != null && current.runNumber == row.runNumber) {
             confirmRunning(worker, current, row)
-        } else if (task != null && canAdopt(worker, task)) {
+        } else if (task != null && canAdopt(worker, task, row)) {
             adopt(worker, task, row)
         } else if (current != null) {
             stopListedRun(worker, current, row)
@@ -150,30 +152,30 @@
     }
 
     /**
-     * True if a run of [task] that [worker] lists is the only one, whatever its number: the task has none, or its last one was on an
-     * earlier incarnation of this worker. Members of a gang run under one number, which a single one cannot change.
+     * True if the run of [task] in [row], which [worker] lists, is the only one, whatever its number: the task has none, or its last
+     * one was on an earlier incarnation of this worker and no start for it is on its way. Members of a gang run under one number.
      */
     private fun canAdopt(
         worker: WorkerView,
         task: TaskRun,
+        row: RunningRow,
     ): Boolean =
-        task.phase == TaskPhase.WAITING ||
-            task.worker === worker &&
-            task !in worker.startQueue &&
-            task.phase != TaskPhase.STOPPING &&
-            !task.stepRun.step.isGang
+        when (task.phase) {
+            TaskPhase.WAITING -> !task.stepRun.step.isGang || row.runNumber > task.runNumber
+            TaskPhase.RUNNING -> task.worker === worker && !task.stepRun.step.isGang && task.id !in orders.recentLateStarts(worker)
+            else -> false
+        }
 
-    /** Stops the run of [task] in [row], which [worker] carries out instead of the one that this owner knows of. */
+    /** Stops the run in [row], which [worker] carries out beside or instead of the known one of [task]; that one is stopped as well. */
     private fun stopListedRun(
         worker: WorkerView,
         task: TaskRun,
         row: RunningRow,
     ) {
+        if (worker.orphanedRuns.put(row.task, row.runNumber) == row.runNumber) return
         log.write("run_superseded", "task", row.task, "run", row.runNumber, "known", task.runNumber, "worker", worker.id)
-        worker.stopAnsweredAtMs.remove(row.task)
-        task.runNumber = row.runNumber
-        task.phase = TaskPhase.STOPPING
         orders.sendStop(worker, row.task, row.runNumber)
+        if (task.phase == TaskPhase.RUNNING) orders.stop(task)
     }
 
     private fun adopt(
@@ -181,7 +183,8 @@
         task: TaskRun,
         row: RunningRow,
     ) {
-        task.phase = TaskPhase.RUNNING
+        val isBeingStopped = worker.orphanedRuns.remove(row.task) == row.runNumber
+        task.phase = if (isBeingStopped) TaskPhase.STOPPING else TaskPhase.RUNNING
         task.isPlaceKnown = true
         task.worker = worker
         task.runNumber = row.runNumber
@@ -201,13 +204,13 @@
         sentAtMs: Long,
         lists: WorkerAnswer.Listed,
     ) {
-        val running = lists.running.associate { it.task to it.runNumber }
+        val running = lists.running.mapTo(HashSet()) { it.task }
         val iterator = worker.stopAnsweredAtMs.iterator()
         while (iterator.hasNext()) {
             val (taskId, answeredAtMs) = iterator.next()
             val task = worker.runs[taskId]
             val runNumber = task?.runNumber ?: worker.orphanedRuns[taskId]
-            if (runNumber != null && (sentAtMs < answeredAtMs || running[taskId] == runNumber)) continue
+            if (runNumber != null && (sentAtMs < answeredAtMs || taskId in running)) continue
             iterator.remove()
             worker.unansweredStarts.remove(taskId)
             worker.orphanedRuns.remove(taskId)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -270,7 +270,9 @@
         }
         context.link.stop(worker.entry, StopOrder(task, runNumber, context.epoch)) { answer ->
             if (answer is WorkerAnswer.Done) {
-                worker.stopAnsweredAtMs[task] = loop.nowMs
+                // A lower run that the worker was found to run may be stopped beside it; the higher one may still arrive.
+                val known = worker.runs[task]?.runNumber ?: runNumber
+                if (runNumber >= known) worker.stopAnsweredAtMs[task] = loop.nowMs
                 holds.requestLists(worker)
             } else {
                 log.write("stop_unanswered", "task", task, "run", runNumber, "worker", worker.id, "answer", answer)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -10,6 +10,7 @@
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.WorkerView
 
 /** Adds, replaces and removes [workers]. All methods run on the event loop. */
@@ -83,9 +84,13 @@
         return worker
     }
 
-    /** Called when discovery adds or changes [entry]. */
+    /** Called when discovery adds or changes [entry]. A row that its worker wrote before it restarted may reach the store late. */
     fun onListed(entry: WorkerEntry) {
         val registered = workers.find(entry.id)
+        if (registered != null && entry.bornWallMs != 0L && entry.bornWallMs < registered.bornWallMs) {
+            log.write("worker_row_outdated", "worker", entry.id, "born", entry.bornWallMs, "knownBorn", registered.bornWallMs)
+            return
+        }
         val worker = registered ?: newWorker(entry)
         val mayHaveRestarted = registered != null && (!registered.isListed || registered.entry.bornWallMs != entry.bornWallMs)
         if (registered != null && entry.bornWallMs != 0L && worker.bornWallMs != 0L && entry.bornWallMs > worker.bornWallMs) {
@@ -282,8 +287,11 @@
         worker.assumeLateLeases(loop.nowMs, holds.worstCaseLeaseMs)
         worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, inheritedLeases.lateOrdersDeadlineMs)
         // An unanswered start may still reach the new incarnation, which has no record of the fence or of stopped runs.
+        worker.runs.values.forEach { it.isAtWork = false }
         for ((taskId, start) in recentStarts) {
-            if (taskId !in worker.runs) worker.orphanedRuns[taskId] = start.runNumber
+            val task = worker.runs[taskId]
+            if (task == null) worker.orphanedRuns[taskId] = start.runNumber
+            if (task?.runNumber == start.runNumber && task.phase == TaskPhase.RUNNING) task.phase = TaskPhase.STOPPING
             orders.sendStop(worker, taskId, start.runNumber)
         }
         crashes.onEnded(worker, interrupted)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
@@ -30,9 +30,11 @@
         unlinkInstance(worker)
     }
 
-    /** Records that discovery lists [worker] on its instance. */
+    /** Records that discovery lists [worker] on its instance, unless a worker is listed there that was started later. */
     fun linkInstance(worker: WorkerView) {
-        worker.entry.instanceId?.let { listedByInstance[it] = worker }
+        val instanceId = worker.entry.instanceId ?: return
+        val listed = listedByInstance[instanceId]
+        if (listed == null || listed.entry.bornWallMs <= worker.entry.bornWallMs) listedByInstance[instanceId] = worker
     }
 
     fun unlinkInstance(worker: WorkerView) {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
@@ -225,10 +225,11 @@
     }
 
     fun onEnd(
+        worker: SimWorker,
         run: SimWorker.Run,
         kind: EndKind,
     ) {
-        running.remove(run.task)
+        running.remove(run.task, worker)
         lastEndedAtMs[run.task] = time.nowMs
         if (kind == EndKind.FAILED) failedEnds.merge(run.task, 1, Int::plus)
         if (kind == EndKind.DONE) {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -125,7 +125,7 @@
         highestEndedRun.merge(run.task, run.number, ::maxOf)
         endCount++
         ended.add(EndRow(endCount, run.task, run.number, kind, ""))
-        checker.onEnd(run, kind)
+        checker.onEnd(this, run, kind)
     }
 
     companion object {
