Give the simulated store its rates, off by default

The store of the simulations carried any number of calls at once, so no history showed entries that keep each other out. StoreLoad counts calls of all entries and the transactions of the job tables' part, which are carried out one after another; 429 while more than a second of them waits. Refused transactions take the part's time or not, by a switch: the platform does not tell. A transaction that is carried out late takes its time without being refused.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -227,7 +227,7 @@
     private val instanceCount: Int = if (workload == Workload.SHORT_JOBS) 6 else 14,
     val longestLeaseMs: Long = SimWorker.MAX_LEASE_MS,
     val settings: SchedulingSettings = SchedulingSettings(),
-    /** The data centres of the three entries; null if they tell none. */
+    /** The data centres of the entries; null if they tell none. */
     private val dataCentres: List<String>? = null,
     /** Schedules further events of the test before the jobs are submitted. */
     private val scheduleEvents: (JobWorld) -> Unit = {},
@@ -238,12 +238,13 @@
     private val enforcesAccounts: Boolean = true,
     /** True to let workers answer holds as soon as a run ends, as real ones do, also while the entry that asked is frozen. */
     val workersPollThemselves: Boolean = false,
+    entryCount: Int = 3,
 ) {
     val random = Random(seed)
     val time = SimTime()
     val checker = InvariantChecker(time, ::capsOf) { store.stateOf(it) }
     val store = SimStore(time, random)
-    val entries = List(3) { SimEntry("entry-$it", this, dataCentres?.get(it)) }
+    val entries = List(entryCount) { SimEntry("entry-$it", this, dataCentres?.get(it)) }
     private val pools = listOf(Pool("a", checksAdmission = true), Pool("b"), Pool("spare", isStandby = true))
 
     /** All versions of the configuration, with the times at which they were acknowledged. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
@@ -37,6 +37,15 @@
     var readAnswerDelayMs = 0L
     val completeWaves = HashSet<Int>()
 
+    /** The load against the store's rates; null while they do not matter. */
+    var load: StoreLoad? = null
+
+    /** Called with each change that an entry sends. */
+    var onCommitSent: (SimEntry, RowChange) -> Unit = { _, _ -> }
+
+    /** True while no fault is active. */
+    val isSound: Boolean get() = !isDown && slowMs == 0L && lostAnswerRatio == 0.0 && load.let { it == null || it.slowFactor == 1.0 }
+
     fun apply(change: RowChange): ChangeResult {
         val conflicts = change.expected.filter { (key, expected) -> (rows[key]?.version ?: 0) != expected }
         if (conflicts.isNotEmpty()) return ChangeResult.Conflict(change.expected.keys.mapNotNull { rows[it] })
@@ -74,10 +83,15 @@
             change: RowChange,
             onResult: (ChangeResult) -> Unit,
         ) {
+            onCommitSent(entry, change)
             if (isUnreachable()) {
                 loop.after(TIMEOUT_MS) { onResult(ChangeResult.Failed("no answer", mayHaveApplied = true)) }
                 return
             }
+            load?.let {
+                commitWithin(it, change, onResult)
+                return
+            }
             if (slowMs > 0) {
                 commitSlowly(change, onResult)
                 return
@@ -91,24 +105,55 @@
             if (isLost) loop.after(TIMEOUT_MS) { onResult(ChangeResult.Failed("answer lost", mayHaveApplied = true)) }
         }
 
-        /** Applies transactions one after another; refuses them while more than a second of them waits. */
-        private fun commitSlowly(
+        /** Applies the change when its turn comes within the store's rates; one that is applied late cannot be refused any more. */
+        private fun commitWithin(
+            load: StoreLoad,
             change: RowChange,
             onResult: (ChangeResult) -> Unit,
         ) {
-            val startMs = maxOf(busyUntilMs, time.nowMs)
-            if (startMs - time.nowMs > MAX_WAITING_MS) {
-                loop.after(slowMs) { onResult(ChangeResult.Failed("overloaded", mayHaveApplied = false)) }
+            val isLost = random.nextDouble() < lostAnswerRatio
+            val answer = once(onResult)
+            loop.after(TIMEOUT_MS) { answer(ChangeResult.Failed("no answer", mayHaveApplied = true)) }
+            if (isLost && random.nextBoolean()) {
+                time.after(random.nextLong(500, 5_000)) {
+                    load.addLateTransaction()
+                    apply(change)
+                }
                 return
             }
-            busyUntilMs = startMs + slowMs
+            val takesMs = load.transactionMs()
+            if (takesMs == null) {
+                if (!isLost) loop.after(2 + load.extraAnswerMs) { answer(ChangeResult.Failed("status 429", mayHaveApplied = false)) }
+                return
+            }
+            time.after(takesMs) {
+                val result = apply(change)
+                if (!isLost) loop.after(2) { answer(result) }
+            }
+        }
+
+        private fun once(onResult: (ChangeResult) -> Unit): (ChangeResult) -> Unit {
             var isAnswered = false
-            val answer = { result: ChangeResult ->
+            return { result ->
                 if (!isAnswered) {
                     isAnswered = true
                     onResult(result)
                 }
             }
+        }
+
+        /** Applies transactions one after another; refuses them while more than a second of them waits. */
+        private fun commitSlowly(
+            change: RowChange,
+            onResult: (ChangeResult) -> Unit,
+        ) {
+            val startMs = maxOf(busyUntilMs, time.nowMs)
+            if (startMs - time.nowMs > MAX_WAITING_MS) {
+                loop.after(slowMs) { onResult(ChangeResult.Failed("overloaded", mayHaveApplied = false)) }
+                return
+            }
+            busyUntilMs = startMs + slowMs
+            val answer = once(onResult)
             time.after(busyUntilMs - time.nowMs) {
                 val result = apply(change)
                 loop.after(slowMs) { answer(result) }
@@ -132,12 +177,24 @@
         ) {
             if (isUnreachable()) {
                 loop.after(TIMEOUT_MS) { onResult(ReadResult.Failed("no answer")) }
-            } else {
-                time.after(2 + slowMs) {
-                    val result = rows()
-                    loop.after(2 + readAnswerDelayMs) { onResult(result) }
-                }
+                return
             }
+            val load = load
+            when {
+                load == null -> answerRead(2 + slowMs, rows, onResult)
+                random.nextDouble() < lostAnswerRatio -> loop.after(TIMEOUT_MS) { onResult(ReadResult.Failed("answer lost")) }
+                load.admitsRead() -> answerRead(2 + load.extraAnswerMs, rows, onResult)
+                else -> loop.after(2 + load.extraAnswerMs) { onResult(ReadResult.Failed("status 429")) }
+            }
+        }
+
+        private fun answerRead(
+            delayMs: Long,
+            rows: () -> ReadResult,
+            onResult: (ReadResult) -> Unit,
+        ) = time.after(delayMs) {
+            val result = rows()
+            loop.after(2 + readAnswerDelayMs) { onResult(result) }
         }
 
         override fun publishWave(
