Repeat refused transactions of the owner with back-off and jitter

A refused transaction was repeated every 150 ms, also while the store refused for seconds. Refusals that come at once are now followed by 50 ms and a random share of a window that doubles from 100 to 400 ms, less than the time that a peer leaves an owner after a timeout.

Run: OwnerFailureTest, SlowStoreTest, StoreOutageTest, CommitterTest, ClaimTurnTest, all passed.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -6,6 +6,7 @@
 package io.corianderrock.jobs.runs
 
 import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.ownership.RetryBackoff
 import io.corianderrock.jobs.ports.ChangeResult
 import io.corianderrock.jobs.ports.DecisionLog
 import io.corianderrock.jobs.ports.EventLoop
@@ -13,6 +14,7 @@
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.StoredRow
+import kotlin.random.Random
 
 /** Writes rows for the owner [owner]. All methods and callbacks run on the event loop; [onLost] gets the reason as text. */
 internal class Committer(
@@ -24,6 +26,7 @@
     /** How long from now, in milliseconds, earlier owners may still send orders; stored with each write. */
     private val earlierOrdersWindowMs: () -> Long,
     private val onLost: (String) -> Unit,
+    random: Random = Random(owner.epoch),
 ) {
     private class Write(
         val key: RowKey,
@@ -50,6 +53,7 @@
     private var isScheduled = false
     private var isClosed = false
     private var failures = 0
+    private val retryBackoff = RetryBackoff(random, MIN_RETRY_DELAY_MS, FIRST_RETRY_WINDOW_MS, LONGEST_RETRY_WINDOW_MS)
 
     /** True from a failed attempt of the batch in flight to the next one. */
     private var isRetryDue = false
@@ -230,6 +234,7 @@
         val tookMs = loop.nowMs - sentAt.loopMs
         if (tookMs > SLOW_ANSWER_MS) log.write("commit_slow", "tookMs", tookMs, "rows", batch.writes.size, "waiting", pending.size)
         failures = 0
+        retryBackoff.reset()
         owner = batch.owner
         ownerVersion = version
         ownership.confirm(sentAt)
@@ -282,7 +287,9 @@
         isRetryDue = true
         if (failures == 1) log.write("store_lost", "reason", result.reason, "mayHaveApplied", result.mayHaveApplied)
         if (!canWrite) withdrawUnsent()
-        loop.after(RETRY_DELAY_MS) { send() }
+        // A transaction without an answer has waited for its timeout already, so it is not delayed further and further.
+        val delayMs = if (result.mayHaveApplied) UNANSWERED_RETRY_DELAY_MS else retryBackoff.nextDelayMs()
+        loop.after(delayMs) { send() }
     }
 
     private fun finishRelease() {
@@ -321,8 +328,13 @@
         /** Two renewals without an answer; also the longest wait for the answer to one transaction. */
         const val WRITE_LOST_MS = 800L
 
-        /** Delay before a failed transaction is retried. */
-        const val RETRY_DELAY_MS = 150L
+        /** Delay before a transaction without an answer is sent again. */
+        const val UNANSWERED_RETRY_DELAY_MS = 150L
+
+        /** Least delay after a refusal. With the longest window it is less than the 500 ms that a peer leaves an owner after the timeout of its last write. */
+        const val MIN_RETRY_DELAY_MS = 50L
+        const val FIRST_RETRY_WINDOW_MS = 100L
+        const val LONGEST_RETRY_WINDOW_MS = 400L
 
         /** Entries of one transaction that the store accepts: rows and conditions. */
         const val MAX_ENTRIES = 100
