--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
@@ -42,6 +42,11 @@
     val deletes: Set<RowKey> = emptySet(),
 )
 
+/** A refusal for load: nothing was done. [retryAfterMs] is the delay that was asked for, null if there was none. */
+public data class StoreRefusal(
+    val retryAfterMs: Long? = null,
+)
+
 /** The result of a [RowChange]. */
 public sealed interface ChangeResult {
     /** The whole change was applied in the transaction [version], when the store's steady clock showed [storeMs]; null if not known. */
@@ -55,10 +60,14 @@
         val rows: List<StoredRow>,
     ) : ChangeResult
 
-    /** The call failed. If [mayHaveApplied], the change may have been applied or may still be applied later. */
+    /**
+     * The call failed. If [mayHaveApplied], the change may have been applied or may still be applied later. [refusal] is set if the
+     * call was refused for load.
+     */
     public data class Failed(
         val reason: String,
         val mayHaveApplied: Boolean,
+        val refusal: StoreRefusal? = null,
     ) : ChangeResult
 }
 
@@ -74,8 +83,10 @@
         val storeMs: Long? = null,
     ) : ReadResult
 
+    /** Nothing was read. [refusal] is set if the call was refused for load. */
     public data class Failed(
         val reason: String,
+        val refusal: StoreRefusal? = null,
     ) : ReadResult
 }
 
--- a/transport/src/main/kotlin/io/corianderrock/transport/AsyncHttpClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/AsyncHttpClient.kt
@@ -14,10 +14,11 @@
 
 /** Result of an HTTP call. */
 public sealed interface HttpResult {
-    /** A complete response, with any status code. */
+    /** A complete response, with any status code. [retryAfterMs] is its `Retry-After` if that is a number of seconds. */
     public class Answer(
         public val status: Int,
         public val body: ByteArray,
+        public val retryAfterMs: Long? = null,
     ) : HttpResult
 
     /**
--- a/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
@@ -4,6 +4,8 @@
 package io.corianderrock.transport
 
 import io.corianderrock.jobs.ports.DecisionLog
+import io.corianderrock.jobs.storerate.StoreCall
+import io.corianderrock.jobs.storerate.StoreCallEnd
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
@@ -35,6 +37,14 @@
             .labelNames("reason")
             .register(registry)
 
+    private val storeCalls =
+        Counter
+            .builder()
+            .name("corianderrock_store_calls_total")
+            .help("Calls to the store by purpose, kind and outcome; withheld calls were not sent.")
+            .labelNames("class", "kind", "outcome")
+            .register(registry)
+
     private val decisions =
         Counter
             .builder()
@@ -117,6 +127,12 @@
     /** Counts a call that was refused for its key. */
     public fun onCallRefused(reason: String): Unit = refusedCalls.labelValues(reason).inc()
 
+    /** Counts a call to the store that has ended. */
+    public fun onStoreCall(
+        call: StoreCall,
+        end: StoreCallEnd,
+    ): Unit = storeCalls.labelValues(call.callClass.label, call.kind.label, end.label).inc()
+
     /** Wraps [log] so that each event is counted and its durations are recorded before it is written to [log]. */
     public fun observing(log: DecisionLog): DecisionLog =
         DecisionLog { event, fields ->
--- a/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
@@ -157,7 +157,14 @@
 
     private fun complete(exchange: ClientExchange) {
         if (isDone) return
-        end(HttpResult.Answer(exchange.response.responseCode, received.toByteArray()))
+        val response = exchange.response
+        val retryAfterS =
+            response.responseHeaders
+                .getFirst(Headers.RETRY_AFTER)
+                ?.trim()
+                ?.toLongOrNull()
+        val retryAfterMs = retryAfterS?.takeIf { it in 0..MAX_RETRY_AFTER_S }?.let(TimeUnit.SECONDS::toMillis)
+        end(HttpResult.Answer(response.responseCode, received.toByteArray(), retryAfterMs))
         onReusable(exchange.connection)
     }
 
@@ -168,4 +175,9 @@
             fail(e)
         }
     }
+
+    private companion object {
+        /** Longer delays are taken for a fault of the peer. */
+        const val MAX_RETRY_AFTER_S = 3_600L
+    }
 }
--- a/transport/src/test/kotlin/io/corianderrock/transport/EntryMetricsTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/EntryMetricsTest.kt
@@ -4,6 +4,11 @@
 package io.corianderrock.transport
 
 import io.corianderrock.jobs.ports.DecisionLog
+import io.corianderrock.jobs.ports.StoreRefusal
+import io.corianderrock.jobs.storerate.StoreCall
+import io.corianderrock.jobs.storerate.StoreCallClass
+import io.corianderrock.jobs.storerate.StoreCallEnd
+import io.corianderrock.jobs.storerate.StoreCallKind
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
@@ -59,6 +64,15 @@
                 text.lines().count { it.startsWith("corianderrock_refused_jobs_total{") } shouldBe 202
             }
 
+            // Guards against a store that is kept full by calls of which no log tells.
+            it("counts calls to the store by class, kind and outcome") {
+                val metrics = EntryMetrics()
+                val claim = StoreCall(StoreCallClass.OWNERSHIP, StoreCallKind.WRITE)
+                repeat(2) { metrics.onStoreCall(claim, StoreCallEnd.Refused(StoreRefusal())) }
+                val text = metrics.handle(Request(Method.GET, "/metrics")).bodyString()
+                text shouldContain "corianderrock_store_calls_total{class=\"ownership\",kind=\"write\",outcome=\"refused\"} 2"
+            }
+
             // Guards against errors of run times that no metric shows, and against a label for each queue name ever seen.
             it("shows the errors of run times by queue, for a bounded number of queues") {
                 val metrics = EntryMetrics()
