--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/StoreCall.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/StoreCall.kt
@@ -6,28 +6,27 @@
 import io.corianderrock.jobs.ports.StoreRefusal
 import io.corianderrock.jobs.ports.Table
 
-/** What a call is for. Calls that wait are sent in this order. [isOfOwner] marks those without which an owner cannot serve. */
+/** What a call is for. Calls that wait are sent in this order. */
 public enum class StoreCallClass(
     public val label: String,
-    internal val isOfOwner: Boolean = false,
 ) {
     /** The owner row. Each transaction of the owner rewrites it and carries its other rows along. */
-    OWNERSHIP("ownership", isOfOwner = true),
+    OWNERSHIP("ownership"),
 
     /** Leases of workers and orders to instances. */
-    LEASES("leases", isOfOwner = true),
+    LEASES("leases"),
 
     /** Jobs, their progress and the inbox, as the owner reads them. */
-    JOB_STATE("job_state", isOfOwner = true),
-
-    /** Reads and writes on behalf of callers, around the owner. */
-    CALLERS("callers"),
+    JOB_STATE("job_state"),
 
     /** Listed workers, waves and demand. */
     FLEET("fleet"),
 
     /** The configuration and recorded run times. */
     OTHER("other"),
+
+    /** Reads and writes on behalf of callers, around the owner. They alone grow with what callers send. */
+    CALLERS("callers"),
     ;
 
     internal companion object {
@@ -62,7 +61,7 @@
     /** Label of the metric. */
     public val label: String
 
-    /** The store carried the call out, or told why it cannot be carried out in any state of the load. */
+    /** The store carried the call out or found its condition unmet. */
     public data object Answered : StoreCallEnd {
         override val label: String get() = "answered"
     }
--- a/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/EntryMetrics.kt
@@ -6,6 +6,7 @@
 import io.corianderrock.jobs.ports.DecisionLog
 import io.corianderrock.jobs.storerate.StoreCall
 import io.corianderrock.jobs.storerate.StoreCallEnd
+import io.corianderrock.jobs.storerate.StoreCallKind
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
@@ -45,6 +46,15 @@
             .labelNames("class", "kind", "outcome")
             .register(registry)
 
+    private val storeBudgetLevel =
+        Gauge
+            .builder()
+            .name("corianderrock_store_budget_level")
+            .help(
+                "Share of the usual rate at which this entry calls the store; 1 while the store is sound, absent before the first change.",
+            ).labelNames("kind")
+            .register(registry)
+
     private val decisions =
         Counter
             .builder()
@@ -133,6 +143,12 @@
         end: StoreCallEnd,
     ): Unit = storeCalls.labelValues(call.callClass.label, call.kind.label, end.label).inc()
 
+    /** Records the level of the budget for calls of [kind] to the store. */
+    public fun onStoreBudgetLevel(
+        kind: StoreCallKind,
+        level: Double,
+    ): Unit = storeBudgetLevel.labelValues(kind.label).set(level)
+
     /** Wraps [log] so that each event is counted and its durations are recorded before it is written to [log]. */
     public fun observing(log: DecisionLog): DecisionLog =
         DecisionLog { event, fields ->
