Share reads of one job between its callers and pass on refusals spread

Queries of one job at an entry now share a read that was sent at most 100 ms before. A read from before what the entry has told is not told: the later version wins, and a job that the owner has told meanwhile is read again. A job that was not found is always read again. If the store refuses or the budget withholds a read, the caller is told that delay, at least 1 s and spread over half of it. A request whose outcome is open is asked again after 200 ms to 1 s with jitter instead of each 200 ms, to the same end at 2.7 s, and is still never refused as not run.

StoredJobServiceTest, 100 queries in 1 s: 200 reads before, at most 20 now.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
@@ -7,6 +7,7 @@
 import io.corianderrock.jobs.accounts.JobAccess
 import io.corianderrock.jobs.ports.DecisionLog
 import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.ports.StoreRefusal
 import io.corianderrock.jobs.state.JobSubmission
 
 /** A request to the scheduler. */
@@ -130,6 +131,7 @@
         /** Writes to the store that were sent beside the request to the owner and are open. */
         private var openBypassCount = 0
         private var isFinished = false
+        private val backoff by lazy(LazyThreadSafetyMode.NONE) { advice.newBackoff() }
 
         /** True while a refusal would not prove that nothing is carried out. */
         private val isOutcomeOpen: Boolean get() = isUncertain || openBypassCount > 0
@@ -175,7 +177,10 @@
 
         private fun onReply(reply: SchedulerReply) =
             when (reply) {
-                is SchedulerReply.Answer -> answer(settled(reply.answer))
+                is SchedulerReply.Answer -> {
+                    store.onTold(idOf(request))
+                    answer(settled(reply.answer))
+                }
                 is SchedulerReply.NotHandled -> {
                     attemptNumber = reply.attempt
                     val mayFindOwner = reply.isNotOwner && loop.nowMs - startedAtMs < HANDOVER_WAIT_MS
@@ -224,7 +229,7 @@
             when {
                 isFinished -> return
                 isOpen -> retryOrRefuse(reason)
-                fromStore is CallerAnswer.NotApplied -> refuse(fromStore.reason, reason)
+                fromStore is CallerAnswer.NotApplied -> refuse(fromStore.reason, reason, fromStore.refusal)
                 else -> answerFromStore(fromStore, reason)
             }
         }
@@ -234,6 +239,7 @@
             reason: String,
         ) {
             log.write("answered_from_store", "request", idOf(request), "reason", reason, "answer", fromStore)
+            if (isWrite) store.onTold(idOf(request))
             answer(fromStore)
         }
 
@@ -242,8 +248,9 @@
         }
 
         private fun retryWhileTimeRemains(reason: String) {
+            val leftMs = startedAtMs + RESOLVE_MS - loop.nowMs
             when {
-                loop.nowMs - startedAtMs < RESOLVE_MS -> loop.after(RETRY_INTERVAL_MS) { if (!isFinished) askScheduler() }
+                leftMs > 0 -> loop.after(minOf(leftMs, backoff.nextMs())) { if (!isFinished) askScheduler() }
                 isOutcomeOpen -> finish(CallerAnswer.Uncertain(reason), reason)
                 else -> refuse("the scheduler cannot be reached and the store is slow; retry later", reason)
             }
@@ -252,7 +259,8 @@
         fun refuse(
             text: String,
             reason: String,
-        ) = finish(settled(CallerAnswer.NotApplied(text, retryAfterMs())), reason)
+            refusal: StoreRefusal? = null,
+        ) = finish(settled(CallerAnswer.NotApplied(text, maxOf(retryAfterMs(), advice.retryAfterMs(refusal)), refusal)), reason)
 
         private fun retryAfterMs(): Long {
             if (request !is JobRequest.Submit) return RETRY_QUERY_MS
@@ -331,8 +339,5 @@
 
         /** How long an open outcome is looked for; callers wait 3 s. */
         const val RESOLVE_MS = 2_700L
-
-        /** Pause between two attempts to find the outcome. */
-        const val RETRY_INTERVAL_MS = 200L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/RetryAdvice.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/RetryAdvice.kt
@@ -5,6 +5,8 @@
 package io.corianderrock.jobs.entry
 
 import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.ports.StoreRefusal
+import io.corianderrock.jobs.storerate.RetryBackoff
 import kotlin.random.Random
 
 /** Delays are whole seconds, the unit of the HTTP field. Used on the event loop only. */
@@ -51,6 +53,16 @@
         return seconds * MS_PER_S
     }
 
+    /** The least delay after [refusal], spread over half of it so that callers do not return together; 0 without a refusal. */
+    public fun retryAfterMs(refusal: StoreRefusal?): Long {
+        if (refusal == null) return 0
+        val seconds = ((refusal.retryAfterMs ?: 0) + MS_PER_S - 1) / MS_PER_S
+        return (maxOf(1, seconds) + random.nextLong(maxOf(1, seconds / 2) + 1)) * MS_PER_S
+    }
+
+    /** Pauses between attempts of one request inside this entry. */
+    internal fun newBackoff(): RetryBackoff = RetryBackoff(FIRST_PAUSE_MS, LONGEST_PAUSE_MS, random)
+
     /** The first retry is soon, since a short job that waits more than 1.5 s is late; all four together outlast 8 s. */
     private fun secondsByAttempt(attempt: Int): Long {
         val seconds = SECONDS_BY_ATTEMPT[(attempt - 1).coerceIn(SECONDS_BY_ATTEMPT.indices)]
@@ -89,5 +101,9 @@
         /** Jobs refused within [FORGET_AFTER_MS] at a rate of 400 per second, at some 150 bytes each. */
         const val MAX_JOBS = 4_000
         const val MS_PER_S = 1_000L
+
+        /** Callers wait 3 s: some six attempts. */
+        const val FIRST_PAUSE_MS = 200L
+        const val LONGEST_PAUSE_MS = 1_000L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
@@ -11,6 +11,7 @@
 import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.StoreRefusal
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
 import io.corianderrock.jobs.runs.InboxMessage
@@ -38,10 +39,14 @@
     /** The job is unknown or belongs to another queue. */
     public data object NotFound : CallerAnswer
 
-    /** The request was not carried out and will not be; the caller may retry after [retryAfterMs]. */
+    /**
+     * The request was not carried out and will not be; the caller may retry after [retryAfterMs]. [refusal] is set if the store was
+     * not asked, or refused, for its load.
+     */
     public data class NotApplied(
         val reason: String,
         val retryAfterMs: Long,
+        val refusal: StoreRefusal? = null,
     ) : CallerAnswer
 
     /** The request may have been carried out. */
@@ -55,6 +60,14 @@
     private val loop: EventLoop,
     private val tables: JobTables,
 ) {
+    private val sharedReads = SharedReads(loop, tables)
+
+    /** Called when this entry has told its callers something of job [id] that was not read here. */
+    internal fun onTold(id: String) {
+        sharedReads.outdate(RowKey(Table.JOBS, id))
+        sharedReads.outdate(RowKey(Table.PROGRESS, id))
+    }
+
     /** Answers any [request] but [JobRequest.Pending], which only the scheduler can answer. */
     internal fun answer(
         request: JobRequest,
@@ -114,18 +127,18 @@
                 if (result.mayHaveApplied) {
                     CallerAnswer.Uncertain(result.reason)
                 } else {
-                    CallerAnswer.NotApplied(result.reason, RETRY_AFTER_MS)
+                    CallerAnswer.NotApplied(result.reason, RETRY_AFTER_MS, result.refusal)
                 }
         }
 
-    /** Reads the state of job [id]; a job of another queue than [queueName] or outside [access] is not found. */
+    /** Reads the state of job [id], together with other queries of the same time; a job of another queue than [queueName] or outside [access] is not found. */
     public fun state(
         id: String,
         queueName: String,
         access: JobAccess,
         onAnswer: (CallerAnswer) -> Unit,
     ): Unit =
-        read(Table.JOBS, id, onAnswer) { job ->
+        sharedReads.read(RowKey(Table.JOBS, id), onAnswer) { job ->
             val submission = job?.let { decodeStored(JobSubmission.serializer(), it.value) }
             if (submission == null || submission.queue.name != queueName || !access.permits(submission.account)) {
                 onAnswer(CallerAnswer.NotFound)
@@ -137,7 +150,7 @@
     private fun readProgress(
         id: String,
         onAnswer: (CallerAnswer) -> Unit,
-    ) = read(Table.PROGRESS, id, onAnswer) { row ->
+    ) = sharedReads.read(RowKey(Table.PROGRESS, id), onAnswer) { row ->
         val progress = row?.let { decodeStored(JobProgress.serializer(), it.value) }
         onAnswer(CallerAnswer.State(progress?.state ?: JobState.QUEUED))
     }
@@ -163,11 +176,23 @@
         id: String,
         onAnswer: (CallerAnswer) -> Unit,
         onRow: (StoredRow?) -> Unit,
-    ) = tables.read(RowKey(table, id)) { result ->
-        when (result) {
-            is ReadResult.Rows -> onRow(result.rows.firstOrNull())
-            is ReadResult.Failed -> onAnswer(CallerAnswer.NotApplied("the store cannot be read; retry later", RETRY_AFTER_MS))
-        }
+    ) = tables.read(RowKey(table, id)) { pass(it, onAnswer, onRow) }
+
+    /** A job may be accepted at any time; one without progress is queued. */
+    private fun SharedReads.read(
+        key: RowKey,
+        onAnswer: (CallerAnswer) -> Unit,
+        onRow: (StoredRow?) -> Unit,
+    ) = read(key, sharesAbsence = key.table != Table.JOBS) { pass(it, onAnswer, onRow) }
+
+    private fun pass(
+        result: ReadResult,
+        onAnswer: (CallerAnswer) -> Unit,
+        onRow: (StoredRow?) -> Unit,
+    ) = when (result) {
+        is ReadResult.Rows -> onRow(result.rows.firstOrNull())
+        is ReadResult.Failed ->
+            onAnswer(CallerAnswer.NotApplied("the store cannot be read; retry later", RETRY_AFTER_MS, result.refusal))
     }
 
     private companion object {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobRequestRouterTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobRequestRouterTest.kt
@@ -16,6 +16,7 @@
 import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.StoreRefusal
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.JobState
 import io.corianderrock.jobs.state.JobSubmission
@@ -27,6 +28,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -90,6 +92,27 @@
                 tables.changes.shouldBeEmpty()
             }
         }
+        describe("while there is no owner and the store refuses for its load") {
+            it("passes its delay on, spread, so that the callers do not return together") {
+                val delaysMs =
+                    List(50) {
+                        val caller = Caller(isReachable = true, tables = RefusingTables) { SchedulerReply.NotHandled("no owner") }
+                        caller.ask(JobRequest.State("job", "queue"), runForMs = 5)
+                        (caller.answer as CallerAnswer.NotApplied).retryAfterMs
+                    }
+                delaysMs.toSet() shouldBe setOf(4_000L, 5_000L, 6_000L)
+            }
+            it("does not refuse a submission of which an answer was lost") {
+                var attempts = 0
+                val caller =
+                    Caller(isReachable = true, tables = RefusingTables) {
+                        if (attempts++ == 0) SchedulerReply.Unanswered("lost") else SchedulerReply.NotHandled("no owner")
+                    }
+                caller.submit(runForMs = 5_000)
+                caller.answer.shouldBeInstanceOf<CallerAnswer.Uncertain>()
+                attempts shouldBeInRange 3..14
+            }
+        }
         describe("just after the ownership has passed to another entry") {
             // Guards against counts that are refused, and jobs that wait for the next read of the inbox, in a takeover that has ended.
             it("asks the next owner when the last one says that it is none") {
@@ -200,6 +223,13 @@
 
 private fun lost() = SchedulerReply.Unanswered("lost")
 
+private object RefusingTables : JobTables by SilentTables {
+    override fun read(
+        key: RowKey,
+        onResult: (ReadResult) -> Unit,
+    ) = onResult(ReadResult.Failed("status 429", StoreRefusal(3_200)))
+}
+
 /** A store without rows that answers at once, with [answersCommits] false only reads. */
 private class SoundTables(
     private val answersCommits: Boolean = true,
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoredJobServiceTest.kt
@@ -0,0 +1,137 @@
+/*
+ * Covers queries that are answered from the store: guards against reads that grow with the callers of one job, and against a job
+ * that is shown as it was before what the entry has shown already.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.accounts.JobAccess
+import io.corianderrock.jobs.entry.CallerAnswer
+import io.corianderrock.jobs.entry.StoredJobService
+import io.corianderrock.jobs.ports.JobTables
+import io.corianderrock.jobs.ports.ReadResult
+import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.StoreRefusal
+import io.corianderrock.jobs.ports.StoredRow
+import io.corianderrock.jobs.ports.Table
+import io.corianderrock.jobs.runs.storedJson
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobProgress
+import io.corianderrock.jobs.state.JobState
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.Queue
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.world.SilentTables
+import io.corianderrock.jobs.world.SimLoop
+import io.corianderrock.jobs.world.SimTime
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+
+internal class StoredJobServiceTest :
+    DescribeSpec({
+        describe("queries of one job") {
+            it("share a read for 100 ms, also one without progress and one that is refused") {
+                for ((refusal, hasProgress) in listOf(null to true, null to false, StoreRefusal(700) to true)) {
+                    val world = QueriedWorld()
+                    world.refusal = refusal
+                    world.hasProgress = hasProgress
+                    repeat(100) {
+                        world.query()
+                        world.run(10)
+                    }
+                    world.run(10)
+                    world.told.size shouldBe 100
+                    world.readCount shouldBeLessThanOrEqual 2 * 10
+                }
+            }
+            it("do not share one that was sent more than 100 ms ago, as by a slow store") {
+                val world = QueriedWorld()
+                world.delaysMs = listOf(1, 400, 1)
+                world.query()
+                world.run(150)
+                world.state = JobState.COMPLETE
+                world.query()
+                world.run(10)
+                world.told shouldBe listOf(JobState.COMPLETE)
+            }
+            // Guards against a state that goes back when a read that was sent earlier is answered later.
+            it("are not told a state from before the one that was told last") {
+                val world = QueriedWorld()
+                world.delaysMs = listOf(1, 400, 1)
+                world.query()
+                world.run(150)
+                world.state = JobState.COMPLETE
+                world.query()
+                world.run(500)
+                world.told shouldBe listOf(JobState.COMPLETE, JobState.COMPLETE)
+            }
+            it("are not told a read from before what the owner has told") {
+                val world = QueriedWorld()
+                world.query()
+                world.run(10)
+                world.query()
+                world.state = JobState.COMPLETE
+                world.service.onTold("job")
+                world.query()
+                world.run(10)
+                world.told shouldBe listOf(JobState.ACTIVE, JobState.ACTIVE, JobState.COMPLETE)
+            }
+            it("are read again if the owner has told the job while they were open") {
+                val world = QueriedWorld()
+                world.delaysMs = listOf(1, 50)
+                world.query()
+                world.run(20)
+                world.state = JobState.COMPLETE
+                world.service.onTold("job")
+                world.run(100)
+                world.told shouldBe listOf(JobState.COMPLETE)
+            }
+            it("find a job that was accepted after it was not found") {
+                val world = QueriedWorld()
+                world.isStored = false
+                world.query()
+                world.run(10)
+                world.isStored = true
+                world.query()
+                world.run(10)
+                world.told shouldBe listOf(null, JobState.ACTIVE)
+            }
+        }
+    })
+
+/** A store with one job in [state], which reads as of their sending and answers [delaysMs] later, the last one from then on. */
+private class QueriedWorld {
+    private val time = SimTime()
+    private val loop = SimLoop(time)
+    var state = JobState.ACTIVE
+    var isStored = true
+    var hasProgress = true
+    var refusal: StoreRefusal? = null
+    var delaysMs = listOf(4L)
+    var readCount = 0
+    val told = ArrayList<JobState?>()
+
+    private val tables =
+        object : JobTables by SilentTables {
+            override fun read(
+                key: RowKey,
+                onResult: (ReadResult) -> Unit,
+            ) {
+                val job = JobSubmission("job", Queue("queue", "pool"), "work", listOf(Step(1, Demand(1_000, 1_000))))
+                val value =
+                    if (key.table == Table.JOBS) {
+                        storedJson.encodeToString(JobSubmission.serializer(), job)
+                    } else {
+                        storedJson.encodeToString(JobProgress.serializer(), JobProgress(state))
+                    }
+                val rows = if (isStored && (hasProgress || key.table == Table.JOBS)) listOf(StoredRow(key, value, 1)) else emptyList()
+                val result = refusal?.let { ReadResult.Failed("status 429", it) } ?: ReadResult.Rows(rows, time.nowMs)
+                loop.after(delaysMs[minOf(readCount++, delaysMs.lastIndex)]) { onResult(result) }
+            }
+        }
+    val service = StoredJobService(loop, tables)
+
+    fun query() = service.state("job", "queue", JobAccess.ALL) { told += (it as? CallerAnswer.State)?.state }
+
+    fun run(durationMs: Long) = time.runUntil(time.nowMs + durationMs)
+}
