--- a/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
@@ -166,7 +166,14 @@
 
     private fun complete(exchange: ClientExchange) {
         if (isDone) return
-        end(HttpResult.Answer(exchange.response.responseCode, received.toByteArray()))
+        val response = exchange.response
+        val retryAfterS =
+            response.responseHeaders
+                .getFirst(Headers.RETRY_AFTER)
+                ?.trim()
+                ?.toLongOrNull()
+        val retryAfterMs = retryAfterS?.takeIf { it in 0..MAX_RETRY_AFTER_S }?.let(TimeUnit.SECONDS::toMillis)
+        end(HttpResult.Answer(response.responseCode, received.toByteArray(), retryAfterMs))
         onReusable(exchange.connection)
     }
 
@@ -183,5 +190,8 @@
     private companion object {
         /** Many times the largest page of the store, 1 MB in Base64. */
         const val MAX_ANSWER_BYTES = 32_000_000
+
+        /** Longer delays are taken for a fault of the peer. */
+        const val MAX_RETRY_AFTER_S = 3_600L
     }
 }
