Check for cancellations when a start that waited for the store is sent

Cause: a placement pass needs a recent read of the inbox, through which other entries cancel jobs, but a start that it had queued behind the lease row of its worker was sent without one. Trace: the start is decided at 5.7 s, the store stops to answer, another entry stores the cancellation at 5.06 s, the store answers at 12.579 s, the start is sent at 12.600 s, the inbox is read at 12.9 s.

A queued start now needs the same recent read when it is sent; without it the task waits for the next pass. The other orders that wait for the store are those to instances, which have their own time limit.

RunOrders changes by one condition.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -27,8 +27,8 @@
     private var readStartedAtMs = Long.MIN_VALUE / 2
     private var isReading = false
 
-    /** Age of the last read. */
-    val ageMs: Long get() = freshness.ageMs
+    /** True if the last read is recent enough for tasks to be started. */
+    val isFresh: Boolean get() = freshness.ageMs < FRESHNESS_MS
 
     /** Records that the inbox has just been read. */
     fun confirm() = freshness.confirm()
@@ -95,5 +95,8 @@
     private companion object {
         /** Interval between reads of the inbox. */
         const val INBOX_INTERVAL_MS = 1_000L
+
+        /** Greatest age of the last read at which tasks are started: a cancellation in the inbox takes effect within 3 s. */
+        const val FRESHNESS_MS = 2_500L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -85,7 +85,7 @@
     private fun isStartStillAllowed(
         worker: WorkerView,
         task: TaskRun,
-    ): Boolean = context.mayOrder() && task.stepRun.job.isLive && worker.isReconciled && worker.isListed && worker.drainingSinceMs == null
+    ): Boolean = context.mayStart() && task.stepRun.job.isLive && worker.isReconciled && worker.isListed && worker.drainingSinceMs == null
 
     private fun startOrder(
         worker: WorkerView,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -73,6 +73,7 @@
             onFenced = ::onFenced,
             onRunEnd = runTimeRecords::observe,
             speedModel = runTimeModel.takeIf { settings.judgesWorkerSpeed },
+            mayStart = { mayOrder() && inbox.isFresh },
         )
     private val gain = RemainingGain(loop, runTimes, runTimeModel)
     private val accountRules = AccountRules(loop, log, ports.configuration, bounds, registry, driver, ::capacityShortageMs)
@@ -314,7 +315,7 @@
         isPlacementRequested = true
         loop.after(maxOf(PLACEMENT_DELAY_MS, lastPassMs * PASS_PAUSE_FACTOR)) {
             isPlacementRequested = false
-            if (!isClosed && inbox.ageMs < INBOX_FRESHNESS_MS) placeRequested()
+            if (!isClosed && inbox.isFresh) placeRequested()
         }
     }
 
@@ -387,9 +388,6 @@
         /** Ticks between two passes over all pools, which find workers that have become usable by the passing of time: 200 ms. */
         const val PLACEMENT_TICK_INTERVAL = 4L
 
-        /** Greatest age of the last inbox read at which tasks are started: a cancellation in the inbox takes effect within 3 s. */
-        const val INBOX_FRESHNESS_MS = 2_500L
-
         /** Ticks between two updates of the fleet: 100 ms, short compared to the 1.5 s that a move takes. */
         const val FLEET_TICK_INTERVAL = 2L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -41,8 +41,10 @@
     onRunEnd: (EndedRun) -> Unit,
     /** Expected run times by which workers are judged; null if their speed is not judged. */
     speedModel: RunTimeModel? = null,
+    /** True if tasks may be started now. Asked again when a start that waited for the store is sent. */
+    mayStart: () -> Boolean = mayOrder,
 ) {
-    private val context = WorkerOrderContext(loop, link, log, epoch, mayOrder, onChange, onFenced)
+    private val context = WorkerOrderContext(loop, link, log, epoch, mayOrder, mayStart, onChange, onFenced)
     private val table = WorkerTable()
     private val inheritedLeases = InheritedWorkerLeases(log)
     private val crashes = CrashTracker(registry, log)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerOrderContext.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerOrderContext.kt
@@ -15,6 +15,8 @@
     /** Fence of all orders. */
     val epoch: Long,
     val mayOrder: () -> Boolean,
+    /** True if also starts may be ordered now. */
+    val mayStart: () -> Boolean,
     /** Called with a pool in which capacity or waiting tasks have changed, null for all pools. */
     val onChange: (String?) -> Unit,
     /** Called when a worker has rejected the fence. */
