Tell callers that a cancellation dropped with the ownership may be stored

Cause: the answer to a cancellation had three values, and the one for "nothing was done" was also given when the ownership ended while the write was in flight, which may have been applied. Trace: cancelled in memory at 10.836 s, the owner superseded at 19.102 s, answered NotApplied in the same millisecond. Submissions have a value of their own for this case.

Cancellations have it now too, and it reaches the router as an unanswered request, whose outcome it looks up or reports as uncertain; the peer protocol carries this answer already. State queries and counts have no effect that could be denied.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
@@ -3,6 +3,7 @@
  */
 package io.corianderrock.jobs.entry
 
+import io.corianderrock.jobs.runs.CancelResult
 import io.corianderrock.jobs.runs.Scheduler
 import io.corianderrock.jobs.runs.SubmitResult
 
@@ -39,11 +40,12 @@
             is SubmitResult.Unknown -> SchedulerReply.Unanswered("the ownership ended while the job was being stored")
         }
 
-    private fun replyToCancel(isKnown: Boolean?): SchedulerReply =
-        when (isKnown) {
-            true -> answer(CallerAnswer.Applied)
+    private fun replyToCancel(result: CancelResult): SchedulerReply =
+        when (result) {
+            CancelResult.STORED -> answer(CallerAnswer.Applied)
             // The scheduler may not have read yet that another entry stored the job, so the store decides, also about access.
-            false, null -> NOT_HANDLED
+            CancelResult.NOT_KNOWN, CancelResult.UNAVAILABLE -> NOT_HANDLED
+            CancelResult.UNKNOWN -> SchedulerReply.Unanswered("the ownership ended while the cancellation was being stored")
         }
 
     private fun state(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -212,25 +212,22 @@
         return JobAnswer(true, job.visibleState, job.queue.name, job.submission.account)
     }
 
-    /**
-     * Cancels the job [id]. [onResult] gets true once this is stored, false if the job is not known or not within [access], null
-     * if this scheduler cannot tell that it is stored.
-     */
+    /** Cancels the job [id] if it is within [access]; [onResult] is called once. */
     public fun cancel(
         id: String,
         access: JobAccess,
-        onResult: (Boolean?) -> Unit,
+        onResult: (CancelResult) -> Unit,
     ) {
         if (!isLoaded || isClosed || !canWrite) {
-            onResult(null)
+            onResult(CancelResult.UNAVAILABLE)
             return
         }
         val job = registry.find(id)?.takeIf { it.isStored && access.permits(it.submission.account) }
         if (job == null) {
-            onResult(false)
+            onResult(CancelResult.NOT_KNOWN)
             return
         }
-        registry.cancel(job, onDropped = { onResult(null) }) { onResult(true) }
+        registry.cancel(job, onDropped = { onResult(CancelResult.UNKNOWN) }) { onResult(CancelResult.STORED) }
     }
 
     /** Number of jobs in the queue [queueName] of which no task has started; null if this scheduler is unavailable. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerAnswers.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerAnswers.kt
@@ -23,6 +23,21 @@
     public data object Unknown : SubmitResult
 }
 
+/** Result of a cancellation. */
+public enum class CancelResult {
+    /** The cancellation is stored. */
+    STORED,
+
+    /** The job is not known here, or its caller may not see it; nothing was done. */
+    NOT_KNOWN,
+
+    /** Nothing was done: this scheduler is not loaded, no longer the owner, or cannot write. */
+    UNAVAILABLE,
+
+    /** The ownership ended while the cancellation was being stored: it may be stored or not. */
+    UNKNOWN,
+}
+
 /**
  * Answer to a state query. [state] is null if the job is not known. With [isAvailable] false this scheduler cannot tell,
  * and the caller has to read the store.
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/JobWorldTest.kt
@@ -236,6 +236,7 @@
         3079 to "a late start of an earlier owner reached a new incarnation that waited for the hold of the last one",
         2680 to "a task that was running when two workers crashed kept a worker to itself for ten seconds",
         3649 to "a start that waited for the store was sent after its job had been cancelled through the inbox",
+        3748 to "a cancellation whose write was dropped with the ownership was answered as not carried out",
         7066 to "a late start was forgotten once a later run of its task was started on the same worker",
     )
 
