Wait for a claim's decision within one time limit over all calls

Callers of keyed requests were told NOT_RUN key-owner-unreachable (claim-failed cause=NO_REPLY) on a busy machine, on open connections.

Cause: the 1.2 s for a claim were cut into two calls of 600 ms. The owner may spend 400 ms of each on its log. An answer after 700 ms was discarded, and the second call, over the same connection, queued behind the first one and asked the owner to log the claim again. A second call helps only where the first has ended with its connection.

A call now has all the time that is left of the 1.2 s, and is repeated only if it ends before. A silent owner holds a request as long as before.

RoutedClaimsTest: "is granted by an answer that comes within the time for all calls".

--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/RoutedClaims.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/RoutedClaims.kt
@@ -11,10 +11,14 @@
 
 /** Calls to owners in other processes, over the network. */
 public interface PeerClaims {
-    /** Asks the owner at [instance] for a claim. Returns null if no reply arrived; the claim may have been granted. */
+    /**
+     * Asks the owner at [instance] for a claim. Returns null if no reply arrived within [timeoutMs], or once it is certain that none
+     * will; the claim may have been granted.
+     */
     public fun claim(
         instance: String,
         request: ClaimRequest,
+        timeoutMs: Long,
     ): ClaimDecision?
 
     /** Tells the owner at [instance] that [attempt] was not dispatched. Returns false if no reply arrived. */
@@ -80,14 +84,19 @@
         return ClaimResult.Unavailable(Reason.KEY_OWNER_UNREACHABLE, peerName(failure, instance, range), RETRY_AFTER_MS)
     }
 
-    /** Null if no owner is known, as [instance] is empty, or if none of the calls was answered. */
+    /**
+     * Null if no owner is known, as [instance] is empty, or if none of the calls was answered. A call ends before its time only with
+     * its connection; another one on an open connection would reach the owner no sooner than the first.
+     */
     private fun claimAtPeer(
         instance: String,
         request: ClaimRequest,
     ): ClaimDecision? {
         if (instance.isEmpty()) return null
+        val startedMs = clock.monotonicMs()
         repeat(MAX_CLAIM_CALLS) {
-            peers.claim(instance, request)?.let { return it }
+            val remainingMs = CLAIM_TIMEOUT_MS - (clock.monotonicMs() - startedMs)
+            if (remainingMs > 0) peers.claim(instance, request, remainingMs)?.let { return it }
         }
         releaseUnacknowledged(instance, request)
         return null
@@ -180,6 +189,9 @@
 
     private companion object {
         const val MAX_CLAIM_CALLS = 2
+
+        /** Longest wait for the owner's decision over all calls: three times what the owner may wait for its log. */
+        const val CLAIM_TIMEOUT_MS = 1_200L
         const val MAX_RELEASE_CALLS = 5
         const val RETRY_AFTER_MS = 500L
     }
--- a/core/src/test/kotlin/io/corianderrock/coordination/claim/ClaimHistory.kt
+++ b/core/src/test/kotlin/io/corianderrock/coordination/claim/ClaimHistory.kt
@@ -178,6 +178,7 @@
         override fun claim(
             instance: String,
             request: ClaimRequest,
+            timeoutMs: Long,
         ): ClaimDecision? = delivered(instance) { it.owner.claim(request) }
 
         override fun release(
--- a/core/src/test/kotlin/io/corianderrock/coordination/claim/RoutedClaimsTest.kt
+++ b/core/src/test/kotlin/io/corianderrock/coordination/claim/RoutedClaimsTest.kt
@@ -19,6 +19,10 @@
     private var nextId = 0
     private var isCommitting = true
     private var isAnswering = true
+
+    /** Time from a call to its answer, or to the end of its connection if entry `a` does not answer. */
+    var answerDelayMs = 0L
+    val callTimeoutsMs = ArrayList<Long>()
     val failures = ArrayList<Pair<ClaimFailure, String>>()
     private val owner = newOwner("a")
     private val other = newOwner("b")
@@ -62,7 +66,12 @@
         override fun claim(
             instance: String,
             request: ClaimRequest,
-        ): ClaimDecision? = if (isAnswering) owner.claim(request) else null
+            timeoutMs: Long,
+        ): ClaimDecision? {
+            callTimeoutsMs += timeoutMs
+            clock.advanceMs(minOf(answerDelayMs, timeoutMs))
+            return if (isAnswering && answerDelayMs < timeoutMs) owner.claim(request) else null
+        }
 
         override fun release(
             instance: String,
@@ -97,6 +106,23 @@
                 entries.claim() shouldBe ClaimResult.Granted
                 entries.failures shouldBe emptyList()
             }
+            // Guards against claims refused on a busy machine: two calls of 600 ms each were given up before their answers came.
+            it("is granted by an answer that comes within the time for all calls") {
+                val entries = TwoEntries().apply { answerDelayMs = 1_100 }
+                entries.claim() shouldBe ClaimResult.Granted
+                entries.callTimeoutsMs shouldBe listOf(1_200L)
+            }
+            it("is sent again for the remaining time when the connection ends") {
+                val entries = TwoEntries().apply { answerDelayMs = 500 }
+                entries.closeConnection()
+                entries.failsWith(ClaimFailure.NO_REPLY, "a")
+                entries.callTimeoutsMs shouldBe listOf(1_200L, 700L)
+            }
+            it("fails after the time for all calls when the owner is silent") {
+                val entries = TwoEntries().apply { answerDelayMs = 5_000 }
+                entries.failsWith(ClaimFailure.NO_REPLY, "a")
+                entries.callTimeoutsMs shouldBe listOf(1_200L)
+            }
             it("fails for want of a reply when the connection is closed") {
                 TwoEntries().apply { closeConnection() }.failsWith(ClaimFailure.NO_REPLY, "a")
             }
--- a/transport/src/main/kotlin/io/corianderrock/transport/PeerClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/PeerClient.kt
@@ -44,8 +44,8 @@
 )
 
 /**
- * Calls peers. Each call blocks for at most [callTimeoutMs] and is not retried. A result of null or false means that no
- * response arrived; the peer may still have run the call, and [onFailure] tells why.
+ * Calls peers. Each call but a claim, which is given a time of its own, blocks for at most [callTimeoutMs]; none is retried. A
+ * result of null or false means that no response arrived; the peer may still have run the call, and [onFailure] tells why.
  */
 public class PeerClient(
     private val addresses: PeerAddresses,
@@ -61,7 +61,8 @@
     override fun claim(
         instance: String,
         request: ClaimRequest,
-    ): ClaimDecision? = invoke(instance, PeerMethods.CLAIM, request.asMessage())?.asDecision()
+        timeoutMs: Long,
+    ): ClaimDecision? = invoke(instance, PeerMethods.CLAIM, request.asMessage(), timeoutMs)?.asDecision()
 
     override fun release(
         instance: String,
@@ -114,6 +115,7 @@
         instance: String,
         method: MethodDescriptor<Req, Resp>,
         request: Req,
+        timeoutMs: Long = callTimeoutMs,
     ): Resp? {
         val startedNs = System.nanoTime()
         val address = addresses.of(instance)
@@ -121,7 +123,7 @@
             onFailure(PeerCallFailure(instance, method.bareMethodName.orEmpty(), "ADDRESS_UNKNOWN", tookMs = 0))
             return null
         }
-        val options = CallOptions.DEFAULT.withDeadlineAfter(callTimeoutMs, TimeUnit.MILLISECONDS)
+        val options = CallOptions.DEFAULT.withDeadlineAfter(timeoutMs, TimeUnit.MILLISECONDS)
         return try {
             ClientCalls.blockingUnaryCall(channelTo(address), method, options, request)
         } catch (e: StatusRuntimeException) {
--- a/transport/src/test/kotlin/io/corianderrock/transport/PeerClientTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/PeerClientTest.kt
@@ -54,7 +54,7 @@
                 address: String?,
             ): PeerCallFailure {
                 val failures = ArrayList<PeerCallFailure>()
-                PeerClient({ address }, TOKEN, timeoutMs, failures::add).use { it.claim("entry", REQUEST).shouldBeNull() }
+                PeerClient({ address }, TOKEN, onFailure = failures::add).use { it.claim("entry", REQUEST, timeoutMs).shouldBeNull() }
                 return failures.single()
             }
 
