Count a connection to an owner of claims as open once it has answered a call

Callers of keyed requests were told NOT_RUN key-owner-unreachable (claim-failed cause=NO_REPLY) in the first second after an entry had become ready on a busy machine: the connection was open and the first calls took over 1.2 s.

Cause: an open connection says nothing about the code that the first call runs on both sides, which has to be loaded and is interpreted. All first claims wait for it at once.

An entry now sends each owner the release of a claim that nobody holds, which has no effect, and is ready once that is answered.

PeerClientTest: "cannot be used while the peer accepts it and answers no call" fails without this change by construction.

--- a/daemon/src/main/kotlin/io/corianderrock/daemon/ClaimOwnerConnections.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/ClaimOwnerConnections.kt
@@ -1,6 +1,6 @@
 /*
- * Connections to the owners of claim ranges. They are opened ahead of the first claim: on a busy machine, connecting takes longer
- * than a claim may wait, and the first keyed requests would be refused.
+ * Connections to the owners of claim ranges. They are opened and used ahead of the first claim: on a busy machine, connecting and the
+ * first call take longer than a claim may wait, and the first keyed requests would be refused.
  */
 package io.corianderrock.daemon
 
@@ -10,7 +10,7 @@
 
 /**
  * Keeps connections to the owners in [ranges] open. [connect] opens the connection to an entry if it has none, and returns true
- * once it can be used. [tick] is called by one thread.
+ * once a call over it has been answered. [tick] is called by one thread, and blocks for such calls.
  */
 public class ClaimOwnerConnections(
     private val clock: Clock,
--- a/transport/src/main/kotlin/io/corianderrock/transport/PeerClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/PeerClient.kt
@@ -55,6 +55,7 @@
 ) : PeerClaims,
     AutoCloseable {
     private val channels = ConcurrentHashMap<String, ManagedChannel>()
+    private val answeredAddresses: MutableSet<String> = ConcurrentHashMap.newKeySet()
     private val credentials =
         MetadataUtils.newAttachHeadersInterceptor(Metadata().apply { put(PEER_TOKEN_KEY, token.reveal()) })
 
@@ -101,10 +102,18 @@
         query: DrainQuery,
     ): DrainReply? = invoke(instance, PeerMethods.DRAIN, query)
 
-    /** Opens the connection to [instance] if there is none. Returns true once calls need not wait for it. */
+    /**
+     * Opens the connection to [instance] if there is none. Returns true once a call over it has been answered, so that later calls
+     * wait neither for the connection nor for code that both sides run for the first time. May block for a call.
+     */
     public fun connect(instance: String): Boolean {
         val address = addresses.of(instance) ?: return false
-        return channelTo(address).getState(true) == ConnectivityState.READY
+        if (channelTo(address).getState(true) != ConnectivityState.READY) return false
+        if (address in answeredAddresses) return true
+        // The release of a claim that nobody holds has no effect.
+        val isAnswered = release(instance, key = "", attempt = "")
+        if (isAnswered) answeredAddresses.add(address)
+        return isAnswered
     }
 
     override fun close() {
--- a/transport/src/test/kotlin/io/corianderrock/transport/PeerClientTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/PeerClientTest.kt
@@ -19,13 +19,15 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldStartWith
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 private val REQUEST = ClaimRequest("key", "attempt", isFirstSend = true, firstSentMs = null)
 private val TOKEN = Secret("peer-client-test")
 private const val SHORT_TIMEOUT_MS = 100L
 private const val LONG_TIMEOUT_MS = 10_000L
+private const val POLL_INTERVAL_MS = 10L
 
-/** Claims wait until [release] opens; other calls are not made. */
+/** Claims and their releases wait until [release] opens; other calls are not made. */
 private class SlowPeer(
     private val release: CountDownLatch,
 ) : PeerService {
@@ -34,7 +36,7 @@
         error("the call has ended")
     }
 
-    override fun resolveClaim(message: ClaimResolutionMessage) = error("not called")
+    override fun resolveClaim(message: ClaimResolutionMessage) = release.await()
 
     override fun configure(message: ConfigurationMessage) = error("not called")
 
@@ -47,6 +49,32 @@
 
 internal class PeerClientTest :
     DescribeSpec({
+        // Guards against first claims that are refused since the code on their way runs for the first time (key-owner-unreachable).
+        describe("a connection") {
+            fun connectsWithin(
+                ms: Long,
+                service: PeerService,
+            ): Boolean =
+                PeerServer.start(ListenAddress("127.0.0.1", 0), TOKEN, service).use { server ->
+                    PeerClient({ "127.0.0.1:${server.port}" }, TOKEN, SHORT_TIMEOUT_MS).use { client ->
+                        val endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms)
+                        generateSequence { client.connect("entry") }
+                            .onEach { if (!it) TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS) }
+                            .takeWhile { System.nanoTime() < endNs }
+                            .any { it }
+                    }
+                }
+
+            it("can be used once the peer has answered a call") {
+                connectsWithin(LONG_TIMEOUT_MS, SlowPeer(CountDownLatch(0))) shouldBe true
+            }
+            it("cannot be used while the peer accepts it and answers no call") {
+                val release = CountDownLatch(1)
+                connectsWithin(5 * SHORT_TIMEOUT_MS, SlowPeer(release)) shouldBe false
+                release.countDown()
+            }
+        }
+
         // Guards against failed calls of which the log does not tell the cause.
         describe("a claim call that fails") {
             fun failureOf(
