Connect to the other entries before claim ranges have their owners

Cause: an entry begins to connect to an owner when a range names it as its owner, and from then on waits 3 s at most before it is ready. Entries know each other before that, from their rows.

Until it is ready an entry now also connects to, and calls, the other entries. It does not wait for them. The owners come first.

ClaimOwnerConnectionsTest: "connects to the other entries before ranges have owners, without waiting for them".

--- a/daemon/src/main/kotlin/io/corianderrock/daemon/ClaimOwnerConnections.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/ClaimOwnerConnections.kt
@@ -10,12 +10,14 @@
 
 /**
  * Keeps connections to the owners in [ranges] open. [connect] opens the connection to an entry if it has none, and returns true
- * once a call over it has been answered. [tick] is called by one thread, and blocks for such calls.
+ * once a call over it has been answered. [tick] is called by one thread, and blocks for such calls. Until this entry is ready it also
+ * connects to those of [entries] that own no range yet, so that it does not begin only when the ranges have their owners.
  */
 public class ClaimOwnerConnections(
     private val clock: Clock,
     private val selfInstance: String,
     private val ranges: () -> Collection<ClaimRangeRow>,
+    private val entries: () -> Collection<String>,
     private val connect: (String) -> Boolean,
 ) {
     private var waitingSinceMs = clock.monotonicMs()
@@ -40,6 +42,7 @@
         // Every owner is asked for, also after one that is not connected.
         val missingCount = known.count { it != selfInstance && !connect(it) }
         val isConnected = known.isNotEmpty() && missingCount == 0
+        if (!haveBeenReady) entries().forEach { if (it != selfInstance && it !in known) connect(it) }
         if (isConnected || clock.monotonicMs() - waitingSinceMs >= START_LIMIT_MS) haveBeenReady = true
     }
 
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
@@ -75,7 +75,14 @@
     private val claimOwnershipLoop = ClaimOwnershipLoop(claimOwner) { ClaimOwnership.choose(sync.entries, self) }
     private val peerClient =
         PeerClient({ id -> sync.entries.firstOrNull { it.id == id }?.peersAddress }, settings.peerToken, onFailure = ::logPeerCallFailure)
-    private val ownerConnections = ClaimOwnerConnections(clock, self, { claimOwner.lastScannedRanges.values }, peerClient::connect)
+    private val ownerConnections =
+        ClaimOwnerConnections(
+            clock = clock,
+            selfInstance = self,
+            ranges = { claimOwner.lastScannedRanges.values },
+            entries = { sync.entries.map { it.id } },
+            connect = peerClient::connect,
+        )
     private val peerServer = PeerServer.start(listenAddress(settings.peers), settings.peerToken, PeerHandler(claimOwner, sync, directory))
     private val network: PeerNetwork = newPeerNetwork()
     private val control = newControlLoop()
--- a/load/src/test/kotlin/io/corianderrock/load/ClaimOwnerConnectionsTest.kt
+++ b/load/src/test/kotlin/io/corianderrock/load/ClaimOwnerConnectionsTest.kt
@@ -19,8 +19,9 @@
     var rows = owners.mapIndexed { range, owner -> ClaimRangeRow(range, owner = owner, ownerInstance = owner, epoch = 1) }
     val connected = HashSet<String>()
     val asked = HashSet<String>()
+    var entries = emptyList<String>()
     private val connections =
-        ClaimOwnerConnections(this, "self", { rows }) {
+        ClaimOwnerConnections(this, "self", { rows }, { entries }) {
             asked += it
             it in connected
         }
@@ -47,6 +48,16 @@
                 connections.connected += listOf("a", "b")
                 connections.isReadyAfter(100) shouldBe true
             }
+            // Guards against connections that are begun only when the time for them is running.
+            it("connects to the other entries before ranges have owners, without waiting for them") {
+                val connections = Connections()
+                connections.entries = listOf("self", "a", "b")
+                connections.isReadyAfter(0) shouldBe false
+                connections.asked shouldContainExactlyInAnyOrder listOf("a", "b")
+                connections.connected += "a"
+                connections.rows = Connections("self", "a").rows
+                connections.isReadyAfter(100) shouldBe true
+            }
             it("is ready at once if it owns all ranges") {
                 Connections("self").isReadyAfter(0) shouldBe true
             }
