--- a/daemon/src/main/kotlin/io/corianderrock/daemon/ClaimOwnerConnections.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/ClaimOwnerConnections.kt
@@ -1,6 +1,6 @@
 /*
- * Connections to the owners of claim ranges. They are opened ahead of the first claim: on a busy machine, connecting takes longer
- * than a claim may wait, and the first keyed requests would be refused.
+ * Connections to the owners of claim ranges. They are opened and used ahead of the first claim: on a busy machine, connecting and the
+ * first call take longer than a claim may wait, and the first keyed requests would be refused.
  */
 package io.corianderrock.daemon
 
@@ -10,12 +10,14 @@
 
 /**
  * Keeps connections to the owners in [ranges] open. [connect] opens the connection to an entry if it has none, and returns true
- * once it can be used. [tick] is called by one thread.
+ * once a call over it has been answered. [tick] is called by one thread, and blocks for such calls. Until this entry is ready it also
+ * connects to those of [entries] that own no range yet, so that it does not begin only when the ranges have their owners.
  */
 public class ClaimOwnerConnections(
     private val clock: Clock,
     private val selfInstance: String,
     private val ranges: () -> Collection<ClaimRangeRow>,
+    private val entries: () -> Collection<String>,
     private val connect: (String) -> Boolean,
 ) {
     private var waitingSinceMs = clock.monotonicMs()
@@ -40,6 +42,7 @@
         // Every owner is asked for, also after one that is not connected.
         val missingCount = known.count { it != selfInstance && !connect(it) }
         val isConnected = known.isNotEmpty() && missingCount == 0
+        if (!haveBeenReady) entries().forEach { if (it != selfInstance && it !in known) connect(it) }
         if (isConnected || clock.monotonicMs() - waitingSinceMs >= START_LIMIT_MS) haveBeenReady = true
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
@@ -250,7 +250,7 @@
         private fun retryWhileTimeRemains(reason: String) {
             val leftMs = startedAtMs + RESOLVE_MS - loop.nowMs
             when {
-                leftMs > 0 -> loop.after(minOf(leftMs, backoff.nextMs())) { if (!isFinished) askScheduler() }
+                leftMs > 0 -> loop.after(minOf(leftMs, backoff.nextDelayMs())) { if (!isFinished) askScheduler() }
                 isOutcomeOpen -> finish(CallerAnswer.Uncertain(reason), reason)
                 else -> refuse("the scheduler cannot be reached and the store is slow; retry later", reason)
             }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/RetryAdvice.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/RetryAdvice.kt
@@ -61,7 +61,8 @@
     }
 
     /** Pauses between attempts of one request inside this entry. */
-    internal fun newBackoff(): RetryBackoff = RetryBackoff(FIRST_PAUSE_MS, LONGEST_PAUSE_MS, random)
+    internal fun newBackoff(): RetryBackoff =
+        RetryBackoff(firstWindowMs = 2 * FIRST_PAUSE_MS, longestWindowMs = LONGEST_PAUSE_MS, random = random)
 
     /** The first retry is soon, since a short job that waits more than 1.5 s is late; all four together outlast 8 s. */
     private fun secondsByAttempt(attempt: Int): Long {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/ClaimRelease.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/ClaimRelease.kt
@@ -9,6 +9,7 @@
 import io.corianderrock.jobs.ports.JobTables
 import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.ports.RowChange
+import io.corianderrock.jobs.storerate.RetryBackoff
 import kotlin.random.Random
 
 /** Confined to [loop]. [lastRow] is the owner row as this entry last knew it. */
@@ -19,7 +20,7 @@
     random: Random,
     private val lastRow: () -> OwnerRow?,
 ) {
-    private val backoff = RetryBackoff(random, minimumMs = 100, firstWindowMs = 100, longestWindowMs = 800)
+    private val backoff = RetryBackoff(firstWindowMs = 100, longestWindowMs = 800, minimumMs = 100, random = random)
 
     /** Releases [claimed] if it was applied or still is, which shows once the row has changed. */
     fun releaseIfApplied(claimed: OwnerRow) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/ClaimTurn.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ownership/ClaimTurn.kt
@@ -5,6 +5,7 @@
 package io.corianderrock.jobs.ownership
 
 import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.storerate.RetryBackoff
 import kotlin.random.Random
 
 /**
@@ -26,7 +27,7 @@
         val seenAtMs: Long,
     )
 
-    private val backoff = RetryBackoff(random, MIN_INTERVAL_MS, FIRST_WINDOW_MS, LONGEST_WINDOW_MS)
+    private val backoff = RetryBackoff(FIRST_WINDOW_MS, LONGEST_WINDOW_MS, MIN_INTERVAL_MS, random)
     private val peers = HashMap<String, Candidate>()
     private var refusalsInFront = 0
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -6,7 +6,6 @@
 package io.corianderrock.jobs.runs
 
 import io.corianderrock.jobs.ownership.OwnerRow
-import io.corianderrock.jobs.ownership.RetryBackoff
 import io.corianderrock.jobs.ports.ChangeResult
 import io.corianderrock.jobs.ports.DecisionLog
 import io.corianderrock.jobs.ports.EventLoop
@@ -14,6 +13,7 @@
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.StoredRow
+import io.corianderrock.jobs.storerate.RetryBackoff
 import kotlin.random.Random
 
 /** Writes rows for the owner [owner]. All methods and callbacks run on the event loop; [onLost] gets the reason as text. */
@@ -53,7 +53,7 @@
     private var isScheduled = false
     private var isClosed = false
     private var failures = 0
-    private val retryBackoff = RetryBackoff(random, MIN_RETRY_DELAY_MS, FIRST_RETRY_WINDOW_MS, LONGEST_RETRY_WINDOW_MS)
+    private val retryBackoff = RetryBackoff(FIRST_RETRY_WINDOW_MS, LONGEST_RETRY_WINDOW_MS, MIN_RETRY_DELAY_MS, random)
 
     /** True from a failed attempt of the batch in flight to the next one. */
     private var isRetryDue = false
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -73,6 +73,7 @@
             onFenced = ::onFenced,
             onRunEnd = runTimeRecords::observe,
             speedModel = runTimeModel.takeIf { settings.judgesWorkerSpeed },
+            mayStart = { mayOrder() && inbox.isFresh },
         )
     private val gain = RemainingGain(loop, runTimes, runTimeModel)
     private val accountRules = AccountRules(loop, log, ports.configuration, bounds, registry, driver, ::capacityShortageMs)
@@ -211,25 +212,22 @@
         return JobAnswer(true, job.visibleState, job.queue.name, job.submission.account)
     }
 
-    /**
-     * Cancels the job [id]. [onResult] gets true once this is stored, false if the job is not known or not within [access], null
-     * if this scheduler cannot tell that it is stored.
-     */
+    /** Cancels the job [id] if it is within [access]; [onResult] is called once. */
     public fun cancel(
         id: String,
         access: JobAccess,
-        onResult: (Boolean?) -> Unit,
+        onResult: (CancelResult) -> Unit,
     ) {
         if (!isLoaded || isClosed || !canWrite) {
-            onResult(null)
+            onResult(CancelResult.UNAVAILABLE)
             return
         }
         val job = registry.find(id)?.takeIf { it.isStored && access.permits(it.submission.account) }
         if (job == null) {
-            onResult(false)
+            onResult(CancelResult.NOT_KNOWN)
             return
         }
-        registry.cancel(job, onDropped = { onResult(null) }) { onResult(true) }
+        registry.cancel(job, onDropped = { onResult(CancelResult.UNKNOWN) }) { onResult(CancelResult.STORED) }
     }
 
     /** Number of jobs in the queue [queueName] of which no task has started; null if this scheduler is unavailable. */
@@ -314,7 +312,7 @@
         isPlacementRequested = true
         loop.after(maxOf(PLACEMENT_DELAY_MS, lastPassMs * PASS_PAUSE_FACTOR)) {
             isPlacementRequested = false
-            if (!isClosed && inbox.ageMs < INBOX_FRESHNESS_MS) placeRequested()
+            if (!isClosed && inbox.isFresh) placeRequested()
         }
     }
 
@@ -387,9 +385,6 @@
         /** Ticks between two passes over all pools, which find workers that have become usable by the passing of time: 200 ms. */
         const val PLACEMENT_TICK_INTERVAL = 4L
 
-        /** Greatest age of the last inbox read at which tasks are started: a cancellation in the inbox takes effect within 3 s. */
-        const val INBOX_FRESHNESS_MS = 2_500L
-
         /** Ticks between two updates of the fleet: 100 ms, short compared to the 1.5 s that a move takes. */
         const val FLEET_TICK_INTERVAL = 2L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/BudgetLane.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/BudgetLane.kt
@@ -42,7 +42,7 @@
     private var refusedAtMs = Long.MIN_VALUE / 2
 
     /** Pauses of what has no reserve after each refusal: with a call a second an entry learns too little for the level alone. */
-    private val backoff = RetryBackoff(firstMs = 250, longestMs = LONGEST_BACKOFF_MS, random)
+    private val backoff = RetryBackoff(firstWindowMs = 500, longestWindowMs = LONGEST_BACKOFF_MS, random = random)
     private var backoffUntilMs = Long.MIN_VALUE / 2
 
     /** When the level was last lowered from the full rate, null while it is full, with the calls withheld since. */
@@ -118,7 +118,7 @@
 
     /** The store has refused a call, or answered one. */
     fun onRefused() {
-        if (loop.nowMs >= backoffUntilMs) backoffUntilMs = loop.nowMs + backoff.nextMs()
+        if (loop.nowMs >= backoffUntilMs) backoffUntilMs = loop.nowMs + backoff.nextDelayMs()
     }
 
     fun onAnswered() = backoff.reset()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/RetryBackoff.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/RetryBackoff.kt
@@ -1,27 +1,32 @@
 /*
- * Pauses between attempts: exponential with full jitter, so that entries that have failed together do not return together.
+ * Delays between retries against a shared service. Processes that retry at a fixed pace keep a service that refuses them overloaded, and
+ * return to it at the same moment.
  */
 package io.corianderrock.jobs.storerate
 
 import kotlin.random.Random
 
-/** The pause is uniform up to a bound, which is twice [firstMs] at first, doubles with each failure and ends at [longestMs]. */
+/**
+ * Exponential back-off with full jitter: each delay is [minimumMs] plus a random share of a window that doubles from [firstWindowMs] to
+ * [longestWindowMs], in milliseconds. Confined to one thread.
+ */
 public class RetryBackoff(
-    private val firstMs: Long,
-    private val longestMs: Long,
+    private val firstWindowMs: Long,
+    private val longestWindowMs: Long,
+    private val minimumMs: Long = 1,
     private val random: Random = Random.Default,
 ) {
-    private var boundMs = 2 * firstMs
+    private var windowMs = firstWindowMs
 
-    /** The pause after one more failure, [firstMs] on average for the first one. */
-    public fun nextMs(): Long {
-        val pauseMs = 1 + random.nextLong(boundMs)
-        boundMs = minOf(2 * boundMs, longestMs)
-        return pauseMs
+    /** Returns the delay before the next retry. */
+    public fun nextDelayMs(): Long {
+        val delayMs = minimumMs + random.nextLong(windowMs + 1)
+        windowMs = minOf(2 * windowMs, longestWindowMs)
+        return delayMs
     }
 
-    /** Called after a success. */
+    /** Starts anew with [firstWindowMs]. */
     public fun reset() {
-        boundMs = 2 * firstMs
+        windowMs = firstWindowMs
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/ownership/ClaimTurnTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/ownership/ClaimTurnTest.kt
@@ -3,6 +3,7 @@
  */
 package io.corianderrock.jobs.ownership
 
+import io.corianderrock.jobs.storerate.RetryBackoff
 import io.corianderrock.jobs.world.SimLoop
 import io.corianderrock.jobs.world.SimTime
 import io.kotest.core.spec.style.DescribeSpec
@@ -85,7 +86,7 @@
         }
         describe("a back-off") {
             it("spreads each delay over a window that doubles up to its bound, above a minimum") {
-                val delays = List(1_000) { seed -> RetryBackoff(Random(seed), 50, 100, 400).let { b -> List(4) { b.nextDelayMs() } } }
+                val delays = List(1_000) { seed -> RetryBackoff(100, 400, 50, Random(seed)).let { b -> List(4) { b.nextDelayMs() } } }
                 for ((retry, windowMs) in listOf(100L, 200L, 400L, 400L).withIndex()) {
                     delays.forEach { it[retry].shouldBeInRange(50..50 + windowMs) }
                     // Full jitter uses the whole window: retries of entries that fail together would otherwise stay together.
--- a/transport/src/main/kotlin/io/corianderrock/transport/PeerClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/PeerClient.kt
@@ -44,8 +44,8 @@
 )
 
 /**
- * Calls peers. Each call blocks for at most [callTimeoutMs] and is not retried. A result of null or false means that no
- * response arrived; the peer may still have run the call, and [onFailure] tells why.
+ * Calls peers. Each call but a claim, which is given a time of its own, blocks for at most [callTimeoutMs]; none is retried. A
+ * result of null or false means that no response arrived; the peer may still have run the call, and [onFailure] tells why.
  */
 public class PeerClient(
     private val addresses: PeerAddresses,
@@ -55,13 +55,15 @@
 ) : PeerClaims,
     AutoCloseable {
     private val channels = ConcurrentHashMap<String, ManagedChannel>()
+    private val answeredAddresses: MutableSet<String> = ConcurrentHashMap.newKeySet()
     private val credentials =
         MetadataUtils.newAttachHeadersInterceptor(Metadata().apply { put(PEER_TOKEN_KEY, token.reveal()) })
 
     override fun claim(
         instance: String,
         request: ClaimRequest,
-    ): ClaimDecision? = invoke(instance, PeerMethods.CLAIM, request.asMessage())?.asDecision()
+        timeoutMs: Long,
+    ): ClaimDecision? = invoke(instance, PeerMethods.CLAIM, request.asMessage(), timeoutMs)?.asDecision()
 
     override fun release(
         instance: String,
@@ -100,10 +102,18 @@
         query: DrainQuery,
     ): DrainReply? = invoke(instance, PeerMethods.DRAIN, query)
 
-    /** Opens the connection to [instance] if there is none. Returns true once calls need not wait for it. */
+    /**
+     * Opens the connection to [instance] if there is none. Returns true once a call over it has been answered, so that later calls
+     * wait neither for the connection nor for code that both sides run for the first time. May block for a call.
+     */
     public fun connect(instance: String): Boolean {
         val address = addresses.of(instance) ?: return false
-        return channelTo(address).getState(true) == ConnectivityState.READY
+        if (channelTo(address).getState(true) != ConnectivityState.READY) return false
+        if (address in answeredAddresses) return true
+        // The release of a claim that nobody holds has no effect.
+        val isAnswered = release(instance, key = "", attempt = "")
+        if (isAnswered) answeredAddresses.add(address)
+        return isAnswered
     }
 
     override fun close() {
@@ -114,6 +124,7 @@
         instance: String,
         method: MethodDescriptor<Req, Resp>,
         request: Req,
+        timeoutMs: Long = callTimeoutMs,
     ): Resp? {
         val startedNs = System.nanoTime()
         val address = addresses.of(instance)
@@ -121,7 +132,7 @@
             onFailure(PeerCallFailure(instance, method.bareMethodName.orEmpty(), "ADDRESS_UNKNOWN", tookMs = 0))
             return null
         }
-        val options = CallOptions.DEFAULT.withDeadlineAfter(callTimeoutMs, TimeUnit.MILLISECONDS)
+        val options = CallOptions.DEFAULT.withDeadlineAfter(timeoutMs, TimeUnit.MILLISECONDS)
         return try {
             ClientCalls.blockingUnaryCall(channelTo(address), method, options, request)
         } catch (e: StatusRuntimeException) {
