--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
@@ -0,0 +1,229 @@
+/*
+ * An owner with one worker whose answers, lists and restarts a test controls, over a slow store and simulated time.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.ports.EndRow
+import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.Instance
+import io.corianderrock.jobs.ports.InstanceState
+import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.RunningRow
+import io.corianderrock.jobs.ports.StartOrder
+import io.corianderrock.jobs.ports.StopOrder
+import io.corianderrock.jobs.ports.Table
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.ports.WorkerLink
+import io.corianderrock.jobs.runs.Committer
+import io.corianderrock.jobs.runs.JobRegistry
+import io.corianderrock.jobs.runs.WorkerDriver
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.Queue
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.state.TaskRun
+import io.corianderrock.jobs.world.SimLoop
+import io.corianderrock.jobs.world.SimTime
+
+/** An owner with one worker, whose answers the test controls, and one job with one task. */
+internal class OwnerOfOneWorker(
+    var isUp: Boolean = true,
+    /** Time after which a hold of the worker fails while it is down. */
+    private val failedHoldMs: Long = 1,
+) : WorkerLink {
+    val time = SimTime()
+    private val loop = SimLoop(time)
+    private val tables = SlowTables(time)
+    val committer = Committer(loop, tables, { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
+    private val registry = JobRegistry(loop, committer) { _, _ -> }
+    val driver =
+        WorkerDriver(
+            loop,
+            this,
+            committer,
+            registry,
+            log = { _, _ -> },
+            epoch = 2,
+            longestLeaseMs = LONGEST_LEASE_MS,
+            mayOrder = { true },
+            onChange = {},
+            onFenced = {},
+            onRunEnd = {},
+        )
+    private val startedAtMs = time.nowMs
+
+    /** When the running incarnation started, by its own clock. */
+    var bornWallMs = time.nowMs
+
+    /** True while answers to starts are lost; the start itself may arrive late. */
+    var areStartAnswersLost = false
+
+    /** How many of the next answers to holds are lost. */
+    var lostHoldAnswers = 0
+
+    /** For each start order whether the row that records runs on the worker was stored when it was sent. */
+    val wasRowStoredAtStart = ArrayList<Boolean>()
+    val starts = ArrayList<StartOrder>()
+
+    /** The runs that the worker was told to stop. */
+    val stoppedRuns = ArrayList<Long>()
+
+    /** Those of [stoppedRuns] whose stop was answered. */
+    val answeredStops = ArrayList<Long>()
+    var areStopAnswersLost = false
+
+    /** What the worker lists. */
+    var runningRows = emptyList<RunningRow>()
+    var endedRows = emptyList<EndRow>()
+
+    /** The ends that holds have acknowledged, 0 for a hold that acknowledges none. */
+    val acknowledgements = ArrayList<Long>()
+    var holdCount = 0
+        private set
+    val task: TaskRun
+
+    init {
+        val submission = JobSubmission("job", Queue("queue", POOL), "spec", listOf(Step(1, Demand(1_000, 100))))
+        task = registry.load(submission, progress = null, isInherited = false).tasks.first()
+        driver.onListed(entry())
+        driver.open()
+        pass(SETTLE_MS)
+    }
+
+    fun pass(durationMs: Long) = time.runUntil(time.nowMs + durationMs)
+
+    /** Lets [durationMs] pass with the checks of leases that the scheduler makes in each tick. */
+    fun passTicking(durationMs: Long) {
+        val endMs = time.nowMs + durationMs
+        while (time.nowMs < endMs) {
+            pass(minOf(TICK_MS, endMs - time.nowMs))
+            driver.tick()
+        }
+    }
+
+    /** True if the worker may be given new tasks. */
+    val isUsable: Boolean get() = checkNotNull(driver.find(WORKER)).let { it.consecutiveLostHolds == 0 && it.avoidUntilMs <= time.nowMs }
+
+    fun waitUntil(condition: () -> Boolean) {
+        val latestMs = time.nowMs + LATEST_ORDER_MS
+        while (!condition()) {
+            check(time.nowMs < latestMs) { "the condition does not hold within $LATEST_ORDER_MS ms" }
+            pass(1)
+        }
+    }
+
+    fun startTask() = driver.start(task, checkNotNull(driver.find(WORKER)))
+
+    /** Lists the worker in a new incarnation with the same id, whose clock was set back by [clockStepMs]. */
+    fun startAgain(clockStepMs: Long = 0) {
+        isUp = true
+        bornWallMs = time.nowMs - clockStepMs
+        driver.onListed(entry())
+        pass(SETTLE_MS)
+    }
+
+    /** Lists the worker in a new incarnation with the same id that does not answer. */
+    fun startAgainUnreached() {
+        isUp = false
+        bornWallMs = time.nowMs
+        driver.onListed(entry())
+        pass(SETTLE_MS)
+    }
+
+    fun listInstanceAsDown() =
+        driver.onInstancesListed(
+            listOf(Instance(INSTANCE, POOL, InstanceState.DOWN, "dc", emptyList(), CAPACITY, workerId = null)),
+            requestedAtMs = time.nowMs,
+        )
+
+    /** Lists another worker of the same instance. */
+    fun listOther(bornWallMs: Long) = driver.onListed(entry().copy(id = "other", bornWallMs = bornWallMs))
+
+    fun entry() = WorkerEntry(WORKER, WORKER, POOL, "dc", INSTANCE, CAPACITY, emptyList(), false, null, bornWallMs)
+
+    override fun start(
+        entry: WorkerEntry,
+        order: StartOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        starts.add(order)
+        val key = RowKey(Table.WORKER_LEASES, WORKER)
+        val last = tables.changes.lastOrNull { key in it.puts || key in it.deletes }
+        wasRowStoredAtStart.add(last != null && key in last.puts)
+        if (isUp && !areStartAnswersLost) {
+            loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs())) }
+        } else {
+            loop.after(ORDER_TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("no answer", mayBeCarriedOut = true)) }
+        }
+    }
+
+    override fun stop(
+        entry: WorkerEntry,
+        order: StopOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        stoppedRuns.add(order.runNumber)
+        if (areStopAnswersLost) {
+            loop.after(ORDER_TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("no answer", mayBeCarriedOut = true)) }
+            return
+        }
+        answeredStops.add(order.runNumber)
+        loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs())) }
+    }
+
+    override fun hold(
+        entry: WorkerEntry,
+        order: HoldOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        holdCount++
+        acknowledgements.add(order.acknowledgedEnd)
+        if (lostHoldAnswers > 0) {
+            lostHoldAnswers--
+            loop.after(ORDER_TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("no answer", mayBeCarriedOut = true)) }
+            return
+        }
+        val delayMs = if (!isUp) failedHoldMs else maxOf(order.waitMs.toLong(), 1)
+        loop.after(delayMs) {
+            onAnswer(
+                if (isUp) {
+                    WorkerAnswer.Listed(clockMs(), bornWallMs, runningRows, endedRows)
+                } else {
+                    WorkerAnswer.Unanswered("connection refused", mayBeCarriedOut = false)
+                },
+            )
+        }
+    }
+
+    private fun clockMs() = time.nowMs - startedAtMs
+
+    companion object {
+        const val WORKER = "w"
+        const val INSTANCE = "i"
+        const val POOL = "pool"
+        const val LONGEST_LEASE_MS = 6_000L
+        const val ORDER_TIMEOUT_MS = 700L
+
+        /** Time in which a worker that is up answers. */
+        const val SETTLE_MS = 50L
+
+        /** Time in which a transaction of the slow store is on its way and has not been answered. */
+        const val IN_FLIGHT_MS = 100L
+
+        /** Time in which a stop is answered and confirmed by the next report. */
+        const val STOP_MS = 1_500L
+        const val TICK_MS = 50L
+
+        /** Time after which an order that was delayed on its way has arrived. */
+        const val LATEST_ORDER_MS = 12_000L
+
+        /** A run number that this owner has not given. */
+        const val EARLIER_OWNERS_RUN = 7L
+
+        /** The number of the last end that the worker lists. */
+        const val LAST_END = 40L
+        private val CAPACITY = Demand(8_000, 32_000)
+    }
+}
