Keep a removed worker known while a start may still arrive there

A silent worker that was no longer listed was forgotten when its lease was over, with the starts that had no answer. When it was listed again in a new incarnation, nothing told it to stop them (TWICE).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -242,7 +242,8 @@
             crashes.onLeaseExpired(worker, interrupted)
             context.onChange(worker.entry.pool)
         }
-        if (!worker.isListed) remove(worker)
+        // A recent start may still reach a new incarnation with the same id, which then has to stop it.
+        if (!worker.isListed && orders.recentLateStarts(worker).isEmpty()) remove(worker)
     }
 
     /** Marks the inherited runs on [workerId] as known. */
