--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/RetryBackoff.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/RetryBackoff.kt
@@ -7,7 +7,7 @@
 import kotlin.random.Random
 
 /**
- * Exponential back-off with full jitter: each delay is [minimumMs] plus a random share of a window that doubles from [firstWindowMs] to
+ * Exponential back-off with full jitter: each delay is at least [minimumMs] and less than a window above it that doubles from [firstWindowMs] to
  * [longestWindowMs], in milliseconds. Confined to one thread.
  */
 public class RetryBackoff(
@@ -20,7 +20,7 @@
 
     /** Returns the delay before the next retry. */
     public fun nextDelayMs(): Long {
-        val delayMs = minimumMs + random.nextLong(windowMs + 1)
+        val delayMs = minimumMs + random.nextLong(windowMs)
         windowMs = minOf(2 * windowMs, longestWindowMs)
         return delayMs
     }
