--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -270,7 +270,7 @@
         }
         context.link.stop(worker.entry, StopOrder(task, runNumber, context.epoch)) { answer ->
             if (answer is WorkerAnswer.Done) {
-                // A lower run that the worker was found to run may be stopped beside it; the higher one may still arrive.
+                // The answered stop of a lower run that the worker was found to run does not cover the known one, which may still arrive.
                 val known = worker.runs[task]?.runNumber ?: runNumber
                 if (runNumber >= known) worker.stopAnsweredAtMs[task] = loop.nowMs
                 holds.requestLists(worker)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerOrderContext.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerOrderContext.kt
@@ -15,7 +15,7 @@
     /** Fence of all orders. */
     val epoch: Long,
     val mayOrder: () -> Boolean,
-    /** True if also starts may be ordered now. */
+    /** True if starts may be ordered now; other orders need [mayOrder] alone. */
     val mayStart: () -> Boolean,
     /** Called with a pool in which capacity or waiting tasks have changed, null for all pools. */
     val onChange: (String?) -> Unit,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -299,8 +299,8 @@
     }
 
     /**
-     * Frees the runs of the last incarnation of [worker]. Called with the first list of the next one, [lists]: until then a start by
-     * this or an earlier owner that was carried out late may run the same tasks there.
+     * Frees the runs of the last incarnation of [worker] that are not among [lists], the first ones that the next incarnation sends.
+     * Until then a start by this or an earlier owner that was carried out late may run the same tasks there.
      */
     fun releaseEarlierRuns(
         worker: WorkerView,
