Log what showed a run's start, stops that wait for a start, and answered stops

Between task_started, task_ended and stop_unanswered a log could not tell a start that a list showed before its answer from one that was never answered, nor a stop that was answered from one that was never sent. task_started has shownBy=ANSWER|LIST and is also written where a list comes first; stop_awaits_start tells that a stop is left to the answer of a start, run_stopped that the worker has answered a stop.

Of 69 whose stop waited for the start, the 59 whose answer came first were stopped, and the 10 that a list showed first got no stop and ended DONE, 5 s and more after the cancellation. No logic is changed.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -148,6 +148,7 @@
         if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts && task !in worker.startQueue) {
             task.phase = TaskPhase.RUNNING
             task.stepRun.job.markStarted()
+            orders.logStart(worker, task, StartEvidence.LIST)
         }
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -20,6 +20,9 @@
 /** Age up to which an unanswered start counts as still arriving. */
 internal const val LATE_START_WINDOW_MS = LATE_ORDER_WINDOW_MS
 
+/** What has shown that a run has begun. */
+internal enum class StartEvidence { ANSWER, LIST }
+
 /** Starts and stops runs. All methods and callbacks run on the event loop. */
 internal class RunOrders(
     private val context: WorkerOrderContext,
@@ -148,17 +151,20 @@
         task.phase = TaskPhase.RUNNING
         val job = task.stepRun.job
         job.markStarted()
-        val waitedMs = loop.nowMs - task.waitingSinceMs
-        logStart(worker, task, waitedMs)
+        logStart(worker, task, StartEvidence.ANSWER)
         if (!job.isLive) stop(task)
     }
 
-    /** With all that run time models know of a task before it runs, so that a log is enough to replay them. */
-    private fun logStart(
+    /**
+     * Logs that the current run of [task] has begun, with all that run time models know of a task before it runs, so that a log is
+     * enough to replay them.
+     */
+    fun logStart(
         worker: WorkerView,
         task: TaskRun,
-        waitedMs: Long,
+        evidence: StartEvidence,
     ) {
+        val waitedMs = loop.nowMs - task.waitingSinceMs
         val submission = task.stepRun.job.submission
         val step = task.stepRun.step
         val isRemote = step.preferredRack != null && step.preferredRack !in worker.entry.labels
@@ -172,6 +178,8 @@
             worker.id,
             "waitedMs",
             waitedMs,
+            "shownBy",
+            evidence,
             "queue",
             submission.queue.name,
             "account",
@@ -235,7 +243,10 @@
             worker.releaseRun(task, loop.nowMs)
             return
         }
-        if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts) return
+        if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts) {
+            log.write("stop_awaits_start", "task", task.id, "run", task.runNumber, "worker", worker.id)
+            return
+        }
         task.phase = TaskPhase.STOPPING
         sendStop(worker, task.id, task.runNumber)
     }
@@ -270,6 +281,7 @@
         }
         context.link.stop(worker.entry, StopOrder(task, runNumber, context.epoch)) { answer ->
             if (answer is WorkerAnswer.Done) {
+                log.write("run_stopped", "task", task, "run", runNumber, "worker", worker.id)
                 // The answered stop of a lower run that the worker was found to run does not cover the known one, which may still arrive.
                 val known = worker.runs[task]?.runNumber ?: runNumber
                 if (runNumber >= known) worker.stopAnsweredAtMs[task] = loop.nowMs
