Stop a run at once when its job ends, also while its start is on its way

Cause: RunOrders.stop returned while a start had no answer yet and left the stop to that answer. A list could show the run first: RunLists.confirmRunning then took it for running, and the answer, late, lost or in time, found nothing to do.

The stop is now sent when the job ends. The worker refuses the start of a run that it was told to stop, so the order in which the two arrive, and what becomes of the answer, no longer matter. What relied on the answer goes: unansweredStarts, the check after the answer, stop_awaits_start.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -145,7 +145,7 @@
         task.isAtWork = row.percent == FULL_PERCENT
         if (task.phase == TaskPhase.RUNNING) speeds?.onProgress(worker, task, row.percent)
         crashes.onRunning(task, loop.nowMs)
-        if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts && task !in worker.startQueue) {
+        if (task.phase == TaskPhase.STARTING && task !in worker.startQueue) {
             task.phase = TaskPhase.RUNNING
             task.stepRun.job.markStarted()
             orders.logStart(worker, task, StartEvidence.LIST)
@@ -213,7 +213,6 @@
             val runNumber = task?.runNumber ?: worker.orphanedRuns[taskId]
             if (runNumber != null && (sentAtMs < answeredAtMs || taskId in running)) continue
             iterator.remove()
-            worker.unansweredStarts.remove(taskId)
             worker.orphanedRuns.remove(taskId)
             if (task != null && task.phase == TaskPhase.STOPPING) worker.releaseRun(task, loop.nowMs)
         }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -130,13 +130,10 @@
         answer: WorkerAnswer,
     ) {
         if (task.worker !== worker || task.runNumber != runNumber) return
-        // Also if a list has shown the run before.
-        if (answer is WorkerAnswer.Done) task.startedClockMs = answer.workerClockMs
-        if (task.phase != TaskPhase.STARTING) return
         when (answer) {
             is WorkerAnswer.Done -> onStarted(worker, task, answer.workerClockMs)
             is WorkerAnswer.Refused -> onStartRefused(worker, task, answer)
-            is WorkerAnswer.Unanswered -> onStartUnanswered(worker, task, sentAtMs, answer)
+            is WorkerAnswer.Unanswered -> onStartUnanswered(worker, task, answer)
             is WorkerAnswer.Listed ->
                 error("worker ${worker.id} answered a start order with run lists, expected Done, Refused or Unanswered")
         }
@@ -147,12 +144,12 @@
         task: TaskRun,
         workerClockMs: Long,
     ) {
+        task.startedClockMs = workerClockMs
+        if (task.phase != TaskPhase.STARTING) return
         worker.recordClock(workerClockMs, loop.nowMs)
         task.phase = TaskPhase.RUNNING
-        val job = task.stepRun.job
-        job.markStarted()
+        task.stepRun.job.markStarted()
         logStart(worker, task, StartEvidence.ANSWER)
-        if (!job.isLive) stop(task)
     }
 
     /**
@@ -220,9 +217,10 @@
     private fun onStartUnanswered(
         worker: WorkerView,
         task: TaskRun,
-        sentAtMs: Long,
         answer: WorkerAnswer.Unanswered,
     ) {
+        // A list has shown the run, so that its answer is not needed.
+        if (task.phase == TaskPhase.RUNNING) return
         log.write("start_unanswered", "task", task.id, "run", task.runNumber, "worker", worker.id, "reason", answer.reason)
         if (!answer.mayBeCarriedOut) {
             worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
@@ -232,21 +230,19 @@
         }
         // A worker that leaves holds unanswered too is not judged by its runs, but lost.
         if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker)
-        worker.unansweredStarts[task.id] = UnansweredStart(task.runNumber, sentAtMs)
         stop(task)
     }
 
-    /** Stops the run of [task], which keeps its place on the worker until the worker no longer lists it. */
+    /**
+     * Stops the run of [task], which keeps its place on the worker until the worker no longer lists it. A stop may overtake the start:
+     * the worker refuses the start of a run that it was told to stop.
+     */
     fun stop(task: TaskRun) {
         val worker = task.worker ?: return
         if (worker.startQueue.remove(task)) {
             worker.releaseRun(task, loop.nowMs)
             return
         }
-        if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts) {
-            log.write("stop_awaits_start", "task", task.id, "run", task.runNumber, "worker", worker.id)
-            return
-        }
         task.phase = TaskPhase.STOPPING
         sendStop(worker, task.id, task.runNumber)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -280,10 +280,9 @@
         worker: WorkerView,
         bornWallMs: Long,
     ) {
-        log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", worker.unansweredStarts.size)
         val interrupted = crashes.interruptedRunsOf(worker)
         val recentStarts = orders.recentLateStarts(worker)
-        worker.unansweredStarts.keys.retainAll(recentStarts.keys)
+        log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", recentStarts.size)
         worker.beginIncarnation(bornWallMs, loop.nowMs)
         worker.assumeLateLeases(loop.nowMs, holds.worstCaseLeaseMs)
         worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, inheritedLeases.lateOrdersDeadlineMs)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -53,9 +53,6 @@
     /** Runs that belong to no current task and are being stopped, with their run numbers; the capacity they occupy is unknown. */
     val orphanedRuns = HashMap<TaskId, Long>()
 
-    /** Starts whose answer was lost: they may still be carried out, also by a new incarnation. */
-    val unansweredStarts = HashMap<TaskId, UnansweredStart>()
-
     /** Starts by task and run that were sent here and may still arrive, also at a new incarnation that knows of no stop. */
     val possibleLateStarts = HashMap<Pair<TaskId, Long>, UnansweredStart>()
 
@@ -146,7 +143,6 @@
         removeRun(task.id)
         startQueue.remove(task)
         stopAnsweredAtMs.remove(task.id)
-        unansweredStarts.remove(task.id)
         if (task.worker !== this) return
         task.worker = null
         if (task.phase == TaskPhase.DONE) return
@@ -161,7 +157,7 @@
         startQueue.clear()
     }
 
-    /** Discards what was known of the last incarnation, except for its runs and unanswered starts. */
+    /** Discards what was known of the last incarnation, except for its runs and the starts that may still arrive. */
     fun beginIncarnation(
         bornWallMs: Long,
         nowMs: Long,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
@@ -60,6 +60,9 @@
     /** True while answers to starts are lost; the start itself may arrive late. */
     var areStartAnswersLost = false
 
+    /** Time from a start to its answer. */
+    var startAnswerDelayMs = 1L
+
     /** How many of the next answers to holds are lost. */
     var lostHoldAnswers = 0
 
@@ -116,6 +119,9 @@
 
     fun startTask() = driver.start(task, checkNotNull(driver.find(WORKER)))
 
+    /** Cancels the job of [task]. */
+    fun cancelJob() = registry.cancel(task.stepRun.job) {}
+
     /** Lists the worker in a new incarnation with the same id, whose clock was set back by [clockStepMs]. */
     fun startAgain(clockStepMs: Long = 0) {
         isUp = true
@@ -153,7 +159,7 @@
         val last = tables.changes.lastOrNull { key in it.puts || key in it.deletes }
         wasRowStoredAtStart.add(last != null && key in last.puts)
         if (isUp && !areStartAnswersLost) {
-            loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs())) }
+            loop.after(startAnswerDelayMs) { onAnswer(WorkerAnswer.Done(clockMs())) }
         } else {
             loop.after(ORDER_TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("no answer", mayBeCarriedOut = true)) }
         }
