Check cancelled jobs when they have to be stopped, with cancels close to other events

A task of a cancelled job may run on for the grace of the cancellation and the time of a stop. The histories looked for it only at the end, when its runs had ended by themselves; and workers answered a start before a list showed its run.

- The checker looks at each tick for runs of cancelled jobs that go on later than that, on workers in touch and with entries in touch.
- EarlyCancels cancels a share of the jobs up to 60 ms after their acceptance, starts, first lists, ends or a takeover.
- Messages between entries and workers may overtake each other, with delays of 0 to 300 ms; a list may show a run before its start is answered.
- Some jobs run up to eight times as long.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
@@ -23,6 +23,7 @@
 
 internal class InvariantChecker(
     private val time: SimTime,
+    private val events: WorldEvents = WorldEvents(),
     /** The caps of an account in all versions of the configuration that may be in force. */
     private val capsOf: (String) -> List<Demand> = { emptyList() },
     /** The state of a job in the store. */
@@ -43,6 +44,7 @@
         var isOwedNothing = false
     }
 
+    val contact = Contact(time)
     private val jobs = HashMap<String, ObservedJob>()
     private val running = HashMap<TaskId, SimWorker>()
     private val endedDone = HashSet<Pair<TaskId, Long>>()
@@ -52,8 +54,10 @@
     private val failedEnds = HashMap<TaskId, Int>()
     private val crashes = HashMap<TaskId, Int>()
     private val startsAfterThirdCrash = HashMap<TaskId, Int>()
+    private val reportedUnasked = HashSet<Pair<TaskId, Long>>()
     val violations = ArrayList<String>()
-    private var isLateDelivery = false
+    var isLateDelivery = false
+        private set
     private val lastEndedAtMs = HashMap<TaskId, Long>()
     private var lastDisruptedAtMs = time.nowMs
 
@@ -113,9 +117,29 @@
 
     fun onCancelled(id: String) {
         val observed = jobs.getValue(id)
+        if (observed.cancelledAtMs == null) events.publish(EventKind.CANCEL_ACKNOWLEDGED, id)
         observed.cancelledAtMs = observed.cancelledAtMs ?: time.nowMs
     }
 
+    /**
+     * Checks that no run of a cancelled job goes on once it has to be stopped: [STOP_TIMEOUT_MS] after the grace period of the
+     * cancellation, or after the time that a worker has for a start that it received late, while its worker and [entries] are in touch.
+     */
+    fun checkCancelledJobs(
+        workers: Collection<SimWorker>,
+        entries: List<String>,
+    ) {
+        for (worker in workers) {
+            for (run in worker.runs) {
+                val cancelledAtMs = jobs[run.task.jobId]?.cancelledAtMs ?: continue
+                val graceEndsAtMs = maxOf(cancelledAtMs + CANCEL_GRACE_MS, if (run.isLate) run.startedAtMs + Contact.CONTACT_MS else 0)
+                val dueAtMs = maxOf(graceEndsAtMs, contact.inTouchSinceMs(entries + worker.entry.id)) + STOP_TIMEOUT_MS
+                if (time.nowMs <= dueAtMs || !reportedUnasked.add(run.task to run.number)) continue
+                report("UNASKED ${run.task} run ${run.number} on ${worker.entry.id} goes on, cancelled at $cancelledAtMs")
+            }
+        }
+    }
+
     /** Called before [worker] crashes, with its runs still on it. */
     fun onWorkerCrashed(worker: SimWorker) = worker.runningTasks.forEach { crashes.merge(it, 1, Int::plus) }
 
@@ -168,6 +192,7 @@
         }
         checkQuota(observed.submission, task)
         running[task] = worker
+        events.publish(EventKind.RUN_STARTED, task.jobId)
         observed.firstStartAtMs = observed.firstStartAtMs ?: time.nowMs
     }
 
@@ -230,6 +255,7 @@
         kind: EndKind,
     ) {
         running.remove(run.task, worker)
+        events.publish(EventKind.RUN_ENDED, run.task.jobId)
         lastEndedAtMs[run.task] = time.nowMs
         if (kind == EndKind.FAILED) failedEnds.merge(run.task, 1, Int::plus)
         if (kind == EndKind.DONE) {
@@ -391,6 +417,9 @@
 
         const val CANCEL_GRACE_MS = 3_000L
 
+        /** Time within which a worker stops a run. */
+        const val STOP_TIMEOUT_MS = 200L
+
         /** Time after the end of a long-running task's last run from which its absence counts. */
         const val RESTART_GRACE_MS = 6_000L
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -54,6 +54,10 @@
     var isPartitionedFromWorkers = false
     var isPartitionedFromPeers = false
     var isUp = false
+
+    /** True from the start of a graceful shutdown to the next boot. */
+    var isStopping = false
+        private set
     var processorMilli = 1_500
     val isDisrupted: Boolean
         get() =
@@ -67,6 +71,7 @@
 
     fun boot() {
         isUp = true
+        isStopping = false
         loop = SimLoop(world.time)
         scheduler = null
         val tables = world.store.tablesFor(this)
@@ -107,6 +112,7 @@
                             world.settings,
                         ) { onOwnershipLost() }
                     scheduler = activeScheduler
+                    world.events.publish(EventKind.OWNER_CHANGED)
                     world.listedWorkers().forEach(activeScheduler::onWorkerListed)
                     activeScheduler.start()
                 },
@@ -187,6 +193,7 @@
     }
 
     fun shutDown() {
+        isStopping = true
         elector?.stop()
         val activeScheduler = scheduler
         scheduler = null
@@ -210,6 +217,9 @@
 /** The spec of a job whose tasks run as long as estimated and do not fail. */
 internal const val STEADY_SPEC = "steady"
 
+/** The spec of a job whose tasks run eight times as long as most. */
+internal const val LONG_SPEC = "long"
+
 /** The mix of jobs and faults of a simulation. */
 internal enum class Workload {
     /** Mostly short jobs. */
@@ -217,6 +227,9 @@
 
     /** Many long-running steps, jobs that always fail in bursts, and workers that are lost for good or restart under their id. */
     LONG_RUNNING_JOBS,
+
+    /** As [SHORT_JOBS], but the tasks of some jobs run eight times as long, so that one that is not stopped is seen to run on. */
+    EARLY_CANCELS,
 }
 
 internal class JobWorld(
@@ -224,7 +237,7 @@
     val tampering: OrderTampering = object : OrderTampering {},
     private val hasFaults: Boolean = true,
     private val workload: Workload = Workload.SHORT_JOBS,
-    private val instanceCount: Int = if (workload == Workload.SHORT_JOBS) 6 else 14,
+    private val instanceCount: Int = if (workload == Workload.LONG_RUNNING_JOBS) 14 else 6,
     val longestLeaseMs: Long = SimWorker.MAX_LEASE_MS,
     val settings: SchedulingSettings = SchedulingSettings(),
     /** The data centres of the entries; null if they tell none. */
@@ -238,11 +251,13 @@
     private val enforcesAccounts: Boolean = true,
     /** True to let workers answer holds as soon as a run ends, as real ones do, also while the entry that asked is frozen. */
     val workersPollThemselves: Boolean = false,
+    val network: NetworkDelays = SHORT_DELAYS,
     entryCount: Int = 3,
 ) {
     val random = Random(seed)
     val time = SimTime()
-    val checker = InvariantChecker(time, ::capsOf) { store.stateOf(it) }
+    val events = WorldEvents()
+    val checker = InvariantChecker(time, events, ::capsOf) { store.stateOf(it) }
     val store = SimStore(time, random)
     val entries = List(entryCount) { SimEntry("entry-$it", this, dataCentres?.get(it)) }
     private val pools = listOf(Pool("a", checksAdmission = true), Pool("b"), Pool("spare", isStandby = true))
@@ -339,6 +354,7 @@
         val duration =
             when {
                 submission.spec == STEADY_SPEC -> step.estimateMs
+                submission.spec == LONG_SPEC -> random.nextLong(400, 10_000)
                 !step.isLongRunning -> random.nextLong(50, 2_500)
                 workload == Workload.LONG_RUNNING_JOBS && random.nextInt(4) == 0 -> random.nextLong(200, 20_000)
                 else -> 1_000_000L
@@ -425,6 +441,8 @@
 
     private fun tickWorkers() {
         workers.values.forEach { it.tick() }
+        recordDisruptions()
+        checker.checkCancelledJobs(workers.values, entries.map { it.name })
         if ((time.nowMs / TICK_MS) % CHECK_INTERVAL_TICKS == 0L) {
             val usable = workers.values.filter { it.isUp && it.isReachable && it.entry.id !in unlisted && !it.entry.isDraining }
             checker.checkLongRunningTasks(usable, isDisrupted())
@@ -432,6 +450,14 @@
         time.after(TICK_MS) { tickWorkers() }
     }
 
+    private fun recordDisruptions() {
+        val contact = checker.contact
+        val losesMessages = lateDeliveryRatio > 0
+        if (!store.isSound) contact.onDisrupted(Contact.STORE)
+        entries.filter { it.isDisrupted || it.isStopping || losesMessages }.forEach { contact.onDisrupted(it.name) }
+        workers.values.filter { !it.isUp || !it.isReachable || losesMessages }.forEach { contact.onDisrupted(it.entry.id) }
+    }
+
     /** True while a fault is active; a worker that has crashed counts as one until [crashesOverAtMs]. */
     private fun isDisrupted(): Boolean =
         time.nowMs < crashesOverAtMs ||
@@ -525,7 +551,7 @@
     private fun newSubmission(): JobSubmission {
         val pool = if (random.nextBoolean()) "a" else "b"
         val queue = Queue("queue-$pool", pool, maxAttempts = 3, stretchFactor = 2.0, targetLatencyMs = 600)
-        val isLongRunningJob = random.nextInt(if (workload == Workload.SHORT_JOBS) 12 else 6) == 0
+        val isLongRunningJob = random.nextInt(if (workload == Workload.LONG_RUNNING_JOBS) 6 else 12) == 0
         val steps =
             if (isLongRunningJob && workload == Workload.LONG_RUNNING_JOBS) {
                 listOf(longRunningStep())
@@ -549,8 +575,13 @@
                 }
             }
         val account = accounts?.keys?.elementAt(submissions.size % accounts.size)
-        val spec = if (random.nextInt(25) == 0) "poison" else "work"
-        return JobSubmission("job${submissions.size}", queue, spec, steps, account = account)
+        val spec =
+            when {
+                random.nextInt(25) == 0 -> "poison"
+                workload == Workload.EARLY_CANCELS && !isLongRunningJob && random.nextInt(3) == 0 -> LONG_SPEC
+                else -> "work"
+            }
+        return JobSubmission("job${submissions.size}", queue, spec, if (spec == LONG_SPEC) steps.take(1) else steps, account = account)
     }
 
     private fun longRunningStep(): Step =
@@ -574,6 +605,7 @@
             if (!isAnswered && answer is CallerAnswer.Applied) {
                 isAnswered = true
                 checker.onAccepted(submission.id)
+                events.publish(EventKind.JOB_ACCEPTED, submission.id)
                 onAccepted()
             }
         }
@@ -581,17 +613,24 @@
     }
 
     private fun scheduleQueries(submission: JobSubmission) {
-        if (random.nextInt(10) == 0) time.after(random.nextLong(0, 3_000)) { cancel(submission) }
+        if (random.nextInt(10) == 0) time.after(random.nextLong(0, 3_000)) { cancel(submission.id) }
         repeat(3) { time.after(random.nextLong(100, 9_000)) { askState(submission) } }
     }
 
-    private fun cancel(submission: JobSubmission) {
+    /** Cancels the job [id], again after [CANCEL_RETRY_MS] while no answer tells the outcome. */
+    fun cancel(
+        id: String,
+        attemptsLeft: Int = 1,
+    ) {
         val entry = entries.filter { it.isUp }.randomOrNull(random) ?: return
-        checker.onCancelSent(submission.id)
-        entry.ask(JobRequest.Cancel(submission.id, submission.queue.name)) {
-            if (it is CallerAnswer.Applied) checker.onCancelled(submission.id)
-            if (it is CallerAnswer.NotApplied || it is CallerAnswer.NotFound) checker.onCancelRefused(submission.id)
+        var isAnswered = false
+        checker.onCancelSent(id)
+        entry.ask(JobRequest.Cancel(id, queueOf(id).name)) {
+            isAnswered = isAnswered || it is CallerAnswer.Applied || it is CallerAnswer.NotFound
+            if (it is CallerAnswer.Applied) checker.onCancelled(id)
+            if (it is CallerAnswer.NotApplied || it is CallerAnswer.NotFound) checker.onCancelRefused(id)
         }
+        if (attemptsLeft > 1) time.after(CANCEL_RETRY_MS) { if (!isAnswered) cancel(id, attemptsLeft - 1) }
     }
 
     private fun askState(submission: JobSubmission) {
@@ -603,7 +642,7 @@
     }
 
     private fun injectAnyFault() {
-        if (workload == Workload.SHORT_JOBS || random.nextBoolean()) injectFault() else injectFaultOfWorkers()
+        if (workload != Workload.LONG_RUNNING_JOBS || random.nextBoolean()) injectFault() else injectFaultOfWorkers()
     }
 
     private fun injectFaultOfWorkers() {
@@ -802,6 +841,9 @@
         const val RECOVERY_MS = 45_000L
         const val TICK_MS = 10L
 
+        /** Time after which a caller repeats a cancellation that was not answered. */
+        const val CANCEL_RETRY_MS = 1_000L
+
         /** Time after its acknowledgement within which all entries act by a version of the configuration. */
         const val APPLY_MS = 3_000L
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -33,6 +33,8 @@
         val endsAtMs: Long,
         val kind: EndKind,
         val demand: Demand,
+        /** True if the start was delivered late. */
+        val isLate: Boolean,
     )
 
     private val bootedAtMs = time.nowMs
@@ -44,6 +46,7 @@
     private var expiresAtClockMs = 0L
     var isUp = true
     var isReachable = true
+    val runs: Collection<Run> get() = running.values
     val runningTasks: Set<TaskId> get() = running.keys
     val free: Demand get() = running.values.fold(entry.capacity) { free, run -> free - run.demand }
 
@@ -80,7 +83,8 @@
             ) { sum, run -> Demand(sum.cpuMilli + run.demand.cpuMilli, sum.memoryMb + run.demand.memoryMb) }
         if (used.cpuMilli + plan.demand.cpuMilli > entry.capacity.cpuMilli) return WorkerAnswer.Refused(StartRefusal.NO_CAPACITY, clockMs)
         checker.onStart(this, order)
-        running[order.task] = Run(order.task, order.runNumber, time.nowMs, time.nowMs + plan.durationMs, plan.end, plan.demand)
+        running[order.task] =
+            Run(order.task, order.runNumber, time.nowMs, time.nowMs + plan.durationMs, plan.end, plan.demand, checker.isLateDelivery)
         return WorkerAnswer.Done(clockMs)
     }
 
@@ -242,12 +246,15 @@
             entry.loop.after(TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("answer lost", mayBeCarriedOut = true)) }
             return
         }
-        world.time.after(random.nextLong(1, 3)) {
+        world.time.after(world.network.nextMs(random)) {
             val answer = if (canReach(worker)) order(worker) else null
             if (answer == null) {
                 entry.loop.after(TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("no answer", mayBeCarriedOut = true)) }
             } else {
-                entry.loop.after(random.nextLong(1, 3)) { onAnswer(answer) }
+                entry.loop.after(world.network.nextMs(random)) {
+                    if (answer is WorkerAnswer.Listed) world.events.onListed(answer.running)
+                    onAnswer(answer)
+                }
             }
         }
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
@@ -1,6 +1,7 @@
 /*
  * Runs the simulation by hand: `WorldMainKt FIRST LAST [WORKLOAD [LEASE_MS [POOL_DECISIONS]]]` prints the violations of a range of
- * seeds, and the decisions as well if the range has a single seed. WORKLOAD is one of [Workload], or LATE_ORDERS for the faults of
+ * seeds, and the decisions as well if the range has a single seed. WORKLOAD is one of [Workload], where EARLY_CANCELS includes the
+ * cancellations of [EarlyCancels] and messages that overtake each other, or LATE_ORDERS for the faults of
  * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids. POOL_DECISIONS true switches on the optional decisions on pools.
  */
 package io.corianderrock.jobs.world
@@ -30,7 +31,9 @@
         seed: Int,
         traces: MutableList<String>? = null,
     ): JobWorld =
-        if (workload == LATE_ORDERS || workload == LATE_ORDERS_NEW_IDS) {
+        if (workload == Workload.EARLY_CANCELS.name) {
+            earlyCancelWorld(seed, settings, traces)
+        } else if (workload == LATE_ORDERS || workload == LATE_ORDERS_NEW_IDS) {
             lateOrderWorld(seed, keepsIds = workload == LATE_ORDERS, longestLeaseMs, settings, traces)
         } else {
             JobWorld(seed, workload = Workload.valueOf(workload), longestLeaseMs = longestLeaseMs, settings = settings, traces = traces)
@@ -43,7 +46,11 @@
         return
     }
     val startNs = System.nanoTime()
-    val found = (first..last).flatMap { seed -> world(seed).run().violations.map { "seed $seed: $it" } }
-    found.forEach(::println)
-    println("${last - first + 1} seeds, ${found.size} violations, ${(System.nanoTime() - startNs) / 1_000_000} ms")
+    val found = (first..last).associateWith { seed -> world(seed).run().violations.toList() }.filterValues { it.isNotEmpty() }
+    found.forEach { (seed, violations) -> violations.forEach { println("seed $seed: $it") } }
+    println(
+        "${last - first + 1} seeds, ${found.size} fail, ${found.values.sumOf {
+            it.size
+        }} violations, ${(System.nanoTime() - startNs) / 1_000_000} ms",
+    )
 }
