Change the phases of tasks in one place, with what follows from each change

The phase of a task was set in four classes under conditions of their own, and what had to follow (the line of the log, the job's start, the stop) hung on the message that came first. RunTransitions now makes these changes, and TaskPhase says which phase may follow which: a run that is being stopped is never taken for running again. A change that no event allows is an error.

Behaviour as before but for one case: a start on its way to a worker that has restarted counts as being stopped as soon as its stop is sent.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -23,6 +23,7 @@
     private val leaseRows: WorkerLeaseRows,
     private val holds: WorkerHolds,
     private val orders: RunOrders,
+    private val transitions: RunTransitions,
     private val register: WorkerRegister,
     private val crashes: CrashTracker,
     private val failures: WorkerFailures,
@@ -145,11 +146,7 @@
         task.isAtWork = row.percent == FULL_PERCENT
         if (task.phase == TaskPhase.RUNNING) speeds?.onProgress(worker, task, row.percent)
         crashes.onRunning(task, loop.nowMs)
-        if (task.phase == TaskPhase.STARTING && task !in worker.startQueue) {
-            task.phase = TaskPhase.RUNNING
-            task.stepRun.job.markStarted()
-            orders.logStart(worker, task, StartEvidence.LIST)
-        }
+        if (task !in worker.startQueue) transitions.onBegun(task, worker, StartEvidence.LIST)
     }
 
     /**
@@ -185,18 +182,8 @@
         row: RunningRow,
     ) {
         val isBeingStopped = worker.orphanedRuns.remove(row.task) == row.runNumber
-        task.phase = if (isBeingStopped) TaskPhase.STOPPING else TaskPhase.RUNNING
-        task.isPlaceKnown = true
-        task.worker = worker
-        task.runNumber = row.runNumber
-        task.lastRunNumber = maxOf(task.lastRunNumber, row.runNumber)
-        task.startedAtMs = loop.nowMs
-        task.startedClockMs = null
-        task.isWholeRun = false
-        worker.addRun(task)
-        task.stepRun.job.markStarted()
+        transitions.onAdopted(task, worker, row.runNumber, isBeingStopped)
         confirmRunning(worker, task, row)
-        log.write("run_adopted", "task", row.task, "run", row.runNumber, "worker", worker.id)
     }
 
     /** Completes answered stops. Only a list requested after the answer proves that the run has ended. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -20,9 +20,6 @@
 /** Age up to which an unanswered start counts as still arriving. */
 internal const val LATE_START_WINDOW_MS = LATE_ORDER_WINDOW_MS
 
-/** What has shown that a run has begun. */
-internal enum class StartEvidence { ANSWER, LIST }
-
 /** Starts and stops runs. All methods and callbacks run on the event loop. */
 internal class RunOrders(
     private val context: WorkerOrderContext,
@@ -30,6 +27,7 @@
     private val leaseRows: WorkerLeaseRows,
     private val holds: WorkerHolds,
     private val failures: WorkerFailures,
+    private val transitions: RunTransitions,
 ) {
     private val loop = context.loop
     private val log = context.log
@@ -39,16 +37,7 @@
         task: TaskRun,
         worker: WorkerView,
     ) {
-        task.phase = TaskPhase.STARTING
-        task.isPlaceKnown = true
-        task.worker = worker
-        task.lastRunNumber = maxOf(task.lastRunNumber + 1, (context.epoch - 1) * RUNS_PER_EPOCH + 1)
-        task.runNumber = task.lastRunNumber
-        task.startedAtMs = loop.nowMs
-        task.startedClockMs = null
-        task.isWholeRun = task.checkpoint == null
-        task.isAtWork = false
-        worker.addRun(task)
+        transitions.onQueued(task, worker)
         worker.startQueue.addLast(task)
         leaseRows.store(worker) { sendQueuedStarts(worker) }
         sendQueuedStarts(worker)
@@ -79,7 +68,7 @@
             worker.ordersInFlight--
             if (!answer.mayArriveLate) worker.recordLeaseAnswered(sentAtMs)
             forgetLateStart(worker, task.id, order.runNumber, answer)
-            onStartAnswer(worker, task, order.runNumber, sentAtMs, answer)
+            onStartAnswer(worker, task, order.runNumber, answer)
             sendQueuedStarts(worker)
         }
         holds.ensureInFlight(worker)
@@ -126,7 +115,6 @@
         worker: WorkerView,
         task: TaskRun,
         runNumber: Long,
-        sentAtMs: Long,
         answer: WorkerAnswer,
     ) {
         if (task.worker !== worker || task.runNumber != runNumber) return
@@ -147,49 +135,7 @@
         task.startedClockMs = workerClockMs
         if (task.phase != TaskPhase.STARTING) return
         worker.recordClock(workerClockMs, loop.nowMs)
-        task.phase = TaskPhase.RUNNING
-        task.stepRun.job.markStarted()
-        logStart(worker, task, StartEvidence.ANSWER)
-    }
-
-    /**
-     * Logs that the current run of [task] has begun, with all that run time models know of a task before it runs, so that a log is
-     * enough to replay them.
-     */
-    fun logStart(
-        worker: WorkerView,
-        task: TaskRun,
-        evidence: StartEvidence,
-    ) {
-        val waitedMs = loop.nowMs - task.waitingSinceMs
-        val submission = task.stepRun.job.submission
-        val step = task.stepRun.step
-        val isRemote = step.preferredRack != null && step.preferredRack !in worker.entry.labels
-        log.write(
-            "task_started",
-            "task",
-            task.id,
-            "run",
-            task.runNumber,
-            "worker",
-            worker.id,
-            "waitedMs",
-            waitedMs,
-            "shownBy",
-            evidence,
-            "queue",
-            submission.queue.name,
-            "account",
-            submission.account ?: "",
-            "tasks",
-            step.count,
-            "estimateMs",
-            step.estimateMs,
-            "isRemote",
-            isRemote,
-            "heldForRackMs",
-            if (task.heldForRackSinceMs < task.waitingSinceMs) 0 else task.startedAtMs - task.heldForRackSinceMs,
-        )
+        transitions.onBegun(task, worker, StartEvidence.ANSWER)
     }
 
     private fun onStartRefused(
@@ -243,7 +189,7 @@
             worker.releaseRun(task, loop.nowMs)
             return
         }
-        task.phase = TaskPhase.STOPPING
+        transitions.onStopping(task)
         sendStop(worker, task.id, task.runNumber)
     }
 
@@ -309,8 +255,5 @@
 
         /** How long a worker that refused a start for lack of capacity gets no new work. */
         const val AVOID_FULL_MS = 150L
-
-        /** Run numbers reserved for each epoch, so that those of different owners do not collide. */
-        const val RUNS_PER_EPOCH = 1_000L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -1,6 +1,7 @@
 /*
  * The workers of one owner, for those who place tasks and order instances. Its parts decide: [WorkerRegister] which workers
- * exist and when they have ended, [RunOrders] starts and stops, [WorkerHolds] holds and leases, [RunLists] what becomes of
+ * exist and when they have ended, [RunOrders] starts and stops,
+ * [RunTransitions] what follows when a run begins or is to end, [WorkerHolds] holds and leases, [RunLists] what becomes of
  * reported runs.
  */
 package io.corianderrock.jobs.runs
@@ -53,9 +54,11 @@
     private val avoidance = WorkerAvoidance(loop, log) { table.all }
     private val failures = WorkerFailures(avoidance, table::find)
     private val speeds = speedModel?.let { WorkerSpeeds(avoidance, it) }
-    private val orders = RunOrders(context, table, leaseRows, holds, failures)
-    private val register = WorkerRegister(context, table, leaseRows, holds, orders, crashes, inheritedLeases)
-    private val runLists = RunLists(context, registry, leaseRows, holds, orders, register, crashes, failures, speeds, onRunEnd)
+    private val transitions = RunTransitions(context)
+    private val orders = RunOrders(context, table, leaseRows, holds, failures, transitions)
+    private val register = WorkerRegister(context, table, leaseRows, holds, orders, transitions, crashes, inheritedLeases)
+    private val runLists =
+        RunLists(context, registry, leaseRows, holds, orders, transitions, register, crashes, failures, speeds, onRunEnd)
 
     init {
         registry.onFinal = orders::stopRunsOf
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -10,7 +10,6 @@
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.state.Demand
-import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.WorkerView
 
 /** Adds, replaces and removes [workers]. All methods run on the event loop. */
@@ -20,6 +19,7 @@
     private val leaseRows: WorkerLeaseRows,
     private val holds: WorkerHolds,
     private val orders: RunOrders,
+    private val transitions: RunTransitions,
     private val crashes: CrashTracker,
     private val inheritedLeases: InheritedWorkerLeases,
 ) {
@@ -291,7 +291,7 @@
         for ((taskId, start) in recentStarts) {
             val task = worker.runs[taskId]
             if (task == null) worker.orphanedRuns[taskId] = start.runNumber
-            if (task?.runNumber == start.runNumber && task.phase == TaskPhase.RUNNING) task.phase = TaskPhase.STOPPING
+            if (task?.runNumber == start.runNumber) transitions.onStopping(task)
             orders.sendStop(worker, taskId, start.runNumber)
         }
         crashes.onEnded(worker, interrupted)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -7,17 +7,31 @@
 import io.corianderrock.jobs.runtimes.RunForecast
 import io.corianderrock.jobs.runtimes.StepRunTimes
 
-/** The phase of a task. */
+/** The phase of a task. A run that is being stopped is never taken for running again, and a task that is done stays so. */
 internal enum class TaskPhase {
     WAITING,
 
-    /** A start is queued or sent, and not answered yet. */
+    /** A start is queued or sent, and neither an answer nor a list has shown the run. */
     STARTING,
     RUNNING,
 
-    /** A stop was sent, also for a start whose answer was lost; the run may still occupy its worker. */
+    /** A stop was sent, also for a run that has not begun yet; the run may still occupy its worker. */
     STOPPING,
     DONE,
+    ;
+
+    /** The phases that may follow this one. A task whose run is adopted goes from [WAITING] to [RUNNING], or from one run to another. */
+    private val next: Set<TaskPhase>
+        get() =
+            when (this) {
+                WAITING -> setOf(STARTING, RUNNING, STOPPING, DONE)
+                STARTING, RUNNING -> setOf(RUNNING, STOPPING, WAITING, DONE)
+                STOPPING -> setOf(WAITING, DONE)
+                DONE -> emptySet()
+            }
+
+    /** True if a task of this phase may have [phase] next. */
+    fun mayBecome(phase: TaskPhase): Boolean = phase in next
 }
 
 /** One task. [lastRunNumber] is the highest run number known to have been used for it. */
@@ -27,6 +41,7 @@
 ) {
     var phase: TaskPhase = TaskPhase.WAITING
         set(next) {
+            check(field.mayBecome(next)) { "task $id changes from $field to $next, which no event allows" }
             stepRun.onPhaseChange(field, next)
             field = next
         }
