Wait for late starts of earlier owners on an inherited worker that has started again

Seen: an owner that inherits the row of a worker, which has started again under its id since and does not answer, took its pool as reconciled at the deadline for runs of earlier owners. Their starts may still be carried out 12 s later there, as the new incarnation has not seen the fence, so that a task could run twice.

Cause: WorkerRegister.onNewIncarnation extends the assumed lease by late orders of earlier owners, but it runs only for a worker that has answered this owner before. An inherited worker has not: its restart shows only in the difference between its row of discovery and the stored one.

The difference is now checked where the two meet, in either order.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -49,6 +49,7 @@
             val worker = workers.find(lease.workerId) ?: continue
             worker.isLeaseRowStored = true
             worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, deadlineMs)
+            assumeLateStartsOfEarlierOwners(worker, worker.entry.bornWallMs)
         }
         for (lease in leases) if (workers.find(lease.workerId) == null) addUnlisted(lease)
         workers.all
@@ -96,6 +97,7 @@
         if (registered != null && entry.bornWallMs != 0L && worker.bornWallMs != 0L && entry.bornWallMs > worker.bornWallMs) {
             onNewIncarnation(worker, entry.bornWallMs)
         }
+        assumeLateStartsOfEarlierOwners(worker, entry.bornWallMs)
         removeEarlierWorkers(entry)
         if (registered == null) crashes.onAppeared(worker)
         if (registered == null || registered.entry != entry) logListed(entry)
@@ -110,6 +112,19 @@
         context.onChange(worker.entry.pool)
     }
 
+    /**
+     * Extends the assumed lease of an inherited [worker] that has started again, at [bornWallMs], since its row was stored: until it
+     * answers it has not seen this owner's fence and takes starts of earlier owners that arrive late.
+     */
+    private fun assumeLateStartsOfEarlierOwners(
+        worker: WorkerView,
+        bornWallMs: Long,
+    ) {
+        val storedBornWallMs = inheritedLeases.find(worker.id)?.bornWallMs ?: return
+        if (storedBornWallMs == 0L || bornWallMs == 0L || storedBornWallMs == bornWallMs) return
+        worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, inheritedLeases.lateOrdersDeadlineMs)
+    }
+
     private fun logListed(entry: WorkerEntry) {
         log.write("worker_listed", "worker", entry.id, "pool", entry.pool, "instance", entry.instanceId, "draining", entry.isDraining)
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/RestartedWorkerTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/RestartedWorkerTest.kt
@@ -185,6 +185,19 @@
                 (owner.time.nowMs - deadlineMs > LATEST_ORDER_MS) shouldBe true
             }
 
+            // Guards against the same where discovery lists the new incarnation before the rows of the last owner are read (TWICE).
+            it("keeps a pool reconciling if the restarted worker was listed before it was inherited (TWICE)") {
+                val owner = OwnerOfOneWorker()
+                owner.isUp = false
+                val deadlineMs = owner.time.nowMs + 6_000
+                owner.driver.onListed(
+                    owner.entry().copy(id = "w2", address = "w2", instanceId = "i2", bornWallMs = owner.time.nowMs),
+                )
+                owner.driver.inherit(listOf(WorkerLeaseRow("w2", "w2", POOL, bornWallMs = 5, storedEnd = 0, instanceId = "i2")), deadlineMs)
+                while (owner.driver.isReconciling(POOL) && owner.time.nowMs < deadlineMs + LONG_MS) owner.passTicking(TICK_MS)
+                (owner.time.nowMs - deadlineMs > LATEST_ORDER_MS) shouldBe true
+            }
+
             // Guards against a late start on a worker whose removal made the owner forget the start (TWICE).
             it("has a start stopped that may arrive late at a worker that was removed and starts again (TWICE)") {
                 val owner = OwnerOfOneWorker()
