Stop every listed run of a task whose job is over, not only the first

Seen: a worker lists one run of a task of a cancelled job, is told to stop it, and then lists another run of the same task, whose start arrived late.

Cause: RunLists.onRunningRow took a task in orphanedRuns for one that is being stopped, whatever the number of its run there.

The number is compared now, as RunLists.stopListedRun does it already.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -130,7 +130,7 @@
             adopt(worker, task, row)
         } else if (current != null) {
             stopListedRun(worker, current, row)
-        } else if (worker.orphanedRuns.put(row.task, row.runNumber) == null) {
+        } else if (worker.orphanedRuns.put(row.task, row.runNumber) != row.runNumber) {
             log.write("run_unknown", "task", row.task, "run", row.runNumber, "worker", worker.id)
             orders.sendStop(worker, row.task, row.runNumber)
         }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
@@ -20,6 +20,7 @@
 import io.corianderrock.jobs.runs.JobRegistry
 import io.corianderrock.jobs.runs.WorkerDriver
 import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.JobSubmission
 import io.corianderrock.jobs.state.Queue
 import io.corianderrock.jobs.state.Step
@@ -27,17 +28,25 @@
 import io.corianderrock.jobs.world.SimLoop
 import io.corianderrock.jobs.world.SimTime
 
-/** An owner with one worker, whose answers the test controls, and one job with one task. */
+/** An owner with one worker, whose answers the test controls, and one job, with one task by default. */
 internal class OwnerOfOneWorker(
     var isUp: Boolean = true,
     /** Time after which a hold of the worker fails while it is down. */
     private val failedHoldMs: Long = 1,
+    steps: List<Step> = listOf(Step(1, Demand(1_000, 100))),
 ) : WorkerLink {
     val time = SimTime()
     private val loop = SimLoop(time)
     private val tables = SlowTables(time)
     val committer = Committer(loop, tables, { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
     private val registry = JobRegistry(loop, committer) { _, _ -> }
+
+    /** False while the ownership is not confirmed, so that no orders are sent. */
+    var mayOrder = true
+
+    /** How often the driver asked whether it may send orders. */
+    var mayOrderCount = 0
+        private set
     val driver =
         WorkerDriver(
             loop,
@@ -47,7 +56,10 @@
             log = { _, _ -> },
             epoch = 2,
             longestLeaseMs = LONGEST_LEASE_MS,
-            mayOrder = { true },
+            mayOrder = {
+                mayOrderCount++
+                mayOrder
+            },
             onChange = {},
             onFenced = {},
             onRunEnd = {},
@@ -74,6 +86,9 @@
     val answeredStops = ArrayList<Long>()
     var areStopAnswersLost = false
 
+    /** How long a stop that is carried out takes to be answered. */
+    var stopAnswerMs = 1L
+
     /** What the worker lists. */
     var runningRows = emptyList<RunningRow>()
     var endedRows = emptyList<EndRow>()
@@ -82,11 +97,13 @@
     val acknowledgements = ArrayList<Long>()
     var holdCount = 0
         private set
+    private val job: JobRun
+    val tasks: List<TaskRun> get() = job.tasks.toList()
     val task: TaskRun
 
     init {
-        val submission = JobSubmission("job", Queue("queue", POOL), "spec", listOf(Step(1, Demand(1_000, 100))))
-        task = registry.load(submission, progress = null, isInherited = false).tasks.first()
+        job = registry.load(JobSubmission("job", Queue("queue", POOL), "spec", steps), progress = null, isInherited = false)
+        task = job.tasks.first()
         driver.onListed(entry())
         driver.open()
         pass(SETTLE_MS)
@@ -114,7 +131,9 @@
         }
     }
 
-    fun startTask() = driver.start(task, checkNotNull(driver.find(WORKER)))
+    fun startTask(task: TaskRun = this.task) = driver.start(task, checkNotNull(driver.find(WORKER)))
+
+    fun cancelJob() = registry.cancel(job) {}
 
     /** Lists the worker in a new incarnation with the same id, whose clock was set back by [clockStepMs]. */
     fun startAgain(clockStepMs: Long = 0) {
@@ -170,7 +189,7 @@
             return
         }
         answeredStops.add(order.runNumber)
-        loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs())) }
+        loop.after(stopAnswerMs) { onAnswer(WorkerAnswer.Done(clockMs())) }
     }
 
     override fun hold(
