Repeat a stop without an answer as long as the run may still begin

Seen: a start had no answer, its job was cancelled, and the worker started again under its id. The stop that was sent to the new incarnation had no answer, and its first list did not show the run yet. No stop was sent again; when the late start arrived, its run went on unseen, as a worker without known runs is not asked for lists (UNASKED). The same happened to the member of a gang whose start was on its way when another member completed it, and where the new incarnation listed another run of the task.

Cause: a stop was repeated while its run was known or listed.

UnsettledStarts now owns what was sent to a worker and is not settled: which states a start passes and what ends each. It replaces possibleLateStarts of WorkerView. A stop is repeated until the present incarnation answers it or the start is settled or can no longer arrive.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
@@ -7,7 +7,6 @@
 
 import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.runs.JobRegistry
-import io.corianderrock.jobs.runs.LATE_START_WINDOW_MS
 import io.corianderrock.jobs.state.Demand
 import io.corianderrock.jobs.state.OccurrenceRun
 import io.corianderrock.jobs.state.Step
@@ -210,10 +209,7 @@
         for (task in worker.orphanedRuns.keys) addById(charge, task)
         if (worker.consecutiveLostHolds == 0) return charge
         // A worker that is silent may have restarted, and carries out late starts without a record of their stops.
-        val lateTasks = HashSet<TaskId>()
-        for ((taskAndRun, start) in worker.possibleLateStarts) {
-            if (loop.nowMs - start.sentAtMs < LATE_START_WINDOW_MS) lateTasks.add(taskAndRun.first)
-        }
+        val lateTasks = worker.unsettledStarts.lastRuns(loop.nowMs).keys
         for (task in lateTasks) if (task !in worker.runs && task !in worker.orphanedRuns) addById(charge, task)
         return charge
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -163,7 +163,7 @@
     ): Boolean =
         when (task.phase) {
             TaskPhase.WAITING -> !task.stepRun.step.isGang || row.runNumber > task.runNumber
-            TaskPhase.RUNNING -> task.worker === worker && !task.stepRun.step.isGang && task.id !in orders.recentLateStarts(worker)
+            TaskPhase.RUNNING -> task.worker === worker && !task.stepRun.step.isGang && task.id !in worker.unsettledStarts.lastRuns(loop.nowMs)
             else -> false
         }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -9,17 +9,12 @@
 import io.corianderrock.jobs.ports.StopOrder
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.state.JobRun
-import io.corianderrock.jobs.state.LATE_ORDER_WINDOW_MS
 import io.corianderrock.jobs.state.TaskId
 import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.TaskRun
-import io.corianderrock.jobs.state.UnansweredStart
 import io.corianderrock.jobs.state.WorkerView
 import io.corianderrock.jobs.workers.WorkerFailures
 
-/** Age up to which an unanswered start counts as still arriving. */
-internal const val LATE_START_WINDOW_MS = LATE_ORDER_WINDOW_MS
-
 /** What has shown that a run has begun. */
 internal enum class StartEvidence { ANSWER, LIST }
 
@@ -74,11 +69,13 @@
         val sentAtMs = loop.nowMs
         worker.recordLeaseSent(order.expiresAtWorkerMs, sentAtMs)
         worker.ordersInFlight++
-        worker.possibleLateStarts[task.id to order.runNumber] = UnansweredStart(order.runNumber, sentAtMs)
+        worker.unsettledStarts.onSent(task.id, order.runNumber, sentAtMs)
         context.link.start(worker.entry, order) { answer ->
             worker.ordersInFlight--
-            if (!answer.mayArriveLate) worker.recordLeaseAnswered(sentAtMs)
-            forgetLateStart(worker, task.id, order.runNumber, answer)
+            if (!answer.mayArriveLate) {
+                worker.recordLeaseAnswered(sentAtMs)
+                worker.unsettledStarts.onSettled(task.id, order.runNumber)
+            }
             onStartAnswer(worker, task, order.runNumber, sentAtMs, answer)
             sendQueuedStarts(worker)
         }
@@ -104,24 +101,6 @@
             ticket = task.stepRun.tickets[worker.id],
         )
 
-    /** Drops the record of a start whose [answer] shows that it cannot arrive later. */
-    private fun forgetLateStart(
-        worker: WorkerView,
-        task: TaskId,
-        runNumber: Long,
-        answer: WorkerAnswer,
-    ) {
-        if (!answer.mayArriveLate) worker.possibleLateStarts.remove(task to runNumber)
-    }
-
-    /** The last starts sent to [worker] that may still arrive, by task; a stop of such a run holds for earlier ones too. Drops those that are too old for that. */
-    fun recentLateStarts(worker: WorkerView): Map<TaskId, UnansweredStart> {
-        worker.possibleLateStarts.values.removeAll { loop.nowMs - it.sentAtMs >= LATE_START_WINDOW_MS }
-        return worker.possibleLateStarts.entries
-            .groupBy({ it.key.first }, { it.value })
-            .mapValues { (_, starts) -> starts.maxBy { it.runNumber } }
-    }
-
     private fun onStartAnswer(
         worker: WorkerView,
         task: TaskRun,
@@ -265,7 +244,7 @@
         sendStop(worker, task.id, task.runNumber)
     }
 
-    /** Orders [worker] to stop the run [runNumber] of [task], again and again while that run is known and no answer comes. */
+    /** Orders [worker] to stop the run [runNumber] of [task], again and again until that is answered or the run is not there and cannot begin. */
     fun sendStop(
         worker: WorkerView,
         task: TaskId,
@@ -281,6 +260,7 @@
                 // The answered stop of a lower run that the worker was found to run does not cover the known one, which may still arrive.
                 val known = worker.runs[task]?.runNumber ?: runNumber
                 if (runNumber >= known) worker.stopAnsweredAtMs[task] = loop.nowMs
+                worker.unsettledStarts.onStopAnswered(task, runNumber)
                 holds.requestLists(worker)
             } else {
                 log.write("stop_unanswered", "task", task, "run", runNumber, "worker", worker.id, "answer", answer)
@@ -296,8 +276,8 @@
         runNumber: Long,
     ) {
         if (worker !in workers) return
-        val isStillRunning = worker.runs[task]?.runNumber == runNumber || worker.orphanedRuns[task] == runNumber
-        if (isStillRunning) sendStop(worker, task, runNumber)
+        val isThere = worker.runs[task]?.runNumber == runNumber || worker.orphanedRuns[task] == runNumber
+        if (isThere || worker.unsettledStarts.mayBegin(task, runNumber, loop.nowMs)) sendStop(worker, task, runNumber)
     }
 
     private companion object {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -215,7 +215,7 @@
         isCrash: Boolean,
     ) {
         val interrupted = crashes.interruptedRunsOf(worker)
-        if (orders.recentLateStarts(worker).isEmpty()) {
+        if (worker.unsettledStarts.isEmpty(loop.nowMs)) {
             remove(worker)
         } else {
             // Kept registered: a recent start may still reach a new incarnation with the same id, which then has to stop it.
@@ -258,7 +258,7 @@
             context.onChange(worker.entry.pool)
         }
         // A recent start may still reach a new incarnation with the same id, which then has to stop it.
-        if (!worker.isListed && orders.recentLateStarts(worker).isEmpty()) remove(worker)
+        if (!worker.isListed && worker.unsettledStarts.isEmpty(loop.nowMs)) remove(worker)
     }
 
     /** Marks the inherited runs on [workerId] as known. */
@@ -296,18 +296,18 @@
         bornWallMs: Long,
     ) {
         val interrupted = crashes.interruptedRunsOf(worker)
-        val recentStarts = orders.recentLateStarts(worker)
-        log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", recentStarts.size)
+        val lateStarts = worker.unsettledStarts.lastRuns(loop.nowMs)
+        log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", lateStarts.size)
         worker.beginIncarnation(bornWallMs, loop.nowMs)
         worker.assumeLateLeases(loop.nowMs, holds.worstCaseLeaseMs)
         worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, inheritedLeases.lateOrdersDeadlineMs)
         // An unanswered start may still reach the new incarnation, which has no record of the fence or of stopped runs.
         worker.runs.values.forEach { it.isAtWork = false }
-        for ((taskId, start) in recentStarts) {
+        for ((taskId, runNumber) in lateStarts) {
             val task = worker.runs[taskId]
-            if (task == null) worker.orphanedRuns[taskId] = start.runNumber
-            if (task?.runNumber == start.runNumber && task.phase == TaskPhase.RUNNING) task.phase = TaskPhase.STOPPING
-            orders.sendStop(worker, taskId, start.runNumber)
+            if (task == null) worker.orphanedRuns[taskId] = runNumber
+            if (task?.runNumber == runNumber && task.phase == TaskPhase.RUNNING) task.phase = TaskPhase.STOPPING
+            orders.sendStop(worker, taskId, runNumber)
         }
         crashes.onEnded(worker, interrupted)
     }
@@ -321,9 +321,9 @@
         lists: WorkerAnswer.Listed,
     ) {
         val running = lists.running.mapTo(HashSet()) { it.task }
-        val recentStarts = orders.recentLateStarts(worker)
+        val lateStarts = worker.unsettledStarts.lastRuns(loop.nowMs)
         worker.runs.values
-            .filter { it.id !in running && it !in worker.startQueue && recentStarts[it.id]?.runNumber != it.runNumber }
+            .filter { it.id !in running && it !in worker.startQueue && lateStarts[it.id] != it.runNumber }
             .toList()
             .forEach { worker.releaseRun(it, loop.nowMs) }
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -15,6 +15,8 @@
 
 internal class WorkerView(
     var entry: WorkerEntry,
+    /** Starts that were sent here and may still arrive, also at a new incarnation that knows of no stop. */
+    val unsettledStarts: UnsettledStarts = UnsettledStarts(),
 ) {
     val id: String get() = entry.id
 
@@ -53,9 +55,6 @@
     /** Runs that belong to no current task and are being stopped, with their run numbers; the capacity they occupy is unknown. */
     val orphanedRuns = HashMap<TaskId, Long>()
 
-    /** Starts by task and run that were sent here and may still arrive, also at a new incarnation that knows of no stop. */
-    val possibleLateStarts = HashMap<Pair<TaskId, Long>, UnansweredStart>()
-
     /** Loop time at which the stop of a task was answered: a report requested later without the run proves that it ended. */
     val stopAnsweredAtMs = HashMap<TaskId, Long>()
 
@@ -164,6 +163,7 @@
     ) {
         orphanedRuns.clear()
         stopAnsweredAtMs.clear()
+        unsettledStarts.beginIncarnation()
         this.bornWallMs = bornWallMs
         registeredAtMs = nowMs
         listsWithoutWorker = 0
@@ -221,9 +221,3 @@
         leaseEndsAtMs = maxOf(leaseEndsAtMs, lastSentAtMs + LATE_ORDER_WINDOW_MS + longestLeaseMs)
     }
 }
-
-/** A start whose answer was lost. */
-internal data class UnansweredStart(
-    val runNumber: Long,
-    val sentAtMs: Long,
-)
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/AccountRulesTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/AccountRulesTest.kt
@@ -35,7 +35,6 @@
 import io.corianderrock.jobs.state.TaskId
 import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.TaskRun
-import io.corianderrock.jobs.state.UnansweredStart
 import io.corianderrock.jobs.state.WorkerView
 import io.corianderrock.jobs.world.SilentTables
 import io.corianderrock.jobs.world.SimLoop
@@ -334,7 +333,7 @@
             3 -> task.worker?.releaseRun(task, 1)
             4 -> if (!worker.orphanedRuns.containsKey(task.id)) worker.orphanedRuns[task.id] = 7 else worker.orphanedRuns.clear()
             5 -> worker.consecutiveLostHolds = 1 - worker.consecutiveLostHolds
-            6 -> worker.possibleLateStarts[task.id to 7L] = UnansweredStart(7, state.time.nowMs)
+            6 -> worker.unsettledStarts.onSent(task.id, 7, state.time.nowMs)
             7 -> worker.isListed = !worker.isListed
             else -> changeFleet(worker)
         }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
@@ -136,10 +136,8 @@
 
     fun startTask(task: TaskRun = this.task) = driver.start(task, checkNotNull(driver.find(WORKER)))
 
-    fun cancelJob() = registry.cancel(job) {}
-
     /** Cancels the job of [task]. */
-    fun cancelJob() = registry.cancel(task.stepRun.job) {}
+    fun cancelJob() = registry.cancel(job) {}
 
     /** Lists the worker in a new incarnation with the same id, whose clock was set back by [clockStepMs]. */
     fun startAgain(clockStepMs: Long = 0) {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/StoppedRunsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoppedRunsTest.kt
@@ -5,11 +5,24 @@
 package io.corianderrock.jobs
 
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.EARLIER_OWNERS_RUN
+import io.corianderrock.jobs.OwnerOfOneWorker.Companion.IN_FLIGHT_MS
+import io.corianderrock.jobs.OwnerOfOneWorker.Companion.ORDER_TIMEOUT_MS
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.STOP_MS
+import io.corianderrock.jobs.ports.EndKind
+import io.corianderrock.jobs.ports.EndRow
 import io.corianderrock.jobs.ports.RunningRow
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.Step
 import io.corianderrock.jobs.state.TaskId
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.nulls.shouldBeNull
+
+/** Time in which a stop is sent again whose last answer was lost. */
+private const val RESENT_MS = 2_000L
+
+/** Longer than the lease of a worker that runs short tasks, and shorter than a late order may take. */
+private const val SHORT_LEASE_OVER_MS = 5_000L
 
 internal class StoppedRunsTest :
     DescribeSpec({
@@ -18,6 +31,16 @@
             runNumber: Long,
         ) = RunningRow(task, runNumber, checkpoint = "", percent = 100)
 
+        /** An owner whose worker has left the start of a task without an answer; the job was cancelled since. */
+        fun ownerOfCancelledStart(): OwnerOfOneWorker {
+            val owner = OwnerOfOneWorker()
+            owner.areStartAnswersLost = true
+            owner.startTask()
+            owner.pass(ANSWER_MS + ORDER_TIMEOUT_MS + IN_FLIGHT_MS)
+            owner.cancelJob()
+            return owner
+        }
+
         describe("two runs of one task of a cancelled job on one worker") {
             // Guards against a stop that is not sent because another run of the task was stopped there (UNASKED).
             it("are both stopped if the second begins after the first was stopped (UNASKED)") {
@@ -29,5 +52,73 @@
                 owner.pass(STOP_MS)
                 owner.answeredStops shouldContain EARLIER_OWNERS_RUN + 1
             }
+
+            // Guards against a stop without an answer that is not repeated once another run of the task is listed (UNASKED).
+            it("are both stopped if one is listed while the start of the other may arrive late (UNASKED)") {
+                val owner = ownerOfCancelledStart()
+                val run = owner.starts.single().runNumber
+                owner.areStopAnswersLost = true
+                owner.runningRows = listOf(row(owner.task.id, EARLIER_OWNERS_RUN))
+                owner.startAgain()
+                owner.answeredStops.clear()
+                owner.pass(ORDER_TIMEOUT_MS)
+                owner.areStopAnswersLost = false
+                owner.pass(RESENT_MS)
+                owner.answeredStops shouldContain run
+            }
+        }
+        describe("a start that may arrive late at a worker that has started again, of a cancelled job") {
+            // Guards against a stop without an answer that is given up because the first list does not show the run yet (UNASKED).
+            it("is stopped there if the worker's list does not show it yet (UNASKED)") {
+                val owner = ownerOfCancelledStart()
+                val run = owner.starts.single().runNumber
+                owner.pass(STOP_MS)
+                owner.answeredStops.clear()
+                owner.areStopAnswersLost = true
+                owner.startAgain()
+                owner.pass(ORDER_TIMEOUT_MS)
+                owner.areStopAnswersLost = false
+                owner.pass(RESENT_MS)
+                owner.answeredStops shouldContain run
+            }
+        }
+        describe("a start without an answer on a worker that is silent until its lease is over, of a cancelled job") {
+            // Guards against a run that begins while nobody asks the worker for lists (UNASKED).
+            it("is stopped once the worker answers and lists it (UNASKED)") {
+                val owner = OwnerOfOneWorker()
+                owner.areStartAnswersLost = true
+                owner.areStopAnswersLost = true
+                owner.startTask()
+                owner.waitUntil { owner.starts.isNotEmpty() }
+                val run = owner.starts.single().runNumber
+                owner.isUp = false
+                owner.pass(ORDER_TIMEOUT_MS + IN_FLIGHT_MS)
+                owner.cancelJob()
+                owner.passTicking(SHORT_LEASE_OVER_MS)
+                owner.task.worker.shouldBeNull()
+                owner.isUp = true
+                owner.areStopAnswersLost = false
+                owner.runningRows = listOf(row(owner.task.id, run))
+                owner.passTicking(RESENT_MS)
+                owner.answeredStops shouldContain run
+            }
+        }
+        describe("a gang member whose start is on its way when another member completes the gang") {
+            // Guards against a stop without an answer that is given up because no list shows the run yet (UNASKED, TWICE).
+            it("is stopped until the stop is answered (UNASKED)") {
+                val owner = OwnerOfOneWorker(steps = listOf(Step(2, Demand(1_000, 100), isGang = true)))
+                val (first, second) = owner.tasks
+                owner.startTask(first)
+                owner.pass(2 * ANSWER_MS)
+                owner.areStartAnswersLost = true
+                owner.areStopAnswersLost = true
+                owner.startTask(second)
+                val run = owner.starts.last().runNumber
+                owner.endedRows = listOf(EndRow(1, first.id, first.runNumber, EndKind.DONE, checkpoint = ""))
+                owner.pass(STOP_MS)
+                owner.areStopAnswersLost = false
+                owner.pass(RESENT_MS)
+                owner.answeredStops shouldContain run
+            }
         }
     })
