Count the answer to a stop for the incarnation that was told only

Seen: the stop of a start without an answer was answered, the worker started again under its id, and the answer came after the owner had noticed that. It counted for the new incarnation: the run was taken for stopped, and the stop sent to the new incarnation was not repeated when it had no answer, so that the late start of a cancelled job could run on (UNASKED). Besides, a run that the last incarnation was told to stop and the next one lists, started late by an earlier owner, got no second stop: its task stayed STOPPING.

Cause: what a stop has achieved belongs to one incarnation; the answers and the phase of the task did not.

Stops carry the number of the incarnation that they were sent to, and their answers and repetitions end with it. The first list of a new incarnation has the listed runs stopped that are to be stopped.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -47,7 +47,7 @@
             .sortedBy { it.number }
             .forEach { onRunEnded(worker, it, RunClock(worker.listedClockMs, lists.workerClockMs, loop.nowMs - sentAtMs)) }
         worker.listedClockMs = lists.workerClockMs
-        if (!worker.isReconciled) register.releaseEarlierRuns(worker, lists)
+        if (!worker.isReconciled) register.releaseOrStopEarlierRuns(worker, lists)
         lists.running.forEach { onRunningRow(worker, it) }
         completeStops(worker, sentAtMs, lists)
         // What the last incarnation has acknowledged says nothing of this one's ends.
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -250,11 +250,14 @@
         task: TaskId,
         runNumber: Long,
     ) {
+        val incarnation = worker.incarnation
         if (!context.mayOrder()) {
-            loop.after(STOP_RETRY_MS) { retryStop(worker, task, runNumber) }
+            loop.after(STOP_RETRY_MS) { retryStop(worker, incarnation, task, runNumber) }
             return
         }
         context.link.stop(worker.entry, StopOrder(task, runNumber, context.epoch)) { answer ->
+            // The next incarnation has no record of this stop, and was sent one of its own for each start that may reach it.
+            if (worker.incarnation != incarnation) return@stop
             if (answer is WorkerAnswer.Done) {
                 log.write("run_stopped", "task", task, "run", runNumber, "worker", worker.id)
                 // The answered stop of a lower run that the worker was found to run does not cover the known one, which may still arrive.
@@ -264,7 +267,7 @@
                 holds.requestLists(worker)
             } else {
                 log.write("stop_unanswered", "task", task, "run", runNumber, "worker", worker.id, "answer", answer)
-                loop.after(STOP_RETRY_MS) { retryStop(worker, task, runNumber) }
+                loop.after(STOP_RETRY_MS) { retryStop(worker, incarnation, task, runNumber) }
             }
         }
         holds.ensureInFlight(worker)
@@ -272,10 +275,11 @@
 
     private fun retryStop(
         worker: WorkerView,
+        incarnation: Long,
         task: TaskId,
         runNumber: Long,
     ) {
-        if (worker !in workers) return
+        if (worker !in workers || worker.incarnation != incarnation) return
         val isThere = worker.runs[task]?.runNumber == runNumber || worker.orphanedRuns[task] == runNumber
         if (isThere || worker.unsettledStarts.mayBegin(task, runNumber, loop.nowMs)) sendStop(worker, task, runNumber)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -314,9 +314,10 @@
 
     /**
      * Frees the runs of the last incarnation of [worker] that are not among [lists], the first ones that the next incarnation sends.
-     * Until then a start by this or an earlier owner that was carried out late may run the same tasks there.
+     * Until then a start by this or an earlier owner that was carried out late may run the same tasks there. Those of them that are
+     * to be stopped are stopped once more, as the next incarnation has no record of it.
      */
-    fun releaseEarlierRuns(
+    fun releaseOrStopEarlierRuns(
         worker: WorkerView,
         lists: WorkerAnswer.Listed,
     ) {
@@ -326,6 +327,9 @@
             .filter { it.id !in running && it !in worker.startQueue && lateStarts[it.id] != it.runNumber }
             .toList()
             .forEach { worker.releaseRun(it, loop.nowMs) }
+        worker.runs.values
+            .filter { it.phase == TaskPhase.STOPPING && lateStarts[it.id] != it.runNumber }
+            .forEach { orders.sendStop(worker, it.id, it.runNumber) }
     }
 
     private companion object {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -27,6 +27,10 @@
     /** True once the worker has reported under the fence of this owner, so that the runs on it are known. */
     var isReconciled: Boolean = false
 
+    /** Counts the incarnations of the worker that this owner has seen, so that an answer can be matched to the one it is from. */
+    var incarnation: Long = 0
+        private set
+
     /** Start of the incarnation that last reported, by wall time; zero when not known. */
     var bornWallMs: Long = 0
 
@@ -161,6 +165,7 @@
         bornWallMs: Long,
         nowMs: Long,
     ) {
+        incarnation++
         orphanedRuns.clear()
         stopAnsweredAtMs.clear()
         unsettledStarts.beginIncarnation()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/StoppedRunsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoppedRunsTest.kt
@@ -7,6 +7,7 @@
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.EARLIER_OWNERS_RUN
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.IN_FLIGHT_MS
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.ORDER_TIMEOUT_MS
+import io.corianderrock.jobs.OwnerOfOneWorker.Companion.SETTLE_MS
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.STOP_MS
 import io.corianderrock.jobs.ports.EndKind
 import io.corianderrock.jobs.ports.EndRow
@@ -68,6 +69,37 @@
             }
         }
         describe("a start that may arrive late at a worker that has started again, of a cancelled job") {
+            // Guards against a stop that the last incarnation answered and that counts for the next one (UNASKED).
+            it("is stopped there if the answer to the last incarnation's stop comes afterwards (UNASKED)") {
+                val owner = OwnerOfOneWorker()
+                owner.areStartAnswersLost = true
+                owner.stopAnswerMs = 2 * SETTLE_MS
+                owner.startTask()
+                owner.waitUntil { owner.answeredStops.isNotEmpty() }
+                val run = owner.answeredStops.single()
+                owner.cancelJob()
+                owner.areStopAnswersLost = true
+                owner.answeredStops.clear()
+                owner.startAgain()
+                owner.pass(ORDER_TIMEOUT_MS)
+                owner.areStopAnswersLost = false
+                owner.pass(RESENT_MS)
+                owner.answeredStops shouldContain run
+            }
+
+            // Guards against a run that is taken for stopped because the last incarnation answered its stop (UNASKED).
+            it("is stopped there if the last incarnation had answered a stop of the listed run (UNASKED)") {
+                val owner = OwnerOfOneWorker()
+                owner.runningRows = listOf(row(owner.task.id, EARLIER_OWNERS_RUN))
+                owner.startAgain()
+                owner.cancelJob()
+                owner.waitUntil { EARLIER_OWNERS_RUN in owner.answeredStops }
+                owner.answeredStops.clear()
+                owner.startAgain()
+                owner.pass(STOP_MS)
+                owner.answeredStops shouldContain EARLIER_OWNERS_RUN
+            }
+
             // Guards against a stop without an answer that is given up because the first list does not show the run yet (UNASKED).
             it("is stopped there if the worker's list does not show it yet (UNASKED)") {
                 val owner = ownerOfCancelledStart()
