Stop a start on its way when its worker is seen to have started again

Seen: a start was on its way when its worker started again under its id. The new incarnation was told to stop the run, answered, and did not list it; then came the answer that the last incarnation had given to the start. The task counted as running, on a worker that never listed it, for good (LOST).

Cause: WorkerRegister.onNewIncarnation sent the stop, but set the phase of running tasks alone; that of a task whose start had no answer yet was left to the answer.

The stop and the phase are set by RunOrders.stop now, as for other stops.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -306,8 +306,7 @@
         for ((taskId, runNumber) in lateStarts) {
             val task = worker.runs[taskId]
             if (task == null) worker.orphanedRuns[taskId] = runNumber
-            if (task?.runNumber == runNumber && task.phase == TaskPhase.RUNNING) task.phase = TaskPhase.STOPPING
-            orders.sendStop(worker, taskId, runNumber)
+            if (task?.runNumber == runNumber) orders.stop(task) else orders.sendStop(worker, taskId, runNumber)
         }
         crashes.onEnded(worker, interrupted)
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/RestartedWorkerTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/RestartedWorkerTest.kt
@@ -77,6 +77,17 @@
                     (owner.task.worker != null || run in owner.answeredStops) shouldBe true
                 }
 
+                // Guards against a run that counts as started by an answer of the last incarnation (LOST).
+                it("is freed if the last incarnation's answer comes after the new one's list (LOST)") {
+                    val owner = OwnerOfOneWorker()
+                    owner.startAnswerDelayMs = 2 * SETTLE_MS
+                    owner.startTask()
+                    owner.waitUntil { owner.starts.isNotEmpty() }
+                    owner.startAgain()
+                    owner.passTicking(LONG_MS)
+                    owner.task.worker.shouldBeNull()
+                }
+
                 // Guards against a stopped run that the new incarnation lists and that holds its task after it is gone (LOST).
                 it("is freed once the new incarnation no longer lists its stopped run (LOST)") {
                     val owner = OwnerOfOneWorker()
