Keep what was sent to a worker when it is removed

Seen: a worker was removed because its instance was moved or has another worker, while a start without an answer could still arrive. When it was listed again under its id, the owner knew of no start and sent no stop; one that arrived after the first list ran on unseen, also if its job had been cancelled (UNASKED).

Cause: the starts that may arrive late were kept with the view of the worker and went away with it. Only two of the ways of removal kept the view for it.

WorkerTable keeps the unsettled starts of removed workers for as long as one of them may arrive, and a worker that is listed again has them stopped as one that is seen to have started again.

Evidence: "if the worker was removed because its instance was moved" in StoppedRunsTest failed before, with no stop sent.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -79,9 +79,9 @@
     }
 
     private fun newWorker(entry: WorkerEntry): WorkerView {
-        val worker = WorkerView(entry)
+        val worker = workers.add(entry)
         worker.registeredAtMs = loop.nowMs
-        workers.add(worker)
+        stopLateStarts(worker)
         return worker
     }
 
@@ -241,7 +241,7 @@
     private fun remove(worker: WorkerView) {
         worker.releaseRuns(loop.nowMs)
         markReconciled(worker.id)
-        workers.remove(worker)
+        workers.remove(worker, loop.nowMs)
         leaseRows.delete(worker)
         context.onChange(worker.entry.pool)
     }
@@ -301,14 +301,18 @@
         worker.beginIncarnation(bornWallMs, loop.nowMs)
         worker.assumeLateLeases(loop.nowMs, holds.worstCaseLeaseMs)
         worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, inheritedLeases.lateOrdersDeadlineMs)
-        // An unanswered start may still reach the new incarnation, which has no record of the fence or of stopped runs.
         worker.runs.values.forEach { it.isAtWork = false }
-        for ((taskId, runNumber) in lateStarts) {
+        stopLateStarts(worker)
+        crashes.onEnded(worker, interrupted)
+    }
+
+    /** Stops the starts that may still reach the new incarnation of [worker], which has no record of the fence or of stopped runs. */
+    private fun stopLateStarts(worker: WorkerView) {
+        for ((taskId, runNumber) in worker.unsettledStarts.lastRuns(loop.nowMs)) {
             val task = worker.runs[taskId]
             if (task == null) worker.orphanedRuns[taskId] = runNumber
             if (task?.runNumber == runNumber) orders.stop(task) else orders.sendStop(worker, taskId, runNumber)
         }
-        crashes.onEnded(worker, interrupted)
     }
 
     /**
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
@@ -3,6 +3,8 @@
  */
 package io.corianderrock.jobs.runs
 
+import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.state.UnsettledStarts
 import io.corianderrock.jobs.state.WorkerView
 
 /** Workers by id and by instance. */
@@ -12,6 +14,9 @@
     /** Workers in discovery, by the id of their instance. */
     private val listedByInstance = HashMap<String, WorkerView>()
 
+    /** What was sent to workers that were removed and may be listed again under their ids. */
+    private val unsettledStartsOfRemoved = HashMap<String, UnsettledStarts>()
+
     val all: Collection<WorkerView> get() = byId.values
 
     fun find(id: String): WorkerView? = byId[id]
@@ -21,12 +26,23 @@
 
     operator fun contains(worker: WorkerView): Boolean = byId[worker.id] === worker
 
-    fun add(worker: WorkerView) {
+    /** Adds the worker of [entry], which is not known, with the starts that may still arrive there; none of them counts as stopped. */
+    fun add(entry: WorkerEntry): WorkerView {
+        val starts = unsettledStartsOfRemoved.remove(entry.id) ?: UnsettledStarts()
+        starts.beginIncarnation()
+        val worker = WorkerView(entry, starts)
         byId[worker.id] = worker
+        return worker
     }
 
-    fun remove(worker: WorkerView) {
+    /** Removes [worker] at [nowMs]. */
+    fun remove(
+        worker: WorkerView,
+        nowMs: Long,
+    ) {
         byId.remove(worker.id)
+        unsettledStartsOfRemoved.values.removeAll { it.isEmpty(nowMs) }
+        if (!worker.unsettledStarts.isEmpty(nowMs)) unsettledStartsOfRemoved[worker.id] = worker.unsettledStarts
         unlinkInstance(worker)
     }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/StoppedRunsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoppedRunsTest.kt
@@ -9,6 +9,7 @@
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.ORDER_TIMEOUT_MS
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.SETTLE_MS
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.STOP_MS
+import io.corianderrock.jobs.OwnerOfOneWorker.Companion.WORKER
 import io.corianderrock.jobs.ports.EndKind
 import io.corianderrock.jobs.ports.EndRow
 import io.corianderrock.jobs.ports.RunningRow
@@ -113,6 +114,20 @@
                 owner.pass(RESENT_MS)
                 owner.answeredStops shouldContain run
             }
+
+            // Guards against a worker that was removed, which makes the owner forget what it has sent there (UNASKED).
+            it("is stopped there if the worker was removed because its instance was moved (UNASKED)") {
+                val owner = ownerOfCancelledStart()
+                val run = owner.starts.single().runNumber
+                owner.driver.onWorkerTerminated(WORKER)
+                owner.answeredStops.clear()
+                owner.areStopAnswersLost = true
+                owner.startAgain()
+                owner.pass(ORDER_TIMEOUT_MS)
+                owner.areStopAnswersLost = false
+                owner.pass(RESENT_MS)
+                owner.answeredStops shouldContain run
+            }
         }
         describe("a start without an answer on a worker that is silent until its lease is over, of a cancelled job") {
             // Guards against a run that begins while nobody asks the worker for lists (UNASKED).
