--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -48,7 +48,7 @@
             .sortedBy { it.number }
             .forEach { onRunEnded(worker, it, RunClock(worker.listedClockMs, lists.workerClockMs, loop.nowMs - sentAtMs)) }
         worker.listedClockMs = lists.workerClockMs
-        if (!worker.isReconciled) register.releaseEarlierRuns(worker, lists)
+        if (!worker.isReconciled) register.releaseOrStopEarlierRuns(worker, lists)
         lists.running.forEach { onRunningRow(worker, it) }
         completeStops(worker, sentAtMs, lists)
         // What the last incarnation has acknowledged says nothing of this one's ends.
@@ -131,7 +131,7 @@
             adopt(worker, task, row)
         } else if (current != null) {
             stopListedRun(worker, current, row)
-        } else if (worker.orphanedRuns.put(row.task, row.runNumber) == null) {
+        } else if (worker.orphanedRuns.put(row.task, row.runNumber) != row.runNumber) {
             log.write("run_unknown", "task", row.task, "run", row.runNumber, "worker", worker.id)
             orders.sendStop(worker, row.task, row.runNumber)
         }
@@ -160,7 +160,10 @@
     ): Boolean =
         when (task.phase) {
             TaskPhase.WAITING -> !task.stepRun.step.isGang || row.runNumber > task.runNumber
-            TaskPhase.RUNNING -> task.worker === worker && !task.stepRun.step.isGang && task.id !in orders.recentLateStarts(worker)
+            TaskPhase.RUNNING ->
+                task.worker === worker &&
+                    !task.stepRun.step.isGang &&
+                    task.id !in worker.unsettledStarts.lastRuns(loop.nowMs)
             else -> false
         }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -56,7 +56,7 @@
     private val speeds = speedModel?.let { WorkerSpeeds(avoidance, it) }
     private val transitions = RunTransitions(context)
     private val orders = RunOrders(context, table, leaseRows, holds, failures, transitions)
-    private val register = WorkerRegister(context, table, leaseRows, holds, orders, transitions, crashes, inheritedLeases)
+    private val register = WorkerRegister(context, table, leaseRows, holds, orders, crashes, inheritedLeases)
     private val runLists =
         RunLists(context, registry, leaseRows, holds, orders, transitions, register, crashes, failures, speeds, onRunEnd)
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -10,6 +10,7 @@
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.WorkerView
 
 /** Adds, replaces and removes [workers]. All methods run on the event loop. */
@@ -19,7 +20,6 @@
     private val leaseRows: WorkerLeaseRows,
     private val holds: WorkerHolds,
     private val orders: RunOrders,
-    private val transitions: RunTransitions,
     private val crashes: CrashTracker,
     private val inheritedLeases: InheritedWorkerLeases,
 ) {
@@ -49,6 +49,7 @@
             val worker = workers.find(lease.workerId) ?: continue
             worker.isLeaseRowStored = true
             worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, deadlineMs)
+            assumeLateStartsOfEarlierOwners(worker, worker.entry.bornWallMs)
         }
         for (lease in leases) if (workers.find(lease.workerId) == null) addUnlisted(lease)
         workers.all
@@ -78,9 +79,9 @@
     }
 
     private fun newWorker(entry: WorkerEntry): WorkerView {
-        val worker = WorkerView(entry)
+        val worker = workers.add(entry)
         worker.registeredAtMs = loop.nowMs
-        workers.add(worker)
+        stopLateStarts(worker)
         return worker
     }
 
@@ -96,6 +97,7 @@
         if (registered != null && entry.bornWallMs != 0L && worker.bornWallMs != 0L && entry.bornWallMs > worker.bornWallMs) {
             onNewIncarnation(worker, entry.bornWallMs)
         }
+        assumeLateStartsOfEarlierOwners(worker, entry.bornWallMs)
         removeEarlierWorkers(entry)
         if (registered == null) crashes.onAppeared(worker)
         if (registered == null || registered.entry != entry) logListed(entry)
@@ -110,6 +112,19 @@
         context.onChange(worker.entry.pool)
     }
 
+    /**
+     * Extends the assumed lease of an inherited [worker] that has started again, at [bornWallMs], since its row was stored: until it
+     * answers it has not seen this owner's fence and takes starts of earlier owners that arrive late.
+     */
+    private fun assumeLateStartsOfEarlierOwners(
+        worker: WorkerView,
+        bornWallMs: Long,
+    ) {
+        val storedBornWallMs = inheritedLeases.find(worker.id)?.bornWallMs ?: return
+        if (storedBornWallMs == 0L || bornWallMs == 0L || storedBornWallMs == bornWallMs) return
+        worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, inheritedLeases.lateOrdersDeadlineMs)
+    }
+
     private fun logListed(entry: WorkerEntry) {
         log.write("worker_listed", "worker", entry.id, "pool", entry.pool, "instance", entry.instanceId, "draining", entry.isDraining)
     }
@@ -200,7 +215,7 @@
         isCrash: Boolean,
     ) {
         val interrupted = crashes.interruptedRunsOf(worker)
-        if (orders.recentLateStarts(worker).isEmpty()) {
+        if (worker.unsettledStarts.isEmpty(loop.nowMs)) {
             remove(worker)
         } else {
             // Kept registered: a recent start may still reach a new incarnation with the same id, which then has to stop it.
@@ -226,7 +241,7 @@
     private fun remove(worker: WorkerView) {
         worker.releaseRuns(loop.nowMs)
         markReconciled(worker.id)
-        workers.remove(worker)
+        workers.remove(worker, loop.nowMs)
         leaseRows.delete(worker)
         context.onChange(worker.entry.pool)
     }
@@ -243,7 +258,7 @@
             context.onChange(worker.entry.pool)
         }
         // A recent start may still reach a new incarnation with the same id, which then has to stop it.
-        if (!worker.isListed && orders.recentLateStarts(worker).isEmpty()) remove(worker)
+        if (!worker.isListed && worker.unsettledStarts.isEmpty(loop.nowMs)) remove(worker)
     }
 
     /** Marks the inherited runs on [workerId] as known. */
@@ -281,36 +296,43 @@
         bornWallMs: Long,
     ) {
         val interrupted = crashes.interruptedRunsOf(worker)
-        val recentStarts = orders.recentLateStarts(worker)
-        log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", recentStarts.size)
+        val lateStarts = worker.unsettledStarts.lastRuns(loop.nowMs)
+        log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", lateStarts.size)
         worker.beginIncarnation(bornWallMs, loop.nowMs)
         worker.assumeLateLeases(loop.nowMs, holds.worstCaseLeaseMs)
         worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, inheritedLeases.lateOrdersDeadlineMs)
-        // An unanswered start may still reach the new incarnation, which has no record of the fence or of stopped runs.
         worker.runs.values.forEach { it.isAtWork = false }
-        for ((taskId, start) in recentStarts) {
+        stopLateStarts(worker)
+        crashes.onEnded(worker, interrupted)
+    }
+
+    /** Stops the starts that may still reach the new incarnation of [worker], which has no record of the fence or of stopped runs. */
+    private fun stopLateStarts(worker: WorkerView) {
+        for ((taskId, runNumber) in worker.unsettledStarts.lastRuns(loop.nowMs)) {
             val task = worker.runs[taskId]
-            if (task == null) worker.orphanedRuns[taskId] = start.runNumber
-            if (task?.runNumber == start.runNumber) transitions.onStopping(task)
-            orders.sendStop(worker, taskId, start.runNumber)
+            if (task == null) worker.orphanedRuns[taskId] = runNumber
+            if (task?.runNumber == runNumber) orders.stop(task) else orders.sendStop(worker, taskId, runNumber)
         }
-        crashes.onEnded(worker, interrupted)
     }
 
     /**
      * Frees the runs of the last incarnation of [worker] that are not among [lists], the first ones that the next incarnation sends.
-     * Until then a start by this or an earlier owner that was carried out late may run the same tasks there.
+     * Until then a start by this or an earlier owner that was carried out late may run the same tasks there. Those of them that are
+     * to be stopped are stopped once more, as the next incarnation has no record of it.
      */
-    fun releaseEarlierRuns(
+    fun releaseOrStopEarlierRuns(
         worker: WorkerView,
         lists: WorkerAnswer.Listed,
     ) {
         val running = lists.running.mapTo(HashSet()) { it.task }
-        val recentStarts = orders.recentLateStarts(worker)
+        val lateStarts = worker.unsettledStarts.lastRuns(loop.nowMs)
         worker.runs.values
-            .filter { it.id !in running && it !in worker.startQueue && recentStarts[it.id]?.runNumber != it.runNumber }
+            .filter { it.id !in running && it !in worker.startQueue && lateStarts[it.id] != it.runNumber }
             .toList()
             .forEach { worker.releaseRun(it, loop.nowMs) }
+        worker.runs.values
+            .filter { it.phase == TaskPhase.STOPPING && lateStarts[it.id] != it.runNumber }
+            .forEach { orders.sendStop(worker, it.id, it.runNumber) }
     }
 
     private companion object {
