End holds and repeated stops of a term with the term

Seen: after an ownership had ended, its driver went on to hold each worker with runs (88 times a minute for one worker, in a test) and to ask every 150 ms whether a stop may be sent, for good. Each look at a worker has a price, and an entry that owns several terms adds one such driver for each.

Cause: holds and stops re-arm their own timers, and nothing told the driver that mayOrder would not become true again. Only the ticks of the scheduler ended with the term.

Scheduler closes its driver where it is released or loses the ownership. Rows that are still to be written do not depend on it.

Evidence: "neither asks workers for lists nor repeats stops" in WorkerDriverTest failed before, with 91 instead of 3 holds after 60 s.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -279,7 +279,7 @@
         task: TaskId,
         runNumber: Long,
     ) {
-        if (worker !in workers || worker.incarnation != incarnation) return
+        if (context.isOver || worker !in workers || worker.incarnation != incarnation) return
         val isThere = worker.runs[task]?.runNumber == runNumber || worker.orphanedRuns[task] == runNumber
         if (isThere || worker.unsettledStarts.mayBegin(task, runNumber, loop.nowMs)) sendStop(worker, task, runNumber)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -235,16 +235,21 @@
 
     /** Stops scheduling and releases the ownership; [onDone] is called once the release is stored or the ownership lost. */
     public fun release(onDone: () -> Unit) {
-        isClosed = true
+        close()
         committer.release(onDone)
     }
 
     private fun onOwnershipLost(reason: String) {
         log.write("ownership_lost", "epoch", owner.epoch, "reason", reason)
-        isClosed = true
+        close()
         onLost()
     }
 
+    private fun close() {
+        isClosed = true
+        driver.close()
+    }
+
     private fun isOwnershipFresh(withinMs: Long): Boolean =
         !isClosed && committer.ownership.confirmedAtMs > fencedAtMs && committer.ownership.ageMs < withinMs
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -135,6 +135,11 @@
 
     private fun onOtherWorker(worker: WorkerView): Unit = register.removeEnded(worker)
 
+    /** Ends all contact with workers, since the term has ended: nothing is sent any more. */
+    fun close() {
+        context.isOver = true
+    }
+
     /** Frees the runs of silent workers whose leases have expired, removes unlisted ones and sends overdue holds. */
     fun tick() {
         for (worker in table.all.toList()) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -65,7 +65,7 @@
     }
 
     private fun send(worker: WorkerView) {
-        if (worker !in workers) return
+        if (context.isOver || worker !in workers) return
         worker.isHoldInFlight = true
         val holdNumber = ++worker.holdNumber
         val order = orderFor(worker)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerOrderContext.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerOrderContext.kt
@@ -21,4 +21,7 @@
     val onChange: (String?) -> Unit,
     /** Called when a worker has rejected the fence. */
     val onFenced: () -> Unit,
-)
+) {
+    /** True once the term has ended, so that [mayOrder] does not become true again. */
+    var isOver: Boolean = false
+}
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
@@ -36,6 +36,25 @@
 
 internal class WorkerDriverTest :
     DescribeSpec({
+        describe("a term that has ended") {
+            // Guards against looks at workers and timers that go on for good, one set for each term of an entry.
+            it("neither asks workers for lists nor repeats stops") {
+                val owner = OwnerOfOneWorker()
+                owner.areStopAnswersLost = true
+                owner.startTask()
+                owner.pass(2 * ANSWER_MS)
+                owner.cancelJob()
+                owner.pass(SETTLE_MS)
+                owner.mayOrder = false
+                owner.driver.close()
+                owner.pass(ORDER_TIMEOUT_MS)
+                val holdCount = owner.holdCount
+                val mayOrderCount = owner.mayOrderCount
+                owner.pass(60_000)
+                owner.holdCount shouldBe holdCount
+                owner.mayOrderCount shouldBe mayOrderCount
+            }
+        }
         describe("a worker that is removed and listed again under its id") {
             // Guards against a start that no stored row records: the next owner would not wait for its run (TWICE).
             it("gets a start only once its new row is stored") {
