Keep a cancellation of the inbox until its job is known

What callers saw: none reported.

Cause: the owner read a job that it did not know once for each message about it. If the read for the submission was answered and that for the cancellation was refused, the job was loaded and placed, and its cancellation was left to the next read of the inbox; so it was if the job became known by a caller's second submission. The read that had shown the cancellation counted as recent for another 2.5 s.

A cancellation of a job that is not known is now kept, and applied where the registry takes the job in, before its tasks can be placed. Whatever makes the job known, no later read is needed.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -27,6 +27,9 @@
     private var readStartedAtMs = Long.MIN_VALUE / 2
     private var isReading = false
 
+    /** Cancellations that were read while their job was not known, by job. */
+    private val heldCancellations = HashMap<String, InboxMessage>()
+
     /** True if the last read is recent enough for tasks to be started. */
     val isFresh: Boolean get() = freshness.ageMs < FRESHNESS_MS
 
@@ -50,9 +53,18 @@
         val message = InboxMessage.of(row.key)
         if (registry.find(message.jobId)?.isStored == true) {
             apply(message)
-        } else {
-            find(message.jobId) { if (it is Lookup.Found) apply(message) }
+            return
         }
+        if (message.isCancel) heldCancellations[message.jobId] = message
+        find(message.jobId) { if (it is Lookup.Found) apply(message) }
+    }
+
+    /**
+     * Called when [job] has become known, by whatever message or caller: a cancellation that was read before has to be applied before
+     * its tasks are placed, also if the read of the job for that message fails.
+     */
+    fun onAccepted(job: JobRun) {
+        heldCancellations[job.id]?.let(::apply)
     }
 
     /** What the store holds of a job that the registry does not know. */
@@ -88,6 +100,7 @@
 
     private fun apply(message: InboxMessage) {
         val job = registry.find(message.jobId) ?: return
+        if (message.isCancel) heldCancellations.remove(message.jobId)
         val deleteMessage = { committer.put(message.key) { null } }
         if (message.isCancel) registry.cancel(job) { deleteMessage() } else deleteMessage()
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -147,6 +147,7 @@
             accountRules.admission.onAccepted(job)
             demand.onAccepted(job)
             requestPlacement(job.queue.pool)
+            inbox.onAccepted(job)
         }
         fleet.sizer.onPeakStarted = { peaks -> committer.put(DEMAND_PEAKS_KEY) { storedJson.encodeToString(DEMAND_PEAKS, peaks) } }
         if (earlier.existed) storedTables.read(::restore) else onLoaded()
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
@@ -0,0 +1,224 @@
+/*
+ * An owner whose reads of single rows and tables a test can refuse, with one worker that carries out all orders at once.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.accounts.JobAccess
+import io.corianderrock.jobs.entry.CallerAnswer
+import io.corianderrock.jobs.entry.StoredJobService
+import io.corianderrock.jobs.ownership.EarlierOwner
+import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.ports.AdviceAnswer
+import io.corianderrock.jobs.ports.ChangeResult
+import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.Instance
+import io.corianderrock.jobs.ports.InstanceOrderAnswer
+import io.corianderrock.jobs.ports.InstanceService
+import io.corianderrock.jobs.ports.JobTables
+import io.corianderrock.jobs.ports.ReadResult
+import io.corianderrock.jobs.ports.RowChange
+import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.RunningRow
+import io.corianderrock.jobs.ports.StartOrder
+import io.corianderrock.jobs.ports.StopOrder
+import io.corianderrock.jobs.ports.StoredRow
+import io.corianderrock.jobs.ports.Table
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.ports.WorkerLink
+import io.corianderrock.jobs.runs.Scheduler
+import io.corianderrock.jobs.runs.SchedulerBounds
+import io.corianderrock.jobs.runs.SchedulerPorts
+import io.corianderrock.jobs.runs.storedJson
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.Queue
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.state.TaskId
+import io.corianderrock.jobs.world.SilentTables
+import io.corianderrock.jobs.world.SimLoop
+import io.corianderrock.jobs.world.SimTime
+
+/** The owner's scheduler, its store and its worker, and the store as another entry sees it. */
+internal class InboxOfOneOwner(
+    hadEarlierOwner: Boolean = false,
+    storedBefore: List<JobSubmission> = emptyList(),
+    /** True for the tables that the store does not let the owner scan. */
+    var refusesScan: (Table) -> Boolean = { false },
+) {
+    val time = SimTime()
+    private val loop = SimLoop(time)
+    private val startedAtMs = time.nowMs
+    private val stored = HashMap<RowKey, StoredRow>()
+    private var version = 1L
+
+    /** True for the reads of a row by the owner that the store refuses. */
+    var refusesRead: (RowKey) -> Boolean = { false }
+
+    /** How many reads of single rows the owner has sent. */
+    var readCount = 0
+        private set
+
+    /** The tasks that the worker runs, with the times at which they started. */
+    val running = LinkedHashMap<TaskId, Long>()
+    private val runNumbers = HashMap<TaskId, Long>()
+
+    /** The times at which the worker was told to start a task. */
+    val startsAtMs = ArrayList<Long>()
+
+    /** The store as an entry that is not refused sees it. */
+    private val store =
+        object : JobTables by SilentTables {
+            override fun commit(
+                change: RowChange,
+                onResult: (ChangeResult) -> Unit,
+            ) = time.after(STORE_MS) {
+                val result = apply(change)
+                loop.after(STORE_MS) { onResult(result) }
+            }
+
+            override fun read(
+                key: RowKey,
+                onResult: (ReadResult) -> Unit,
+            ) = answer(onResult) { listOfNotNull(stored[key]) }
+
+            override fun scan(
+                table: Table,
+                onResult: (ReadResult) -> Unit,
+            ) = answer(onResult) { stored.values.filter { it.key.table == table }.sortedBy { it.key.key } }
+        }
+
+    private val ownersTables =
+        object : JobTables by store {
+            override fun read(
+                key: RowKey,
+                onResult: (ReadResult) -> Unit,
+            ) {
+                readCount++
+                if (refusesRead(key)) loop.after(STORE_MS) { onResult(REFUSED) } else store.read(key, onResult)
+            }
+
+            override fun scan(
+                table: Table,
+                onResult: (ReadResult) -> Unit,
+            ) = if (refusesScan(table)) loop.after(STORE_MS) { onResult(REFUSED) } else store.scan(table, onResult)
+        }
+
+    private val otherEntry = StoredJobService(loop, store)
+    private val owner = OwnerRow("owner", "owner", epoch = 2, heartbeat = 1)
+    val scheduler: Scheduler
+
+    init {
+        for (job in storedBefore) put(RowKey(Table.JOBS, job.id), storedJson.encodeToString(JobSubmission.serializer(), job))
+        put(OwnerRow.KEY, owner.encode())
+        val ports =
+            SchedulerPorts(
+                loop = loop,
+                tables = ownersTables,
+                workers = OneWorker(),
+                instances = NoInstances,
+                advice = { _, _, onAnswer -> onAnswer(AdviceAnswer(null, 0)) },
+                log = { _, _ -> },
+                configuration = { null },
+                waves = { emptyList() },
+            )
+        val earlier = EarlierOwner(hadEarlierOwner, isSameEntry = false, lastWriteByMs = time.nowMs, hasStopped = true)
+        scheduler = Scheduler(ports, SchedulerBounds(), owner, version, earlier) {}
+        scheduler.onWorkerListed(WORKER)
+        scheduler.start()
+    }
+
+    fun pass(durationMs: Long) = time.runUntil(time.nowMs + durationMs)
+
+    /** Stores [job] through another entry, which cannot reach the owner. */
+    fun storeElsewhere(job: JobSubmission) = otherEntry.submit(job) { check(it is CallerAnswer.Applied) }
+
+    /** Stores the cancellation of [job] through another entry. */
+    fun cancelElsewhere(job: JobSubmission) = otherEntry.cancel(job.id, JobAccess.ALL) { check(it is CallerAnswer.Applied) }
+
+    fun put(
+        key: RowKey,
+        value: String,
+    ) = apply(RowChange(puts = mapOf(key to value)))
+
+    fun isStored(key: RowKey): Boolean = key in stored
+
+    private fun apply(change: RowChange): ChangeResult {
+        val isMet = change.expected.all { (key, expected) -> (stored[key]?.version ?: 0) == expected }
+        if (!isMet) return ChangeResult.Conflict(change.expected.keys.mapNotNull { stored[it] })
+        version++
+        change.puts.forEach { (key, value) -> stored[key] = StoredRow(key, value, version) }
+        change.deletes.forEach(stored::remove)
+        return ChangeResult.Committed(version, time.nowMs)
+    }
+
+    private fun answer(
+        onResult: (ReadResult) -> Unit,
+        rows: () -> List<StoredRow>,
+    ) = time.after(STORE_MS) {
+        val result = ReadResult.Rows(rows(), version, time.nowMs)
+        loop.after(STORE_MS) { onResult(result) }
+    }
+
+    /** Its tasks run until they are stopped. */
+    private inner class OneWorker : WorkerLink {
+        private val clockMs get() = time.nowMs - startedAtMs
+
+        override fun start(
+            entry: WorkerEntry,
+            order: StartOrder,
+            onAnswer: (WorkerAnswer) -> Unit,
+        ) {
+            startsAtMs.add(time.nowMs)
+            running[order.task] = time.nowMs
+            runNumbers[order.task] = order.runNumber
+            loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs)) }
+        }
+
+        override fun stop(
+            entry: WorkerEntry,
+            order: StopOrder,
+            onAnswer: (WorkerAnswer) -> Unit,
+        ) {
+            running.remove(order.task)
+            loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs)) }
+        }
+
+        override fun hold(
+            entry: WorkerEntry,
+            order: HoldOrder,
+            onAnswer: (WorkerAnswer) -> Unit,
+        ) = loop.after(maxOf(1L, order.waitMs.toLong())) {
+            val rows = running.keys.map { RunningRow(it, runNumbers.getValue(it), checkpoint = "", percent = 100) }
+            onAnswer(WorkerAnswer.Listed(clockMs, WORKER.bornWallMs, rows, emptyList()))
+        }
+    }
+
+    private object NoInstances : InstanceService {
+        override fun list(onResult: (List<Instance>?) -> Unit) = Unit
+
+        override fun move(
+            instanceId: String,
+            pool: String,
+            token: Long,
+            onAnswer: (InstanceOrderAnswer) -> Unit,
+        ) = Unit
+
+        override fun maintain(
+            instanceId: String,
+            waveNumber: Int,
+            token: Long,
+            onAnswer: (InstanceOrderAnswer) -> Unit,
+        ) = Unit
+    }
+
+    companion object {
+        val JOB = JobSubmission("job", Queue("queue", "pool"), "spec", listOf(Step(2, Demand(1_000, 100))))
+        private val REFUSED = ReadResult.Failed("status 429")
+        private val WORKER =
+            WorkerEntry("w", "w", "pool", "dc", "i", Demand(8_000, 32_000), emptyList(), false, null, bornWallMs = 1)
+
+        /** Half of the time that a call to the store takes. */
+        private const val STORE_MS = 2L
+    }
+}
