Count the inbox as read when it was read, not when the jobs are loaded

What callers saw: none reported.

Cause: a new owner reads all tables at once and repeats each read that fails. When the last table was there, the inbox counted as read at that moment, though its own read may have been answered seconds before. If the inbox could not be read again, tasks started for another 2.5 s by what it had held then.

The age of the inbox now counts from the start of the term, before which no read of it was sent. An owner that takes longer than 2.5 s to load reads the inbox again before it starts anything, which its first tick does in any case.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -23,6 +23,7 @@
     private val hadEarlierOwner: Boolean,
     private val isClosed: () -> Boolean,
 ) {
+    /** Of the last read. An owner that has loaded the jobs counts from its start, as its first read of the inbox was sent no earlier. */
     private val freshness = Freshness(loop)
     private var readStartedAtMs = Long.MIN_VALUE / 2
     private var isReading = false
@@ -33,9 +34,6 @@
     /** True if the last read is recent enough for tasks to be started. */
     val isFresh: Boolean get() = freshness.ageMs < FRESHNESS_MS
 
-    /** Records that the inbox has just been read. */
-    fun confirm() = freshness.confirm()
-
     fun readIfDue() {
         if (isReading || loop.nowMs - readStartedAtMs < INBOX_INTERVAL_MS) return
         isReading = true
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -299,7 +299,6 @@
     }
 
     private fun onLoaded() {
-        inbox.confirm()
         isLoaded = true
         driver.open()
         requestPlacement(null)
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/StoredCancellationTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoredCancellationTest.kt
@@ -63,4 +63,17 @@
                 owner.startsAtMs.shouldBeEmpty()
             }
         }
+        describe("a cancellation that is stored while a new owner loads the jobs") {
+            // Guards against an inbox that counts as read when the jobs are loaded, however long ago it was read.
+            it("keeps the job from starting if the inbox was read before and cannot be read again") {
+                val owner = InboxOfOneOwner(hadEarlierOwner = true, storedBefore = listOf(JOB)) { it == Table.JOBS }
+                owner.pass(20)
+                owner.refusesScan = { it == Table.JOBS || it == Table.INBOX }
+                owner.cancelElsewhere(JOB)
+                owner.pass(CANCELLED_WITHIN_MS)
+                owner.refusesScan = { it == Table.INBOX }
+                owner.pass(LONG_MS)
+                owner.startsAtMs.shouldBeEmpty()
+            }
+        }
     })
