Delete messages of the inbox whose job has expired

What callers saw: nothing. A message about a job that is not stored any more stayed in the inbox, and each owner read its job once a second for good.

Cause: the deletion of a message was left to the job being found. A cancellation that is stored while its job expires finds none.

A message whose job is absent is deleted. A job is stored with its message, and a cancellation is stored only after its job was read, so an absent job is one that has expired.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -54,7 +54,14 @@
             return
         }
         if (message.isCancel) heldCancellations[message.jobId] = message
-        find(message.jobId) { if (it is Lookup.Found) apply(message) }
+        find(message.jobId) { found ->
+            when (found) {
+                is Lookup.Found -> apply(message)
+                // Jobs are stored before or with their messages, so this one has expired.
+                is Lookup.Absent -> delete(message)
+                is Lookup.Unknown -> Unit
+            }
+        }
     }
 
     /**
@@ -98,9 +105,13 @@
 
     private fun apply(message: InboxMessage) {
         val job = registry.find(message.jobId) ?: return
-        if (message.isCancel) heldCancellations.remove(message.jobId)
-        val deleteMessage = { committer.put(message.key) { null } }
-        if (message.isCancel) registry.cancel(job) { deleteMessage() } else deleteMessage()
+        heldCancellations.remove(message.jobId, message)
+        if (message.isCancel) registry.cancel(job) { delete(message) } else delete(message)
+    }
+
+    private fun delete(message: InboxMessage) {
+        heldCancellations.remove(message.jobId, message)
+        committer.put(message.key) { null }
     }
 
     private companion object {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/StoredCancellationTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoredCancellationTest.kt
@@ -6,8 +6,10 @@
 
 import io.corianderrock.jobs.InboxOfOneOwner.Companion.JOB
 import io.corianderrock.jobs.ports.Table
+import io.corianderrock.jobs.runs.InboxMessage
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 
 /** The time after its acknowledgement within which a cancellation takes effect, with that of a stop. */
@@ -76,4 +78,15 @@
                 owner.startsAtMs.shouldBeEmpty()
             }
         }
+        describe("a message about a job that is not stored any more") {
+            // Guards against messages that the owner reads, with a read of their jobs, every second for good.
+            it("is deleted") {
+                val owner = InboxOfOneOwner()
+                val key = InboxMessage("gone", isCancel = true).key
+                owner.put(key, "1")
+                owner.pass(LONG_MS)
+                owner.isStored(key) shouldBe false
+                owner.readCount shouldBeLessThanOrEqual 2
+            }
+        }
     })
