Read the inbox again soon after a failed read

What callers saw: none reported.

Cause: after a failed read the owner waited for the next regular one, up to a second.

It now tries again 250 ms after a failure, at most four reads a second by the one owner and within its budget for calls to the store.

Evidence: the test of StoredCancellationTest, with the cancellation at eleven moments between two reads, failed before and passes now.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -25,7 +25,7 @@
 ) {
     /** Of the last read. An owner that has loaded the jobs counts from its start, as its first read of the inbox was sent no earlier. */
     private val freshness = Freshness(loop)
-    private var readStartedAtMs = Long.MIN_VALUE / 2
+    private var nextReadAtMs = Long.MIN_VALUE / 2
     private var isReading = false
 
     /** Cancellations that were read while their job was not known, by job. */
@@ -35,12 +35,13 @@
     val isFresh: Boolean get() = freshness.ageMs < FRESHNESS_MS
 
     fun readIfDue() {
-        if (isReading || loop.nowMs - readStartedAtMs < INBOX_INTERVAL_MS) return
+        if (isReading || loop.nowMs < nextReadAtMs) return
         isReading = true
         val sentAt = loop.readClocks()
-        readStartedAtMs = sentAt.loopMs
+        nextReadAtMs = sentAt.loopMs + INBOX_INTERVAL_MS
         tables.scan(Table.INBOX) { result ->
             isReading = false
+            if (result !is ReadResult.Rows) nextReadAtMs = minOf(nextReadAtMs, loop.nowMs + FAILED_READ_RETRY_MS)
             if (isClosed() || result !is ReadResult.Rows) return@scan
             freshness.confirm(sentAt)
             result.rows.forEach(::process)
@@ -118,6 +119,9 @@
         /** Interval between reads of the inbox. */
         const val INBOX_INTERVAL_MS = 1_000L
 
+        /** Delay after a failed read: running tasks of cancelled jobs end no sooner than the next one. */
+        const val FAILED_READ_RETRY_MS = 250L
+
         /** Greatest age of the last read at which tasks are started: a cancellation in the inbox takes effect within 3 s. */
         const val FRESHNESS_MS = 2_500L
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/StoredCancellationTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoredCancellationTest.kt
@@ -14,6 +14,7 @@
 
 /** The time after its acknowledgement within which a cancellation takes effect, with that of a stop. */
 private const val CANCELLED_WITHIN_MS = 3_200L
+private const val REFUSED_FOR_MS = 2_800L
 private const val LONG_MS = 20_000L
 
 internal class StoredCancellationTest :
@@ -34,6 +35,23 @@
                 }
             }
         }
+        describe("a cancellation that another entry stores while the inbox cannot be read") {
+            // Guards against an owner that waits for its next regular read although the last one has failed.
+            it("stops the running tasks of its job within 3.2 s if the inbox can be read again after 2.8 s") {
+                for (atMs in 0L..1_000L step 100) {
+                    val owner = InboxOfOneOwner()
+                    owner.storeElsewhere(JOB)
+                    owner.pass(2_000 + atMs)
+                    owner.refusesScan = { it == Table.INBOX }
+                    owner.cancelElsewhere(JOB)
+                    owner.pass(REFUSED_FOR_MS)
+                    owner.running.size shouldBe 2
+                    owner.refusesScan = { false }
+                    owner.pass(CANCELLED_WITHIN_MS - REFUSED_FOR_MS)
+                    owner.running.keys.shouldBeEmpty()
+                }
+            }
+        }
         describe("a job that another entry has stored and cancelled before the owner knows it") {
             // Guards against a job that is loaded for its submission while the read for its cancellation fails.
             it("does not start if the owner's second read of it fails") {
