--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -23,23 +23,25 @@
     private val hadEarlierOwner: Boolean,
     private val isClosed: () -> Boolean,
 ) {
+    /** Of the last read. An owner that has loaded the jobs counts from its start, as its first read of the inbox was sent no earlier. */
     private val freshness = Freshness(loop)
-    private var readStartedAtMs = Long.MIN_VALUE / 2
+    private var nextReadAtMs = Long.MIN_VALUE / 2
     private var isReading = false
 
+    /** Cancellations that were read while their job was not known, by job. */
+    private val heldCancellations = HashMap<String, InboxMessage>()
+
     /** True if the last read is recent enough for tasks to be started. */
     val isFresh: Boolean get() = freshness.ageMs < FRESHNESS_MS
 
-    /** Records that the inbox has just been read. */
-    fun confirm() = freshness.confirm()
-
     fun readIfDue() {
-        if (isReading || loop.nowMs - readStartedAtMs < INBOX_INTERVAL_MS) return
+        if (isReading || loop.nowMs < nextReadAtMs) return
         isReading = true
         val sentAt = loop.readClocks()
-        readStartedAtMs = sentAt.loopMs
+        nextReadAtMs = sentAt.loopMs + INBOX_INTERVAL_MS
         tables.scan(Table.INBOX) { result ->
             isReading = false
+            if (result !is ReadResult.Rows) nextReadAtMs = minOf(nextReadAtMs, loop.nowMs + FAILED_READ_RETRY_MS)
             if (isClosed() || result !is ReadResult.Rows) return@scan
             freshness.confirm(sentAt)
             result.rows.forEach(::process)
@@ -50,11 +52,27 @@
         val message = InboxMessage.of(row.key)
         if (registry.find(message.jobId)?.isStored == true) {
             apply(message)
-        } else {
-            find(message.jobId) { if (it is Lookup.Found) apply(message) }
+            return
+        }
+        if (message.isCancel) heldCancellations[message.jobId] = message
+        find(message.jobId) { found ->
+            when (found) {
+                is Lookup.Found -> apply(message)
+                // Jobs are stored before or with their messages, so this one has expired.
+                is Lookup.Absent -> delete(message)
+                is Lookup.Unknown -> Unit
+            }
         }
     }
 
+    /**
+     * Called when [job] has become known, by whatever message or caller: a cancellation that was read before has to be applied before
+     * its tasks are placed, also if the read of the job for that message fails.
+     */
+    fun onAccepted(job: JobRun) {
+        heldCancellations[job.id]?.let(::apply)
+    }
+
     /** What the store holds of a job that the registry does not know. */
     sealed interface Lookup {
         data class Found(
@@ -88,14 +106,22 @@
 
     private fun apply(message: InboxMessage) {
         val job = registry.find(message.jobId) ?: return
-        val deleteMessage = { committer.put(message.key) { null } }
-        if (message.isCancel) registry.cancel(job) { deleteMessage() } else deleteMessage()
+        heldCancellations.remove(message.jobId, message)
+        if (message.isCancel) registry.cancel(job) { delete(message) } else delete(message)
+    }
+
+    private fun delete(message: InboxMessage) {
+        heldCancellations.remove(message.jobId, message)
+        committer.put(message.key) { null }
     }
 
     private companion object {
         /** Interval between reads of the inbox. */
         const val INBOX_INTERVAL_MS = 1_000L
 
+        /** Delay after a failed read: running tasks of cancelled jobs end no sooner than the next one. */
+        const val FAILED_READ_RETRY_MS = 250L
+
         /** Greatest age of the last read at which tasks are started: a cancellation in the inbox takes effect within 3 s. */
         const val FRESHNESS_MS = 2_500L
     }
