Log the commits of the claim log that take long

A keyed request that is refused since its claim was not committed in time (NOT_DURABLE) left no trace of what the commit waited for. Each attempt that takes more than half of a claim's time is a line now, event=claim-commit-slow, with the wait before the commit apart from the time of the platform's answer; of failures in a row only the first is written, so that an outage does not fill the log.

--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimLog.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimLog.kt
@@ -11,6 +11,7 @@
 import io.corianderrock.coordination.Transaction
 import io.corianderrock.coordination.Write
 import io.corianderrock.coordination.admission.TeamQuota
+import io.corianderrock.coordination.monotonicMs
 import io.corianderrock.coordination.transactExactlyOnce
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -42,6 +43,20 @@
  */
 public enum class CommitResult { NOTHING_PENDING, COMMITTED, FENCED, FAILED }
 
+/** The times of one attempt to commit [recordCount] records, the oldest of which had waited for [queuedMs] before it. */
+public data class CommitAttempt(
+    val result: CommitResult,
+    val recordCount: Int,
+    val queuedMs: Long,
+    val platformMs: Long,
+)
+
+/** Notified of each attempt to commit records. Called on the thread that commits. */
+public fun interface CommitObserver {
+    /** Called after [attempt]. */
+    public fun onAttempt(attempt: CommitAttempt)
+}
+
 /**
  * Limits commits to [ClaimLimits.commitsPerSecond] after a burst of [ClaimLimits.commitBurst]. Records that arrive while
  * a commit waits join it.
@@ -78,14 +93,16 @@
     private val table: TableService,
     private val fenceOf: (Int) -> Precondition?,
     private val onFenced: (Int) -> Unit,
-    private val wallMs: () -> Long,
+    private val clock: Clock,
     private val newId: () -> String,
     private val rateLimiter: CommitRateLimiter,
+    private val observer: CommitObserver = CommitObserver {},
 ) {
     private class PendingRecord(
         val range: Int,
         val record: ClaimLogRecord,
         val committed: CompletableFuture<Boolean>,
+        val appendedMs: Long,
     )
 
     private class Batch(
@@ -113,7 +130,7 @@
         range: Int,
         record: ClaimLogRecord,
     ): CompletableFuture<Boolean> {
-        val pendingRecord = PendingRecord(range, record, CompletableFuture())
+        val pendingRecord = PendingRecord(range, record, CompletableFuture(), clock.monotonicMs())
         uncommitted.incrementAndGet()
         pending.add(pendingRecord)
         return pendingRecord.committed
@@ -129,11 +146,17 @@
         val (owned, lost) = batch.records.partition { fenceOf(it.range) != null }
         completeFutures(lost, isCommitted = false)
         if (owned.isEmpty()) return clearUnresolved(CommitResult.FENCED)
-        return when (val result = table.transactExactlyOnce(transactionOf(batch.id, owned))) {
-            is PlatformResult.Ok -> onCommitted(owned)
-            is PlatformResult.Conflict -> onConflict(owned, result)
-            is PlatformResult.Failed -> CommitResult.FAILED
-        }
+        val startedMs = clock.monotonicMs()
+        val result = table.transactExactlyOnce(transactionOf(batch.id, owned))
+        val endedMs = clock.monotonicMs()
+        val commitResult =
+            when (result) {
+                is PlatformResult.Ok -> onCommitted(owned)
+                is PlatformResult.Conflict -> onConflict(owned, result)
+                is PlatformResult.Failed -> CommitResult.FAILED
+            }
+        observer.onAttempt(CommitAttempt(commitResult, owned.size, startedMs - owned.minOf { it.appendedMs }, endedMs - startedMs))
+        return commitResult
     }
 
     private fun nextBatch(waitMs: Long): Batch? {
@@ -157,7 +180,7 @@
     }
 
     private fun encode(records: List<PendingRecord>): String =
-        Json.encodeToString(ClaimLogBatch.serializer(), ClaimLogBatch(wallMs(), records.map { it.record }))
+        Json.encodeToString(ClaimLogBatch.serializer(), ClaimLogBatch(clock.wallMs(), records.map { it.record }))
 
     private fun onCommitted(records: List<PendingRecord>): CommitResult {
         commits.incrementAndGet()
--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimOwner.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimOwner.kt
@@ -98,6 +98,7 @@
     private val newId: () -> String,
     private val commitWait: CommitWait = CommitWait.BLOCKING,
     public val commitRateLimiter: CommitRateLimiter = CommitRateLimiter(limits, clock),
+    commitObserver: CommitObserver = CommitObserver {},
 ) {
     private class OwnedRange(
         val row: ClaimRangeRow,
@@ -111,7 +112,7 @@
     private val heartbeat = ClaimHeartbeat(table, clock, processId, limits, newId)
 
     /** The log behind the claims. */
-    public val log: ClaimLog = ClaimLog(table, { owned[it]?.fence }, ::dropOwnership, clock::wallMs, newId, commitRateLimiter)
+    public val log: ClaimLog = ClaimLog(table, { owned[it]?.fence }, ::dropOwnership, clock, newId, commitRateLimiter, commitObserver)
 
     /** The ranges that this process owns, as a live view. */
     public val ownedRanges: Set<Int> get() = owned.keys
--- a/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/corianderrock/daemon/Daemon.kt
@@ -71,7 +71,16 @@
     private val sync: FleetSync =
         FleetSync(platform, store, directory, clock, settings.dataCentre, metrics::onPlatformFailure) { network.broadcast(it) }
     private val claimOwner =
-        ClaimOwner(platform, clock, self + "/" + UUID.randomUUID(), self, policies.claims, { sync.goneSinceMs(it) }, ::newId)
+        ClaimOwner(
+            table = platform,
+            clock = clock,
+            processId = self + "/" + UUID.randomUUID(),
+            selfInstance = self,
+            limits = policies.claims,
+            terminatedInstances = { sync.goneSinceMs(it) },
+            newId = ::newId,
+            commitObserver = SlowCommitLog(policies.claims),
+        )
     private val claimOwnershipLoop = ClaimOwnershipLoop(claimOwner) { ClaimOwnership.choose(sync.entries, self) }
     private val peerClient =
         PeerClient({ id -> sync.entries.firstOrNull { it.id == id }?.peersAddress }, settings.peerToken, onFailure = ::logPeerCallFailure)
