--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -20,6 +20,9 @@
 /** Age up to which an unanswered start counts as still arriving. */
 internal const val LATE_START_WINDOW_MS = LATE_ORDER_WINDOW_MS
 
+/** What has shown that a run has begun. */
+internal enum class StartEvidence { ANSWER, LIST }
+
 /** Starts and stops runs. All methods and callbacks run on the event loop. */
 internal class RunOrders(
     private val context: WorkerOrderContext,
@@ -127,13 +130,10 @@
         answer: WorkerAnswer,
     ) {
         if (task.worker !== worker || task.runNumber != runNumber) return
-        // Also if a list has shown the run before.
-        if (answer is WorkerAnswer.Done) task.startedClockMs = answer.workerClockMs
-        if (task.phase != TaskPhase.STARTING) return
         when (answer) {
             is WorkerAnswer.Done -> onStarted(worker, task, answer.workerClockMs)
             is WorkerAnswer.Refused -> onStartRefused(worker, task, answer)
-            is WorkerAnswer.Unanswered -> onStartUnanswered(worker, task, sentAtMs, answer)
+            is WorkerAnswer.Unanswered -> onStartUnanswered(worker, task, answer)
             is WorkerAnswer.Listed ->
                 error("worker ${worker.id} answered a start order with run lists, expected Done, Refused or Unanswered")
         }
@@ -144,21 +144,24 @@
         task: TaskRun,
         workerClockMs: Long,
     ) {
+        task.startedClockMs = workerClockMs
+        if (task.phase != TaskPhase.STARTING) return
         worker.recordClock(workerClockMs, loop.nowMs)
         task.phase = TaskPhase.RUNNING
-        val job = task.stepRun.job
-        job.markStarted()
-        val waitedMs = loop.nowMs - task.waitingSinceMs
-        logStart(worker, task, waitedMs)
-        if (!job.isLive) stop(task)
+        task.stepRun.job.markStarted()
+        logStart(worker, task, StartEvidence.ANSWER)
     }
 
-    /** With all that run time models know of a task before it runs, so that a log is enough to replay them. */
-    private fun logStart(
+    /**
+     * Logs that the current run of [task] has begun, with all that run time models know of a task before it runs, so that a log is
+     * enough to replay them.
+     */
+    fun logStart(
         worker: WorkerView,
         task: TaskRun,
-        waitedMs: Long,
+        evidence: StartEvidence,
     ) {
+        val waitedMs = loop.nowMs - task.waitingSinceMs
         val submission = task.stepRun.job.submission
         val step = task.stepRun.step
         val isRemote = step.preferredRack != null && step.preferredRack !in worker.entry.labels
@@ -172,6 +175,8 @@
             worker.id,
             "waitedMs",
             waitedMs,
+            "shownBy",
+            evidence,
             "queue",
             submission.queue.name,
             "account",
@@ -212,9 +217,10 @@
     private fun onStartUnanswered(
         worker: WorkerView,
         task: TaskRun,
-        sentAtMs: Long,
         answer: WorkerAnswer.Unanswered,
     ) {
+        // A list has shown the run, so that its answer is not needed.
+        if (task.phase == TaskPhase.RUNNING) return
         log.write("start_unanswered", "task", task.id, "run", task.runNumber, "worker", worker.id, "reason", answer.reason)
         if (!answer.mayBeCarriedOut) {
             worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
@@ -224,18 +230,19 @@
         }
         // A worker that leaves holds unanswered too is not judged by its runs, but lost.
         if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker)
-        worker.unansweredStarts[task.id] = UnansweredStart(task.runNumber, sentAtMs)
         stop(task)
     }
 
-    /** Stops the run of [task], which keeps its place on the worker until the worker no longer lists it. */
+    /**
+     * Stops the run of [task], which keeps its place on the worker until the worker no longer lists it. A stop may overtake the start:
+     * the worker refuses the start of a run that it was told to stop.
+     */
     fun stop(task: TaskRun) {
         val worker = task.worker ?: return
         if (worker.startQueue.remove(task)) {
             worker.releaseRun(task, loop.nowMs)
             return
         }
-        if (task.phase == TaskPhase.STARTING && task.id !in worker.unansweredStarts) return
         task.phase = TaskPhase.STOPPING
         sendStop(worker, task.id, task.runNumber)
     }
@@ -270,6 +277,7 @@
         }
         context.link.stop(worker.entry, StopOrder(task, runNumber, context.epoch)) { answer ->
             if (answer is WorkerAnswer.Done) {
+                log.write("run_stopped", "task", task, "run", runNumber, "worker", worker.id)
                 // The answered stop of a lower run that the worker was found to run does not cover the known one, which may still arrive.
                 val known = worker.runs[task]?.runNumber ?: runNumber
                 if (runNumber >= known) worker.stopAnsweredAtMs[task] = loop.nowMs
