Meet rare pairs of events by design, and check drains, waiting counts, ends and cancels when due

Faults and requests of the histories came at any time, so that few met an event that they can overtake.

EventPairs counts ordered pairs of events within 50 ms; WorldMain prints the counts. - Checks when they are due, for machines in touch: no start on a worker 2 s after entries know that it drains (DRAIN), counts of waiting jobs (MIXED), ends not acknowledged and cancels not answered within 4 s (ACKS). - Workers can drain and leave, and can take up to 190 ms to stop a run. A draining worker counts as a disruption for the check of long-running tasks. - A caller repeats a cancellation also when no entry was up.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/EarlyCancels.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/EarlyCancels.kt
@@ -21,12 +21,11 @@
     private val plans = LinkedHashMap<String, Plan>()
 
     fun schedule() =
-        world.events.listen { kind, jobId ->
-            if (kind == EventKind.JOB_ACCEPTED && jobId != null) plan(jobId)
+        world.events.listen { event ->
+            if (event.kind == EventKind.JOB_ACCEPTED && event.jobId != null) plan(event.jobId)
             plans
-                .filter { (id, plan) ->
-                    plan.trigger == kind && (jobId == null || id == jobId)
-                }.forEach { (id, plan) -> onEvent(id, plan) }
+                .filter { (id, plan) -> plan.trigger == event.kind && (event.jobId == null || id == event.jobId) }
+                .forEach { (id, plan) -> onEvent(id, plan) }
         }
 
     private fun plan(jobId: String) {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
@@ -24,6 +24,7 @@
 internal class InvariantChecker(
     private val time: SimTime,
     private val events: WorldEvents = WorldEvents(),
+    private val entryNames: List<String> = emptyList(),
     /** The caps of an account in all versions of the configuration that may be in force. */
     private val capsOf: (String) -> List<Demand> = { emptyList() },
     /** The state of a job in the store. */
@@ -37,6 +38,9 @@
         var firstStartAtMs: Long? = null
         var cancelledAtMs: Long? = null
 
+        /** When the last cancellation without an answer was sent after the job was accepted. */
+        var cancelSentAtMs: Long? = null
+
         /** True while a cancellation may have taken effect that was not confirmed. */
         var mayBeCancelled = false
         var reportedFinalState: JobState? = null
@@ -54,6 +58,11 @@
     private val failedEnds = HashMap<TaskId, Int>()
     private val crashes = HashMap<TaskId, Int>()
     private val startsAfterThirdCrash = HashMap<TaskId, Int>()
+    private val reportedEnds = HashSet<Pair<SimWorker, Long>>()
+
+    /** Number of counts of waiting jobs that were received while jobs had waited for long. */
+    var waitingCountChecks = 0
+        private set
     private val reportedUnasked = HashSet<Pair<TaskId, Long>>()
     val violations = ArrayList<String>()
     var isLateDelivery = false
@@ -107,7 +116,15 @@
     }
 
     fun onCancelSent(id: String) {
-        jobs.getValue(id).mayBeCancelled = true
+        val observed = jobs.getValue(id)
+        observed.mayBeCancelled = true
+        if (observed.acceptedAtMs != null) observed.cancelSentAtMs = observed.cancelSentAtMs ?: time.nowMs
+        events.publish(EventKind.CANCEL_SENT, id)
+    }
+
+    /** Called when an entry has carried out a cancellation of the job [id] or knows no such job, or the caller gives up. */
+    fun onCancelAnswered(id: String) {
+        jobs.getValue(id).cancelSentAtMs = null
     }
 
     /** Called when an entry has answered that the cancellation of the job [id] has no effect. */
@@ -121,19 +138,40 @@
         observed.cancelledAtMs = observed.cancelledAtMs ?: time.nowMs
     }
 
+    /**
+     * Checks that an end that a worker lists is acknowledged within [ACK_MS] while the worker, all entries and the store are in touch:
+     * one that is not keeps its effect from the job.
+     */
+    fun checkEnds(workers: Collection<SimWorker>) {
+        for (worker in workers.filter { it.isUp && it.unacknowledgedEnds.isNotEmpty() }) {
+            val inTouchSinceMs = contact.inTouchSinceMs(entryNames + worker.entry.id)
+            for ((end, endedAtMs) in worker.unacknowledgedEnds) {
+                if (time.nowMs - maxOf(endedAtMs, inTouchSinceMs) <= ACK_MS || !reportedEnds.add(worker to end.number)) continue
+                report("ACKS the end of ${end.task} run ${end.runNumber} on ${worker.entry.id} at $endedAtMs is not acknowledged")
+            }
+        }
+    }
+
+    /** Checks that callers who cancel accepted jobs have an answer within [ACK_MS] while all entries and the store are in touch. */
+    fun checkCancelAnswers() {
+        for ((id, observed) in jobs) {
+            val sentAtMs = observed.cancelSentAtMs ?: continue
+            if (time.nowMs - maxOf(sentAtMs, contact.inTouchSinceMs(entryNames)) <= ACK_MS) continue
+            observed.cancelSentAtMs = null
+            report("ACKS the cancellation of $id, sent at $sentAtMs, has no answer")
+        }
+    }
+
     /**
      * Checks that no run of a cancelled job goes on once it has to be stopped: [STOP_TIMEOUT_MS] after the grace period of the
-     * cancellation, or after the time that a worker has for a start that it received late, while its worker and [entries] are in touch.
+     * cancellation, or after the time that a worker has for a start that it received late, while its worker and all entries are in touch.
      */
-    fun checkCancelledJobs(
-        workers: Collection<SimWorker>,
-        entries: List<String>,
-    ) {
+    fun checkCancelledJobs(workers: Collection<SimWorker>) {
         for (worker in workers) {
             for (run in worker.runs) {
                 val cancelledAtMs = jobs[run.task.jobId]?.cancelledAtMs ?: continue
                 val graceEndsAtMs = maxOf(cancelledAtMs + CANCEL_GRACE_MS, if (run.isLate) run.startedAtMs + Contact.CONTACT_MS else 0)
-                val dueAtMs = maxOf(graceEndsAtMs, contact.inTouchSinceMs(entries + worker.entry.id)) + STOP_TIMEOUT_MS
+                val dueAtMs = maxOf(graceEndsAtMs, contact.inTouchSinceMs(entryNames + worker.entry.id)) + STOP_TIMEOUT_MS
                 if (time.nowMs <= dueAtMs || !reportedUnasked.add(run.task to run.number)) continue
                 report("UNASKED ${run.task} run ${run.number} on ${worker.entry.id} goes on, cancelled at $cancelledAtMs")
             }
@@ -191,11 +229,48 @@
             report("UNASKED $task starts after the grace period of its job's cancellation")
         }
         checkQuota(observed.submission, task)
+        checkDrain(worker, task)
         running[task] = worker
-        events.publish(EventKind.RUN_STARTED, task.jobId)
+        events.publish(EventKind.RUN_STARTED, task.jobId, worker)
         observed.firstStartAtMs = observed.firstStartAtMs ?: time.nowMs
     }
 
+    /** A worker that drains gets no start later than [DRAIN_MS] after entries in touch were told. */
+    private fun checkDrain(
+        worker: SimWorker,
+        task: TaskId,
+    ) {
+        val toldAtMs = worker.drainToldAtMs ?: return
+        val isInTouch = contact.inTouchSinceMs(entryNames + worker.entry.id) <= time.nowMs
+        if (isInTouch && !isLateDelivery && time.nowMs - toldAtMs > DRAIN_MS) {
+            report("DRAIN $task starts on ${worker.entry.id}, which has been known to drain since $toldAtMs")
+        }
+    }
+
+    /**
+     * Checks the number of jobs of [queueName] without a start that a caller receives now from an entry that it asked at [askedAtMs]:
+     * not less than half of the jobs that were accepted long before and have not begun.
+     */
+    fun onPendingReported(
+        queueName: String,
+        count: Int,
+        askedAtMs: Long,
+    ) {
+        if (contact.inTouchSinceMs(entryNames) > askedAtMs) return
+        val waiting =
+            jobs.values.count { job ->
+                val acceptedAtMs = job.acceptedAtMs
+                job.submission.queue.name == queueName &&
+                    acceptedAtMs != null &&
+                    askedAtMs - acceptedAtMs > VISIBLE_MS + COUNT_AGE_MS &&
+                    job.firstStartAtMs == null &&
+                    !job.mayBeCancelled &&
+                    job.cancelledAtMs == null
+            }
+        if (waiting > 0) waitingCountChecks++
+        if (2 * count < waiting) report("MIXED $queueName is said to have $count waiting jobs, and $waiting wait")
+    }
+
     /** A start may bring the running work of an account, on all workers, to at most its cap x 1.1 plus one task. */
     private fun checkQuota(
         submission: JobSubmission,
@@ -255,7 +330,7 @@
         kind: EndKind,
     ) {
         running.remove(run.task, worker)
-        events.publish(EventKind.RUN_ENDED, run.task.jobId)
+        events.publish(if (kind == EndKind.STOPPED) EventKind.RUN_STOPPED else EventKind.RUN_ENDED, run.task.jobId, worker)
         lastEndedAtMs[run.task] = time.nowMs
         if (kind == EndKind.FAILED) failedEnds.merge(run.task, 1, Int::plus)
         if (kind == EndKind.DONE) {
@@ -420,6 +495,18 @@
         /** Time within which a worker stops a run. */
         const val STOP_TIMEOUT_MS = 200L
 
+        /** Time from which a worker that is known to drain gets no start. */
+        const val DRAIN_MS = 2_000L
+
+        /** Time within which a cancellation is answered and an end acknowledged. */
+        const val ACK_MS = 4_000L
+
+        /** Time from which a job that was accepted is known. */
+        const val VISIBLE_MS = 3_000L
+
+        /** Greatest age of a count of waiting jobs. */
+        const val COUNT_AGE_MS = 2_000L
+
         /** Time after the end of a long-running task's last run from which its absence counts. */
         const val RESTART_GRACE_MS = 6_000L
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -252,12 +252,14 @@
     /** True to let workers answer holds as soon as a run ends, as real ones do, also while the entry that asked is frozen. */
     val workersPollThemselves: Boolean = false,
     val network: NetworkDelays = SHORT_DELAYS,
+    /** True if workers take some of the time that they have to stop a run. */
+    private val stopsTakeTime: Boolean = false,
     entryCount: Int = 3,
 ) {
     val random = Random(seed)
     val time = SimTime()
     val events = WorldEvents()
-    val checker = InvariantChecker(time, events, ::capsOf) { store.stateOf(it) }
+    val checker = InvariantChecker(time, events, List(entryCount) { "entry-$it" }, ::capsOf) { store.stateOf(it) }
     val store = SimStore(time, random)
     val entries = List(entryCount) { SimEntry("entry-$it", this, dataCentres?.get(it)) }
     private val pools = listOf(Pool("a", checksAdmission = true), Pool("b"), Pool("spare", isStandby = true))
@@ -281,6 +283,7 @@
     private val lostInstances = HashMap<String, Boolean>()
     private val submissions = ArrayList<JobSubmission>()
     private var workerCount = 0
+    val jobIds: List<String> get() = submissions.map { it.id }
 
     fun trace(
         entry: String,
@@ -323,6 +326,7 @@
 
     /** Puts [next] in force. */
     fun configure(next: Map<String, ClientAccount>?) {
+        events.publish(EventKind.CONFIGURED)
         val version = JobsConfiguration(configurations.size + 1L, emptyList(), pools.associateBy { it.name }, next)
         configurations.add(time.nowMs to version)
     }
@@ -345,7 +349,7 @@
     /** The worker that runs [task], or null. */
     fun workerOf(task: TaskId): SimWorker? = workers.values.firstOrNull { it.isUp && task in it.runningTasks }
 
-    fun listedWorkers(): List<WorkerEntry> = workers.values.filter { it.isUp && it.entry.id !in unlisted }.map { it.entry }
+    fun listedWorkers(): List<WorkerEntry> = workers.values.filter { it.isUp && it.entry.id !in unlisted }.map { it.listing }
 
     fun runPlanOf(task: TaskId): RunPlan {
         val submission = submissions.first { it.id == task.jobId }
@@ -430,11 +434,18 @@
         val instance = instances.getValue(instanceId)
         val id = "w-${workerCount++}"
         val entry = WorkerEntry(id, id, instance.pool, "dc", instanceId, CAPACITY, instance.labels, false, null, time.nowMs)
-        workers[id] = SimWorker(entry, time, if (random.nextBoolean()) 0.98 else 1.0, checker, longestLeaseMs)
+        workers[id] = newWorker(entry)
+        checker.contact.onDisrupted(id)
+        events.publish(EventKind.WORKER_JOINED, worker = workers[id])
         instances[instanceId] = instance.copy(state = InstanceState.UP, workerId = id)
         notifyOwners { it.onWorkerListed(entry) }
     }
 
+    private fun newWorker(entry: WorkerEntry): SimWorker {
+        val clockRate = if (random.nextBoolean()) 0.98 else 1.0
+        return SimWorker(entry, time, clockRate, checker, longestLeaseMs) { if (stopsTakeTime) random.nextLong(0, MAX_STOP_MS) else 0 }
+    }
+
     private fun notifyOwners(action: (Scheduler) -> Unit) {
         for (entry in entries) entry.loop.after(2) { entry.scheduler?.let(action) }
     }
@@ -442,10 +453,12 @@
     private fun tickWorkers() {
         workers.values.forEach { it.tick() }
         recordDisruptions()
-        checker.checkCancelledJobs(workers.values, entries.map { it.name })
+        checker.checkCancelledJobs(workers.values)
         if ((time.nowMs / TICK_MS) % CHECK_INTERVAL_TICKS == 0L) {
-            val usable = workers.values.filter { it.isUp && it.isReachable && it.entry.id !in unlisted && !it.entry.isDraining }
+            val usable = workers.values.filter { it.isUp && it.isReachable && it.entry.id !in unlisted && !it.isDraining }
             checker.checkLongRunningTasks(usable, isDisrupted())
+            checker.checkEnds(workers.values)
+            checker.checkCancelAnswers()
         }
         time.after(TICK_MS) { tickWorkers() }
     }
@@ -458,14 +471,14 @@
         workers.values.filter { !it.isUp || !it.isReachable || losesMessages }.forEach { contact.onDisrupted(it.entry.id) }
     }
 
-    /** True while a fault is active; a worker that has crashed counts as one until [crashesOverAtMs]. */
+    /** True while a fault is active; a worker that has crashed or left counts as one until [crashesOverAtMs]. */
     private fun isDisrupted(): Boolean =
         time.nowMs < crashesOverAtMs ||
             store.isDown ||
             store.lostAnswerRatio > 0 ||
             lateDeliveryRatio > 0 ||
             time.nowMs < lateDeliveriesOverAtMs ||
-            workers.values.any { it.isUp && !it.isReachable } ||
+            workers.values.any { it.isUp && (!it.isReachable || it.isDraining) } ||
             entries.any { it.isDisrupted }
 
     fun instancesFor(entry: SimEntry): InstanceService =
@@ -546,6 +559,7 @@
     fun register(submission: JobSubmission) {
         submissions.add(submission)
         checker.onSubmitted(submission)
+        events.publish(EventKind.JOB_SENT, submission.id)
     }
 
     private fun newSubmission(): JobSubmission {
@@ -622,19 +636,26 @@
         id: String,
         attemptsLeft: Int = 1,
     ) {
-        val entry = entries.filter { it.isUp }.randomOrNull(random) ?: return
         var isAnswered = false
         checker.onCancelSent(id)
-        entry.ask(JobRequest.Cancel(id, queueOf(id).name)) {
+        entries.filter { it.isUp }.randomOrNull(random)?.ask(JobRequest.Cancel(id, queueOf(id).name)) {
+            if (it is CallerAnswer.Applied || it is CallerAnswer.NotFound) checker.onCancelAnswered(id)
             isAnswered = isAnswered || it is CallerAnswer.Applied || it is CallerAnswer.NotFound
             if (it is CallerAnswer.Applied) checker.onCancelled(id)
             if (it is CallerAnswer.NotApplied || it is CallerAnswer.NotFound) checker.onCancelRefused(id)
         }
-        if (attemptsLeft > 1) time.after(CANCEL_RETRY_MS) { if (!isAnswered) cancel(id, attemptsLeft - 1) }
+        time.after(CANCEL_RETRY_MS) {
+            if (attemptsLeft == 1) {
+                checker.onCancelAnswered(id)
+            } else if (!isAnswered) {
+                cancel(id, attemptsLeft - 1)
+            }
+        }
     }
 
     private fun askState(submission: JobSubmission) {
         val askedAtMs = time.nowMs
+        events.publish(EventKind.STATE_ASKED, submission.id)
         entries.filter { it.isUp }.randomOrNull(random)?.ask(JobRequest.State(submission.id, submission.queue.name)) {
             if (it is CallerAnswer.State) checker.onStateReported(submission.id, it.state, askedAtMs)
             if (it is CallerAnswer.NotFound) checker.onStateReported(submission.id, null, askedAtMs)
@@ -696,6 +717,7 @@
         downMs: Long,
         unreachableMs: Long = 0,
     ) {
+        events.publish(EventKind.WORKER_RESTARTED, worker = worker)
         trace("world", "worker_restarts", arrayOf<Any?>(worker.entry.id, downMs))
         checker.onWorkerCrashed(worker)
         worker.kill()
@@ -705,7 +727,7 @@
             val isReplaced = instances[worker.entry.instanceId]?.workerId != worker.entry.id
             if (!isReplaced && workers[worker.entry.id] === worker) {
                 val entry = worker.entry.copy(bornWallMs = time.nowMs)
-                val next = SimWorker(entry, time, if (random.nextBoolean()) 0.98 else 1.0, checker, longestLeaseMs)
+                val next = newWorker(entry)
                 workers[entry.id] = next
                 if (unreachableMs == 0L) listWorker(next) else listOnceReachable(next, unreachableMs)
             }
@@ -754,6 +776,7 @@
         downMs: Long,
     ) {
         if (!entry.isUp) return
+        events.publish(EventKind.ENTRY_RESTARTED)
         if (random.nextInt(3) == 0) entry.shutDown() else entry.kill()
         time.after(maxOf(1_600, downMs)) { if (!entry.isUp) entry.boot() }
     }
@@ -762,12 +785,16 @@
     fun isolate(
         entry: SimEntry,
         durationMs: Long,
-    ) = during(durationMs, { entry.setIsolated(true) }, { entry.setIsolated(false) })
+    ) {
+        events.publish(EventKind.ENTRY_ISOLATED)
+        during(durationMs, { entry.setIsolated(true) }, { entry.setIsolated(false) })
+    }
 
     fun freeze(
         entry: SimEntry,
         durationMs: Long,
     ) {
+        events.publish(EventKind.ENTRY_FROZEN)
         trace("world", "entry_frozen", arrayOf<Any?>(entry.name, durationMs))
         entry.loop.frozenUntilMs = time.nowMs + durationMs
         if (random.nextBoolean()) entry.loop.suspendedMs += durationMs
@@ -782,6 +809,7 @@
         worker: SimWorker,
         durationMs: Long,
     ) {
+        events.publish(EventKind.WORKER_CUT_OFF, worker = worker)
         trace("world", "worker_partitioned", arrayOf<Any?>(worker.entry.id, durationMs))
         during(durationMs, { worker.isReachable = false }, { worker.isReachable = true })
         time.after(minOf(durationMs, UNLISTED_AFTER_MS)) { if (!worker.isReachable) unlistWorker(worker) }
@@ -793,6 +821,7 @@
         durationMs: Long,
     ) {
         val instanceId = checkNotNull(worker.entry.instanceId)
+        events.publish(EventKind.WORKER_CRASHED, worker = worker)
         trace("world", "worker_crashed", arrayOf<Any?>(worker.entry.id, instanceId, durationMs))
         checker.onWorkerCrashed(worker)
         worker.kill()
@@ -801,6 +830,64 @@
         time.after(durationMs) { if (instances.getValue(instanceId).workerId == worker.entry.id) startWorker(instanceId) }
     }
 
+    /** Announces that [worker] leaves, which it does [leavesAfterMs] after the time that it owes; another one joins on its instance. */
+    fun drain(
+        worker: SimWorker,
+        leavesAfterMs: Long,
+    ) {
+        if (worker.isDraining) return
+        val instanceId = checkNotNull(worker.entry.instanceId)
+        events.publish(EventKind.WORKER_DRAINED, worker = worker)
+        trace("world", "worker_drains", arrayOf<Any?>(worker.entry.id, leavesAfterMs))
+        worker.isDraining = true
+        for (entry in entries) entry.loop.after(2) { worker.drainToldAtMs = worker.drainToldAtMs ?: time.nowMs }
+        listWorker(worker)
+        time.after(DRAIN_MS + leavesAfterMs) {
+            if (worker.isUp) {
+                worker.kill()
+                crashesOverAtMs = maxOf(crashesOverAtMs, time.nowMs + LEFT_FOR_MS)
+                unlistWorker(worker)
+                time.after(LEFT_FOR_MS) { if (instances.getValue(instanceId).workerId == worker.entry.id) startWorker(instanceId) }
+            }
+        }
+    }
+
+    /** Delivers a share of the orders late for [durationMs]. */
+    fun delayOrders(durationMs: Long) {
+        events.publish(EventKind.ORDERS_LATE)
+        during(durationMs, { lateDeliveryRatio = 0.7 }, { lateDeliveryRatio = 0.0 })
+    }
+
+    fun loseStoreAnswers(durationMs: Long) {
+        events.publish(EventKind.STORE_DISRUPTED)
+        during(durationMs, { store.lostAnswerRatio = 0.5 }, { store.lostAnswerRatio = 0.0 })
+    }
+
+    fun takeStoreDown(durationMs: Long) {
+        events.publish(EventKind.STORE_DISRUPTED)
+        during(durationMs, { store.isDown = true }, { store.isDown = false })
+    }
+
+    /** Asks each entry for the numbers of waiting jobs. */
+    fun askPending() {
+        val askedAtMs = time.nowMs
+        for (entry in entries.filter { it.isUp }) {
+            for (queueName in listOf("queue-a", "queue-b")) {
+                entry.ask(JobRequest.Pending(queueName)) {
+                    if (it is CallerAnswer.Pending) checker.onPendingReported(queueName, it.count, askedAtMs)
+                }
+            }
+        }
+    }
+
+    /** Sends the job [id], which was sent before, once more. */
+    fun resend(id: String) {
+        events.publish(EventKind.JOB_SENT, id)
+        entries.filter { it.isUp }.randomOrNull(random)?.ask(JobRequest.Submit(submissions.first { it.id == id })) {}
+    }
+
+    fun askState(id: String) = askState(submissions.first { it.id == id })
+
     private fun unlistWorker(worker: SimWorker) {
         unlisted.add(worker.entry.id)
         trace("world", "worker_unlisted", arrayOf<Any?>(worker.entry.id))
@@ -810,7 +897,7 @@
     private fun listWorker(worker: SimWorker) {
         unlisted.remove(worker.entry.id)
         trace("world", "worker_listed", arrayOf<Any?>(worker.entry.id))
-        notifyOwners { it.onWorkerListed(worker.entry) }
+        notifyOwners { it.onWorkerListed(worker.listing) }
     }
 
     private fun clearFaults() {
@@ -841,6 +928,13 @@
         const val RECOVERY_MS = 45_000L
         const val TICK_MS = 10L
 
+        /** Longest time of a stop, less the tick at which it ends. */
+        const val MAX_STOP_MS = 190L
+        const val DRAIN_MS = 2_000L
+
+        /** Time after which another worker joins in the place of one that has left. */
+        const val LEFT_FOR_MS = 1_500L
+
         /** Time after which a caller repeats a cancellation that was not answered. */
         const val CANCEL_RETRY_MS = 1_000L
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -25,6 +25,8 @@
     private val clockRate: Double,
     private val checker: InvariantChecker,
     val longestLeaseMs: Long = MAX_LEASE_MS,
+    /** The time that the next stop takes. */
+    private val stopMs: () -> Long = { 0 },
 ) {
     class Run(
         val task: TaskId,
@@ -35,17 +37,30 @@
         val demand: Demand,
         /** True if the start was delivered late. */
         val isLate: Boolean,
-    )
+    ) {
+        /** When a stop that was ordered ends the run. */
+        var stopsAtMs: Long? = null
+    }
 
     private val bootedAtMs = time.nowMs
     private val running = LinkedHashMap<TaskId, Run>()
-    private val ended = ArrayList<EndRow>()
+    private val ended = ArrayList<Pair<EndRow, Long>>()
+
+    /** The ends that the worker lists, with the times at which they came. */
+    val unacknowledgedEnds: List<Pair<EndRow, Long>> get() = ended
     private val highestEndedRun = HashMap<TaskId, Long>()
     private var endCount = 0L
     private var fence = 0L
     private var expiresAtClockMs = 0L
     var isUp = true
     var isReachable = true
+    var isDraining = false
+
+    /** When the first entry was told that the worker drains. */
+    var drainToldAtMs: Long? = null
+
+    /** The worker's row in discovery. */
+    val listing: WorkerEntry get() = entry.copy(isDraining = isDraining)
     val runs: Collection<Run> get() = running.values
     val runningTasks: Set<TaskId> get() = running.keys
     val free: Demand get() = running.values.fold(entry.capacity) { free, run -> free - run.demand }
@@ -55,6 +70,7 @@
     fun tick() {
         if (!isUp) return
         for (run in running.values.filter { time.nowMs >= it.endsAtMs }) end(run, run.kind)
+        for (run in running.values.filter { run -> run.stopsAtMs.let { it != null && time.nowMs >= it } }) end(run, EndKind.STOPPED)
         if (clockMs > expiresAtClockMs) running.values.toList().forEach { end(it, EndKind.LAPSED) }
     }
 
@@ -93,7 +109,10 @@
         if (order.fence < fence) return WorkerAnswer.Refused(StartRefusal.FENCE, clockMs)
         fence = order.fence
         val run = running[order.task]
-        if (run != null && run.number <= order.runNumber) end(run, EndKind.STOPPED)
+        if (run != null && run.number <= order.runNumber && run.stopsAtMs == null) {
+            val takesMs = stopMs()
+            if (takesMs == 0L) end(run, EndKind.STOPPED) else run.stopsAtMs = time.nowMs + takesMs
+        }
         highestEndedRun.merge(order.task, order.runNumber, ::maxOf)
         return WorkerAnswer.Done(clockMs)
     }
@@ -106,15 +125,15 @@
             checker.onLeaseOrdered(this, it - clockMs)
             extend(it)
         }
-        for (end in ended.filter { it.number <= order.acknowledgedEnd }) checker.onEndAcknowledged(end)
-        ended.removeAll { it.number <= order.acknowledgedEnd }
+        for ((end, _) in ended.filter { (end, _) -> end.number <= order.acknowledgedEnd }) checker.onEndAcknowledged(end)
+        ended.removeAll { (end, _) -> end.number <= order.acknowledgedEnd }
         val rows = running.values.map { RunningRow(it.task, it.number, "", 100) }
-        return WorkerAnswer.Listed(clockMs, entry.bornWallMs, rows, ended.toList())
+        return WorkerAnswer.Listed(clockMs, entry.bornWallMs, rows, ended.map { it.first })
     }
 
     fun hasEndAfter(number: Long): Boolean {
         tick()
-        return ended.any { it.number > number }
+        return ended.any { (end, _) -> end.number > number }
     }
 
     private fun extend(expiresAtMs: Long) {
@@ -128,7 +147,7 @@
         running.remove(run.task)
         highestEndedRun.merge(run.task, run.number, ::maxOf)
         endCount++
-        ended.add(EndRow(endCount, run.task, run.number, kind, ""))
+        ended.add(EndRow(endCount, run.task, run.number, kind, "") to time.nowMs)
         checker.onEnd(this, run, kind)
     }
 
@@ -175,7 +194,10 @@
         onAnswer: (WorkerAnswer) -> Unit,
     ) {
         val sent = world.tampering.start(order)
-        send(entry, { world.start(it, sent) }, onAnswer)
+        send(entry, { world.start(it, sent) }, onAnswer = { answer ->
+            world.events.publish(EventKind.START_ANSWERED, order.task.jobId, world.worker(entry.id))
+            onAnswer(answer)
+        })
     }
 
     override fun stop(
@@ -252,7 +274,7 @@
                 entry.loop.after(TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("no answer", mayBeCarriedOut = true)) }
             } else {
                 entry.loop.after(world.network.nextMs(random)) {
-                    if (answer is WorkerAnswer.Listed) world.events.onListed(answer.running)
+                    if (answer is WorkerAnswer.Listed) world.events.onListed(worker, answer.running)
                     onAnswer(answer)
                 }
             }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldEvents.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldEvents.kt
@@ -19,24 +19,90 @@
 
     /** An entry begins to schedule. */
     OWNER_CHANGED,
+    JOB_SENT,
+    CANCEL_SENT,
+    STATE_ASKED,
+    START_ANSWERED,
+    RUN_STOPPED,
+    ENTRY_RESTARTED,
+    ENTRY_FROZEN,
+    ENTRY_ISOLATED,
+    WORKER_CUT_OFF,
+    WORKER_CRASHED,
+    WORKER_RESTARTED,
+    WORKER_DRAINED,
+    WORKER_JOINED,
+    ORDERS_LATE,
+    STORE_DISRUPTED,
+    CONFIGURED,
 }
 
+/** What happens now, and the job and the worker that it concerns, if any. */
+internal class WorldEvent(
+    val kind: EventKind,
+    val jobId: String? = null,
+    val worker: SimWorker? = null,
+)
+
 internal class WorldEvents {
-    private val listeners = ArrayList<(EventKind, String?) -> Unit>()
+    private val listeners = ArrayList<(WorldEvent) -> Unit>()
     private val listedRuns = HashSet<Pair<TaskId, Long>>()
 
-    /** Calls [listener] with each event and the job that it concerns, null for events of owners. */
-    fun listen(listener: (EventKind, String?) -> Unit) {
+    /** Calls [listener] with each event. */
+    fun listen(listener: (WorldEvent) -> Unit) {
         listeners.add(listener)
     }
 
-    /** Called with the runs of a list that reaches an entry. */
-    fun onListed(rows: List<RunningRow>) {
-        for (row in rows) if (listedRuns.add(row.task to row.runNumber)) publish(EventKind.RUN_LISTED, row.task.jobId)
+    /** Called with the runs of a list of [worker] that reaches an entry. */
+    fun onListed(
+        worker: SimWorker,
+        rows: List<RunningRow>,
+    ) {
+        for (row in rows) if (listedRuns.add(row.task to row.runNumber)) publish(EventKind.RUN_LISTED, row.task.jobId, worker)
     }
 
     fun publish(
         kind: EventKind,
         jobId: String? = null,
-    ) = listeners.forEach { it(kind, jobId) }
+        worker: SimWorker? = null,
+    ) {
+        if (listeners.isEmpty()) return
+        val event = WorldEvent(kind, jobId, worker)
+        listeners.forEach { it(event) }
+    }
+}
+
+/** Counts ordered pairs of events within [WITHIN_MS] that can concern each other: of one job, of one worker, or one of them of all. */
+internal class EventPairs(
+    private val time: SimTime,
+) {
+    private val recent = ArrayDeque<Pair<Long, WorldEvent>>()
+    private val counts = HashMap<Pair<EventKind, EventKind>, Int>()
+
+    fun onEvent(event: WorldEvent) {
+        while (recent.isNotEmpty() && recent.first().first < time.nowMs - WITHIN_MS) recent.removeFirst()
+        recent
+            .filter { (_, earlier) -> mayConcern(earlier, event) }
+            .mapTo(HashSet()) { (_, earlier) -> earlier.kind to event.kind }
+            .forEach { counts.merge(it, 1, Int::plus) }
+        recent.addLast(time.nowMs to event)
+    }
+
+    private fun mayConcern(
+        earlier: WorldEvent,
+        later: WorldEvent,
+    ): Boolean {
+        val isGeneral = listOf(earlier, later).any { it.jobId == null && it.worker == null }
+        val isSameJob = earlier.jobId != null && earlier.jobId == later.jobId
+        val isSameWorker = earlier.worker != null && earlier.worker === later.worker && (earlier.jobId == null || later.jobId == null)
+        return isGeneral || isSameJob || isSameWorker
+    }
+
+    /** Adds the counts of this history to [totals]. */
+    fun addTo(totals: MutableMap<Pair<EventKind, EventKind>, Int>) =
+        counts.forEach { (pair, count) -> totals.merge(pair, count, Int::plus) }
+
+    companion object {
+        const val WITHIN_MS = 50L
+    }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
@@ -1,7 +1,7 @@
 /*
  * Runs the simulation by hand: `WorldMainKt FIRST LAST [WORKLOAD [LEASE_MS [POOL_DECISIONS]]]` prints the violations of a range of
  * seeds, and the decisions as well if the range has a single seed. WORKLOAD is one of [Workload], where EARLY_CANCELS includes the
- * cancellations of [EarlyCancels] and messages that overtake each other, or LATE_ORDERS for the faults of
+ * cancellations of [EarlyCancels] and messages that overtake each other, COINCIDENCES for [Coincidences] beside these, with COINCIDENCES_SAME_IDS for workers that restart under their id, or LATE_ORDERS for the faults of
  * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids. POOL_DECISIONS true switches on the optional decisions on pools.
  */
 package io.corianderrock.jobs.world
@@ -17,6 +17,8 @@
         keepsUsableInstances = true,
     )
 
+private const val COINCIDENCES = "COINCIDENCES"
+private const val COINCIDENCES_SAME_IDS = "COINCIDENCES_SAME_IDS"
 private const val LATE_ORDERS = "LATE_ORDERS"
 private const val LATE_ORDERS_NEW_IDS = "LATE_ORDERS_NEW_IDS"
 
@@ -33,6 +35,8 @@
     ): JobWorld =
         if (workload == Workload.EARLY_CANCELS.name) {
             earlyCancelWorld(seed, settings, traces)
+        } else if (workload == COINCIDENCES || workload == COINCIDENCES_SAME_IDS) {
+            coincidenceWorld(seed, keepsIds = workload == COINCIDENCES_SAME_IDS, settings, traces)
         } else if (workload == LATE_ORDERS || workload == LATE_ORDERS_NEW_IDS) {
             lateOrderWorld(seed, keepsIds = workload == LATE_ORDERS, longestLeaseMs, settings, traces)
         } else {
@@ -46,11 +50,29 @@
         return
     }
     val startNs = System.nanoTime()
-    val found = (first..last).associateWith { seed -> world(seed).run().violations.toList() }.filterValues { it.isNotEmpty() }
+    val pairCounts = HashMap<Pair<EventKind, EventKind>, Int>()
+    val found =
+        (first..last)
+            .associateWith { seed ->
+                val world = world(seed)
+                val pairs = EventPairs(world.time).also { world.events.listen(it::onEvent) }
+                world
+                    .run()
+                    .violations
+                    .toList()
+                    .also { pairs.addTo(pairCounts) }
+            }.filterValues { it.isNotEmpty() }
     found.forEach { (seed, violations) -> violations.forEach { println("seed $seed: $it") } }
     println(
         "${last - first + 1} seeds, ${found.size} fail, ${found.values.sumOf {
             it.size
         }} violations, ${(System.nanoTime() - startNs) / 1_000_000} ms",
     )
+    val most = EventKind.entries.size * EventKind.entries.size
+    println(
+        "pairs of events within ${EventPairs.WITHIN_MS} ms: ${pairCounts.size} of $most kinds, ${pairCounts.values.count {
+            it >= 10
+        }} ten times",
+    )
+    println(pairCounts.entries.sortedBy { it.value }.joinToString(", ") { "${it.key.first}-${it.key.second} ${it.value}" })
 }
