--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -163,7 +163,10 @@
     ): Boolean =
         when (task.phase) {
             TaskPhase.WAITING -> !task.stepRun.step.isGang || row.runNumber > task.runNumber
-            TaskPhase.RUNNING -> task.worker === worker && !task.stepRun.step.isGang && task.id !in worker.unsettledStarts.lastRuns(loop.nowMs)
+            TaskPhase.RUNNING ->
+                task.worker === worker &&
+                    !task.stepRun.step.isGang &&
+                    task.id !in worker.unsettledStarts.lastRuns(loop.nowMs)
             else -> false
         }
 
