Check an order to an instance again when it is sent

What callers saw: none reported. A move or an upkeep was to end a run that had begun after the order was decided on (AVAIL, lost work).

Cause: an order is sent once its row is stored, some tens to some hundred milliseconds after its instance was found empty. In between a late start may be adopted, or the instance may have another worker; only the ownership and the time were checked again.

The order is now given up, as one that was refused, if the worker of the instance is another one or has got runs.

Evidence: two tests of OrderedInstanceTest failed before (the order was sent) and pass now.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -277,7 +277,10 @@
         val applyTo: (Instance) -> Instance,
     )
 
-    /** Stores [order] and then sends it with [callService], unless the ownership has become uncertain meanwhile. */
+    /**
+     * Stores [order] and then sends it with [callService], unless the ownership has become uncertain meanwhile or the instance is not as
+     * it was when the order was decided on: the order would end runs that have begun since.
+     */
     private fun send(
         view: InstanceView,
         order: Order,
@@ -285,6 +288,7 @@
         callService: ((InstanceOrderAnswer) -> Unit) -> Unit,
     ) {
         val worker = workerOf(view)
+        val wasEmpty = worker?.isEmpty == true
         ledger.onLeaving(view.instance.id)
         view.isOrdered = true
         view.movingTo = order.moveTo
@@ -299,9 +303,11 @@
             onDone(answer)
         }
         orders.record(view.instance.id, order.waveNumber) { isInTime ->
+            val current = workerOf(view)
             when {
                 !mayOrder() -> onAnswer(InstanceOrderAnswer.Refused(UNCERTAIN_OWNERSHIP))
                 !isInTime -> onAnswer(InstanceOrderAnswer.Refused(STORED_TOO_LATE))
+                current !== worker || wasEmpty && current?.isEmpty == false -> onAnswer(InstanceOrderAnswer.Refused(WORKER_CHANGED))
                 else -> callService(onAnswer)
             }
         }
@@ -347,6 +353,7 @@
     private companion object {
         const val UNCERTAIN_OWNERSHIP = "the ownership became uncertain before the order was sent"
         const val STORED_TOO_LATE = "the order took too long to store"
+        const val WORKER_CHANGED = "the worker of the instance is another one or has got runs since the order was decided on"
 
         /** Least time that an instance stays in a pool after joining it. */
         const val MIN_STAY_MS = 1_500L
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
@@ -0,0 +1,126 @@
+/*
+ * Orders to instances, which end all runs there. Guards against orders that are sent although the reasons for them have gone while they
+ * were being stored, and against workers that join an ordered instance and get tasks, which the order then ends (AVAIL, lost work).
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.OwnerOfOneWorker.Companion.INSTANCE
+import io.corianderrock.jobs.OwnerOfOneWorker.Companion.POOL
+import io.corianderrock.jobs.OwnerOfOneWorker.Companion.SETTLE_MS
+import io.corianderrock.jobs.fleet.CordonReason
+import io.corianderrock.jobs.fleet.FleetController
+import io.corianderrock.jobs.fleet.InstanceListing
+import io.corianderrock.jobs.fleet.InstanceOrders
+import io.corianderrock.jobs.fleet.PoolDemand
+import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.placement.RunTimeEstimator
+import io.corianderrock.jobs.ports.Instance
+import io.corianderrock.jobs.ports.InstanceOrderAnswer
+import io.corianderrock.jobs.ports.InstanceService
+import io.corianderrock.jobs.ports.InstanceState
+import io.corianderrock.jobs.runs.JobRegistry
+import io.corianderrock.jobs.runs.StoreClock
+import io.corianderrock.jobs.runtimes.MeanRunTimes
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobsConfiguration
+import io.corianderrock.jobs.state.Pool
+import io.corianderrock.jobs.world.SimLoop
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.booleans.shouldBeFalse
+import io.kotest.matchers.booleans.shouldBeTrue
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.nulls.shouldBeNull
+
+internal class OrderedInstanceTest :
+    DescribeSpec({
+        describe("an order that is being stored") {
+            it("is sent if the worker of its instance is empty still") {
+                val fleet = OrderedFleet()
+                fleet.maintain()
+                fleet.owner.pass(ANSWERED_MS)
+                fleet.sent shouldContainExactly listOf(INSTANCE)
+            }
+
+            // Guards against an order that ends a run which its worker was found to have after the order was decided on (AVAIL).
+            it("is given up if its worker has got a run meanwhile, and may be repeated later (AVAIL)") {
+                val fleet = OrderedFleet()
+                fleet.maintain()
+                fleet.owner.startTask()
+                fleet.owner.pass(ANSWERED_MS)
+                fleet.sent.shouldBeEmpty()
+                fleet.view.isOrdered.shouldBeFalse()
+            }
+
+            // Guards against an order that is judged by a worker that has ended, while the next one on its instance has runs (AVAIL).
+            it("is given up if its instance has another worker meanwhile (AVAIL)") {
+                val fleet = OrderedFleet()
+                fleet.maintain()
+                fleet.owner.listOther(bornWallMs = fleet.owner.time.nowMs)
+                fleet.owner.pass(ANSWERED_MS)
+                fleet.sent.shouldBeEmpty()
+            }
+        }
+    })
+
+/** In this time an order is stored, sent and answered. */
+private const val ANSWERED_MS = 1_000L
+
+/** Longer than an upkeep takes, as for a process that was suspended meanwhile. */
+private const val LATE_ANSWER_MS = 3_000L
+
+/** The fleet of an owner with one worker on one instance. */
+private class OrderedFleet(
+    private val answerAfterMs: Long = 3,
+) : InstanceService {
+    val owner = OwnerOfOneWorker()
+    val loop = SimLoop(owner.time)
+    private val registry = JobRegistry(loop, owner.committer, { _, _ -> })
+    private val row = OwnerRow("e", "e", 2, 1)
+    var listed = Instance(INSTANCE, POOL, InstanceState.UP, "dc", emptyList(), Demand(8_000, 32_000), OwnerOfOneWorker.WORKER)
+    val sent = ArrayList<String>()
+    val answers = ArrayList<InstanceOrderAnswer>()
+    val controller =
+        FleetController(
+            loop = loop,
+            service = this,
+            driver = owner.driver,
+            log = { _, _ -> },
+            orders = InstanceOrders(loop, owner.committer, { _, _ -> }, row, false, StoreClock(loop), keepMs = 4_100, inheritedUntilMs = 0),
+            token = 2,
+            demand = PoolDemand(loop, registry, RunTimeEstimator(MeanRunTimes())),
+            capacityShortageMs = { 0 },
+            configuration = { JobsConfiguration(1, emptyList(), listOf(Pool(POOL), Pool("spare", isStandby = true)).associateBy { it.name }) },
+            mayOrder = { true },
+        )
+    val view get() = checkNotNull(controller.find(INSTANCE))
+
+    init {
+        controller.tick()
+        owner.pass(SETTLE_MS)
+    }
+
+    fun maintain() = controller.maintain(view, waveNumber = 1) { answers.add(it) }
+
+    override fun list(onResult: (List<Instance>?) -> Unit) {
+        val instance = listed
+        loop.after(3) { onResult(listOf(instance)) }
+    }
+
+    override fun move(
+        instanceId: String,
+        pool: String,
+        token: Long,
+        onAnswer: (InstanceOrderAnswer) -> Unit,
+    ) = error("no move was expected")
+
+    override fun maintain(
+        instanceId: String,
+        waveNumber: Int,
+        token: Long,
+        onAnswer: (InstanceOrderAnswer) -> Unit,
+    ) {
+        sent.add(instanceId)
+        loop.after(answerAfterMs) { onAnswer(InstanceOrderAnswer.Accepted) }
+    }
+}
