Cordon a worker that joins an instance while an order to it is open

What callers saw: none reported. Tasks could be placed on a worker that was listed on an instance with an order on its way, which then ended them (AVAIL, lost work); and a worker could stay cordoned for good and get no task (LOST).

Cause: an order cordons the worker that its instance has when it is decided on. One that is listed later was cordoned only if the instance had a cordon of its own, and then by the next fleet tick; and the answer to the order lifted the instance's cordon, not the worker's.

A worker is cordoned when it is listed while an order to its instance is open, before tasks can be placed. After each answer the cordon of the instance's worker follows that of the instance.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -11,6 +11,7 @@
 import io.corianderrock.jobs.ports.InstanceOrderAnswer
 import io.corianderrock.jobs.ports.InstanceService
 import io.corianderrock.jobs.ports.InstanceState
+import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.runs.SchedulingSettings
 import io.corianderrock.jobs.runs.WorkerDriver
 import io.corianderrock.jobs.state.Demand
@@ -106,6 +107,12 @@
         for (view in byId.values) if (view.cordonReason != null) workerOf(view)?.isCordoned = true
     }
 
+    /** Called when discovery has listed [entry], before tasks can be placed on its worker: an open order may end them. */
+    fun onWorkerListed(entry: WorkerEntry) {
+        val view = entry.instanceId?.let(::find) ?: return
+        if (view.isOrdered) workerOf(view)?.isCordoned = true
+    }
+
     /** Evicts tasks that can resume elsewhere; long-running ones only while some pool lacks instances. */
     private fun drain(
         view: InstanceView,
@@ -329,7 +336,6 @@
             is InstanceOrderAnswer.Accepted -> onAccepted()
             is InstanceOrderAnswer.Refused -> {
                 view.retryAtMs = loop.nowMs + REFUSED_RETRY_MS
-                workerOf(view)?.isCordoned = view.cordonReason != null
             }
             is InstanceOrderAnswer.Unanswered -> {
                 view.retryAtMs = loop.nowMs + LOST_RETRY_MS
@@ -337,6 +343,7 @@
                 if (view.cordonReason == null) cordon(view, CordonReason.SURPLUS)
             }
         }
+        workerOf(view)?.isCordoned = view.cordonReason != null
     }
 
     private fun capacityOf(pool: String): Demand =
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -156,7 +156,9 @@
 
     /** Called when discovery adds or changes [entry]. */
     public fun onWorkerListed(entry: WorkerEntry) {
-        if (!isClosed) driver.onListed(entry)
+        if (isClosed) return
+        driver.onListed(entry)
+        fleet.onWorkerListed(entry)
     }
 
     /** Called when discovery removes [workerId]. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
@@ -9,7 +9,6 @@
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.SETTLE_MS
 import io.corianderrock.jobs.fleet.CordonReason
 import io.corianderrock.jobs.fleet.FleetController
-import io.corianderrock.jobs.fleet.InstanceListing
 import io.corianderrock.jobs.fleet.InstanceOrders
 import io.corianderrock.jobs.fleet.PoolDemand
 import io.corianderrock.jobs.ownership.OwnerRow
@@ -30,7 +29,6 @@
 import io.kotest.matchers.booleans.shouldBeTrue
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
-import io.kotest.matchers.nulls.shouldBeNull
 
 internal class OrderedInstanceTest :
     DescribeSpec({
@@ -61,6 +59,34 @@
                 fleet.sent.shouldBeEmpty()
             }
         }
+        describe("a worker that is listed on an instance while an order to that is open") {
+            // Guards against tasks that are placed on a worker which its instance's order is about to end (AVAIL).
+            it("is cordoned before a task can be placed there, until the order is answered (AVAIL)") {
+                val fleet = OrderedFleet()
+                fleet.maintain()
+                val entry = fleet.owner.entry().copy(id = "other", bornWallMs = fleet.owner.time.nowMs)
+                fleet.owner.driver.onListed(entry)
+                fleet.controller.onWorkerListed(entry)
+                val other = checkNotNull(fleet.owner.driver.find("other"))
+                other.isCordoned.shouldBeTrue()
+                fleet.owner.pass(ANSWERED_MS)
+                other.isCordoned.shouldBeFalse()
+            }
+
+            // Guards against a cordon that nobody lifts, so that the worker gets no tasks for good (LOST).
+            it("is not cordoned any more once the order is accepted (LOST)") {
+                val fleet = OrderedFleet(answerAfterMs = LATE_ANSWER_MS)
+                fleet.controller.cordon(fleet.view, CordonReason.MAINTENANCE)
+                fleet.maintain()
+                fleet.owner.pass(ANSWERED_MS)
+                val entry = fleet.owner.entry().copy(id = "other", bornWallMs = fleet.owner.time.nowMs)
+                fleet.owner.driver.onListed(entry)
+                fleet.controller.tick()
+                fleet.owner.pass(LATE_ANSWER_MS)
+                fleet.answers shouldContainExactly listOf(InstanceOrderAnswer.Accepted)
+                checkNotNull(fleet.owner.driver.find("other")).isCordoned.shouldBeFalse()
+            }
+        }
     })
 
 /** In this time an order is stored, sent and answered. */
@@ -74,7 +100,7 @@
     private val answerAfterMs: Long = 3,
 ) : InstanceService {
     val owner = OwnerOfOneWorker()
-    val loop = SimLoop(owner.time)
+    private val loop = SimLoop(owner.time)
     private val registry = JobRegistry(loop, owner.committer, { _, _ -> })
     private val row = OwnerRow("e", "e", 2, 1)
     var listed = Instance(INSTANCE, POOL, InstanceState.UP, "dc", emptyList(), Demand(8_000, 32_000), OwnerOfOneWorker.WORKER)
