Lift the cordon of an unanswered move once a list shows it carried out

What callers saw: none reported. An instance that was ordered into a pool with a lost answer joined it cordoned, and got no task until the pool lacked instances (LOST, late work).

Cause: an order without an answer cordons the instance until a list shows the outcome. The list ended the doubt and not the cordon.

A list that shows the instance on its way, or in another pool, now ends the cordon, as an accepted order does. That of a wave stays, as the wave has yet to learn that the upkeep was accepted.

Evidence: the test of OrderedInstanceTest failed before (the cordon was still SURPLUS) and passes now.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceListing.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceListing.kt
@@ -54,7 +54,7 @@
         for (instance in instances) {
             val view = views.getOrPut(instance.id) { InstanceView(instance) }
             if (view.isOrdered || view.changedAtMs >= sentAtMs) continue
-            view.isOutcomeOpen = false
+            if (view.isOutcomeOpen) settleOutcome(view, instance)
             if (view.instance.state != instance.state || view.instance.workerId != instance.workerId) logListed(view.instance, instance)
             if (view.instance.state != InstanceState.UP && instance.state == InstanceState.UP) view.joinedAtMs = loop.nowMs
             view.instance = instance
@@ -68,6 +68,16 @@
         }
     }
 
+    /** An unanswered move that [listed] shows to be carried out ends the cordon, as an accepted one does. */
+    private fun settleOutcome(
+        view: InstanceView,
+        listed: Instance,
+    ) {
+        view.isOutcomeOpen = false
+        val isMoved = listed.state == InstanceState.MOVING || listed.pool != view.instance.pool
+        if (isMoved && view.cordonReason == CordonReason.SURPLUS) view.cordonReason = null
+    }
+
     private fun logListed(
         before: Instance,
         listed: Instance,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
@@ -9,6 +9,7 @@
 import io.corianderrock.jobs.OwnerOfOneWorker.Companion.SETTLE_MS
 import io.corianderrock.jobs.fleet.CordonReason
 import io.corianderrock.jobs.fleet.FleetController
+import io.corianderrock.jobs.fleet.InstanceListing
 import io.corianderrock.jobs.fleet.InstanceOrders
 import io.corianderrock.jobs.fleet.PoolDemand
 import io.corianderrock.jobs.ownership.OwnerRow
@@ -29,6 +30,7 @@
 import io.kotest.matchers.booleans.shouldBeTrue
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.nulls.shouldBeNull
 
 internal class OrderedInstanceTest :
     DescribeSpec({
@@ -87,6 +89,23 @@
                 checkNotNull(fleet.owner.driver.find("other")).isCordoned.shouldBeFalse()
             }
         }
+        describe("a move that has no answer") {
+            // Guards against an instance that joins its new pool and gets no tasks there, as its cordon outlives the move (LOST).
+            it("leaves no cordon on the worker that joins the new pool (LOST)") {
+                val fleet = OrderedFleet()
+                val listing = InstanceListing(fleet.loop, fleet, fleet.owner.driver) { _, _ -> }
+                listing.refresh()
+                fleet.owner.pass(SETTLE_MS)
+                val view = listing.byId.getValue(INSTANCE)
+                view.isOutcomeOpen = true
+                view.cordonReason = CordonReason.SURPLUS
+                fleet.listed = fleet.listed.copy(pool = "other", state = InstanceState.MOVING, workerId = null)
+                fleet.owner.pass(LATE_ANSWER_MS)
+                listing.refresh()
+                fleet.owner.pass(SETTLE_MS)
+                view.cordonReason.shouldBeNull()
+            }
+        }
     })
 
 /** In this time an order is stored, sent and answered. */
@@ -100,7 +119,7 @@
     private val answerAfterMs: Long = 3,
 ) : InstanceService {
     val owner = OwnerOfOneWorker()
-    private val loop = SimLoop(owner.time)
+    val loop = SimLoop(owner.time)
     private val registry = JobRegistry(loop, owner.committer, { _, _ -> })
     private val row = OwnerRow("e", "e", 2, 1)
     var listed = Instance(INSTANCE, POOL, InstanceState.UP, "dc", emptyList(), Demand(8_000, 32_000), OwnerOfOneWorker.WORKER)
