Count the answer to a stop for the run that was told only

The stop of run 1 was answered after a list had shown its end. The answer was kept by task: the place of run 2, whose start and stop were on their way, was freed by the next list (LIMIT), and if its stop was lost none was sent again (UNASKED). Since starts on their way are stopped at once, this needed a cancellation alone.

Answered stops carry their run number now. One of a lower run says nothing of the present one.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -196,17 +196,18 @@
         lists: WorkerAnswer.Listed,
     ) {
         val running = lists.running.mapTo(HashSet()) { it.task }
-        val iterator = worker.stopAnsweredAtMs.iterator()
-        while (iterator.hasNext()) {
-            val (taskId, answeredAtMs) = iterator.next()
+        for ((taskId, stop) in worker.answeredStops.toList()) {
             val task = worker.runs[taskId]
             val runNumber = task?.runNumber ?: worker.orphanedRuns[taskId]
-            if (runNumber != null && (sentAtMs < answeredAtMs || taskId in running)) continue
-            iterator.remove()
+            // The answered stop of a lower run does not cover the known one, which may still arrive.
+            val isCovered = runNumber == null || stop.runNumber >= runNumber
+            if (isCovered && runNumber != null && (sentAtMs < stop.atMs || taskId in running)) continue
+            worker.answeredStops.remove(taskId)
+            if (!isCovered) continue
             worker.orphanedRuns.remove(taskId)
             if (task != null && task.phase == TaskPhase.STOPPING) worker.releaseRun(task, loop.nowMs)
         }
-        for (orphan in worker.orphanedRuns.keys.filter { it !in running && it !in worker.stopAnsweredAtMs }) {
+        for (orphan in worker.orphanedRuns.keys.filter { it !in running && it !in worker.answeredStops }) {
             worker.orphanedRuns.remove(orphan)
         }
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -8,6 +8,7 @@
 import io.corianderrock.jobs.ports.StartRefusal
 import io.corianderrock.jobs.ports.StopOrder
 import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.state.AnsweredStop
 import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.TaskId
 import io.corianderrock.jobs.state.TaskPhase
@@ -206,9 +207,7 @@
             if (worker.incarnation != incarnation) return@stop
             if (answer is WorkerAnswer.Done) {
                 log.write("run_stopped", "task", task, "run", runNumber, "worker", worker.id)
-                // The answered stop of a lower run that the worker was found to run does not cover the known one, which may still arrive.
-                val known = worker.runs[task]?.runNumber ?: runNumber
-                if (runNumber >= known) worker.stopAnsweredAtMs[task] = loop.nowMs
+                worker.answeredStops[task] = AnsweredStop(runNumber, loop.nowMs)
                 worker.unsettledStarts.onStopAnswered(task, runNumber)
                 holds.requestLists(worker)
             } else {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -85,7 +85,7 @@
         val isAnswering = worker.isReconciled && worker.consecutiveLostHolds == 0
         val hasRuns = worker.runs.isNotEmpty() && isAnswering && context.mayOrder()
         val expiresAtMs = if (hasRuns) nextLeaseEndMs(worker) else null
-        val isWaiting = isAnswering && worker.runs.isNotEmpty() && worker.stopAnsweredAtMs.isEmpty()
+        val isWaiting = isAnswering && worker.runs.isNotEmpty() && worker.answeredStops.isEmpty()
         return HoldOrder(expiresAtMs, context.epoch, endToAcknowledge(worker), if (isWaiting) waitMs(worker) else 0)
     }
 
@@ -201,7 +201,7 @@
             isListedButSilent(worker) ||
             worker.runs.size > worker.startQueue.size ||
             worker.orphanedRuns.isNotEmpty() ||
-            worker.stopAnsweredAtMs.isNotEmpty() ||
+            worker.answeredStops.isNotEmpty() ||
             worker.acknowledgedEnd < worker.storedEnd
 
     /** A listed worker whose runs were all freed while it was unreachable is polled only to detect that it answers again. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -59,8 +59,8 @@
     /** Runs that belong to no current task and are being stopped, with their run numbers; the capacity they occupy is unknown. */
     val orphanedRuns = HashMap<TaskId, Long>()
 
-    /** Loop time at which the stop of a task was answered: a report requested later without the run proves that it ended. */
-    val stopAnsweredAtMs = HashMap<TaskId, Long>()
+    /** The last answered stop of each task: a report requested later without the run proves that it ended. */
+    val answeredStops = HashMap<TaskId, AnsweredStop>()
 
     /** Number of the last end that was processed. Ends are numbered from 1 in each incarnation. */
     var processedEnd: Long = 0
@@ -145,7 +145,7 @@
     ) {
         removeRun(task.id)
         startQueue.remove(task)
-        stopAnsweredAtMs.remove(task.id)
+        answeredStops.remove(task.id)
         if (task.worker !== this) return
         task.worker = null
         if (task.phase == TaskPhase.DONE) return
@@ -167,7 +167,7 @@
     ) {
         incarnation++
         orphanedRuns.clear()
-        stopAnsweredAtMs.clear()
+        answeredStops.clear()
         unsettledStarts.beginIncarnation()
         this.bornWallMs = bornWallMs
         registeredAtMs = nowMs
@@ -226,3 +226,9 @@
         leaseEndsAtMs = maxOf(leaseEndsAtMs, lastSentAtMs + LATE_ORDER_WINDOW_MS + longestLeaseMs)
     }
 }
+
+/** A stop of the run [runNumber], and of earlier ones of its task, that the worker has answered at loop time [atMs]. */
+internal data class AnsweredStop(
+    val runNumber: Long,
+    val atMs: Long,
+)
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
@@ -0,0 +1,73 @@
+/*
+ * Stops, starts and lists whose answers overtake each other, in one incarnation of a worker.
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.OwnerOfScriptedWorkers.Companion.LOST
+import io.corianderrock.jobs.ports.EndKind
+import io.corianderrock.jobs.ports.EndRow
+import io.corianderrock.jobs.ports.RunningRow
+import io.corianderrock.jobs.ports.StartRefusal
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.JobState
+import io.corianderrock.jobs.state.Step
+import io.corianderrock.jobs.state.TaskPhase
+import io.corianderrock.jobs.state.TaskRun
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+
+/** Longer than the retries of orders and lists take. */
+private const val LONG_MS = 5_000L
+
+internal class OvertakenStopsTest :
+    DescribeSpec({
+        describe("the stop of an earlier run that is answered after the run's end was listed") {
+            // Guards against a place that is freed by the answered stop of another run while start and stop are on their way (LIMIT).
+            it("does not free the place of the next run (LIMIT)") {
+                val owner = ownerWithAnsweredStopOfEarlierRun()
+                owner.cancelJob()
+                owner.pass(100)
+                owner.tasks[0].worker.shouldNotBeNull()
+            }
+
+            // Guards against a lost stop that is not repeated, as the answered stop of another run counts for it (UNASKED).
+            it("does not end the stops of the next run (UNASKED)") {
+                val owner = ownerWithAnsweredStopOfEarlierRun()
+                val run = owner.tasks[0].runNumber
+                owner.cancelJob()
+                owner.passTicking(200)
+                owner.running["w0"] = listOf(owner.tasks[0].row())
+                owner.passTicking(LONG_MS)
+                owner.stops.count { it.second == run } shouldBeGreaterThan 1
+            }
+        }
+    })
+
+private fun TaskRun.row(runNumber: Long = this.runNumber) = RunningRow(id, runNumber, checkpoint = "", percent = 100)
+
+/** An owner with a start on its way whose task had an earlier run: its stop was answered after a list had shown its end. */
+private fun ownerWithAnsweredStopOfEarlierRun(): OwnerOfScriptedWorkers {
+    val owner = OwnerOfScriptedWorkers()
+    val task = owner.tasks[0]
+    owner.driver.start(task, owner.worker())
+    owner.pass(50)
+    val first = task.runNumber
+    owner.running["w0"] = listOf(task.row())
+    owner.pass(700)
+    owner.onStop = { _, order -> if (order.runNumber == first) 690L to owner.done() else LOST }
+    owner.driver.stop(task)
+    owner.running["w0"] = emptyList()
+    owner.ended = listOf(EndRow(1, task.id, first, EndKind.STOPPED, ""))
+    owner.passUntil { task.phase == TaskPhase.WAITING }
+    owner.holdMs = 30
+    owner.passUntil { owner.logged.any { "run_stopped" in it } }
+    owner.onStart = { _, _ -> LOST }
+    owner.driver.start(task, owner.worker())
+    owner.pass(2)
+    return owner
+}
