Keep the place of a stopped run until its start can no longer arrive

Such a run is forgotten once its stop is answered and a later list does not show it, or its start is settled or can no longer arrive.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -207,8 +207,9 @@
             worker.orphanedRuns.remove(taskId)
             if (task != null && task.phase == TaskPhase.STOPPING) worker.releaseRun(task, loop.nowMs)
         }
-        for (orphan in worker.orphanedRuns.keys.filter { it !in running && it !in worker.answeredStops }) {
-            worker.orphanedRuns.remove(orphan)
+        // A list says nothing of a run whose start may still arrive.
+        worker.orphanedRuns.entries.removeAll { (taskId, runNumber) ->
+            taskId !in running && taskId !in worker.answeredStops && !worker.unsettledStarts.mayBegin(taskId, runNumber, loop.nowMs)
         }
     }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
@@ -46,6 +46,29 @@
                 owner.stops.count { it.second == run } shouldBeGreaterThan 1
             }
         }
+        describe("a start on its way whose task is completed by the end of another run") {
+            /** An owner whose list ends the task while its start is not answered and its stops are lost. */
+            fun owner() =
+                OwnerOfScriptedWorkers().apply {
+                    onStart = { _, _ -> LOST }
+                    onStop = { _, _ -> LOST }
+                    ended = listOf(EndRow(1, tasks[0].id, 7, EndKind.DONE, ""))
+                    driver.start(tasks[0], worker())
+                    passUntil { tasks[0].phase == TaskPhase.DONE }
+                }
+
+            // Guards against a place that counts as free by a list that was made before the stop, while the run may still begin (LIMIT).
+            it("keeps its place until its stop is answered (LIMIT)") {
+                val owner = owner()
+                owner.pass(20)
+                owner.worker().isEmpty shouldBe false
+            }
+            it("is told to stop until that is answered") {
+                val owner = owner()
+                owner.passTicking(3_000)
+                owner.stops.size shouldBeGreaterThan 1
+            }
+        }
     })
 
 private fun TaskRun.row(runNumber: Long = this.runNumber) = RunningRow(id, runNumber, checkpoint = "", percent = 100)
