Stop the members of a gang of which one did not start

If the start of one member was refused, not sent or not answered, the others waited for it until gangTimeoutMs and ended ALONE (GANG): nothing but that timer ended them. A worker that was idle for long refuses a start as expired without any disruption.

The other members of that run are stopped when the start fails.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -53,6 +53,7 @@
     ) {
         if (!isStartStillAllowed(worker, task)) {
             worker.releaseRun(task, loop.nowMs)
+            stopGangOf(task)
             return
         }
         val order = startOrder(worker, task)
@@ -136,6 +137,7 @@
         if (answer.refusal == StartRefusal.FENCE) context.onFenced()
         if (answer.refusal == StartRefusal.TICKET) task.stepRun.ticketsExpireAtMs = 0
         worker.releaseRun(task, loop.nowMs)
+        stopGangOf(task)
         if (answer.refusal == StartRefusal.OTHER_INCARNATION) worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
         context.onChange(worker.entry.pool)
     }
@@ -151,12 +153,14 @@
         if (!answer.mayBeCarriedOut) {
             worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
             worker.releaseRun(task, loop.nowMs)
+            stopGangOf(task)
             context.onChange(worker.entry.pool)
             return
         }
         // A worker that leaves holds unanswered too is not judged by its runs, but lost.
         if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker)
         stop(task)
+        stopGangOf(task)
     }
 
     /**
@@ -173,6 +177,14 @@
         sendStop(worker, task.id, task.runNumber)
     }
 
+    /** Stops the members of the gang that [task] belongs to, if any, of which this one has not started: they would wait for it alone. */
+    private fun stopGangOf(task: TaskRun) {
+        if (!task.stepRun.step.isGang) return
+        task.stepRun.tasks
+            .filter { it.runNumber == task.runNumber && it.occupiesWorker && it.phase != TaskPhase.STOPPING }
+            .forEach(::stop)
+    }
+
     fun stopRunsOf(job: JobRun) {
         for (task in job.tasks) if (task.occupiesWorker) stop(task)
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
@@ -69,6 +69,20 @@
                 owner.stops.size shouldBeGreaterThan 1
             }
         }
+        describe("a gang of which one member was not started") {
+            // Guards against members that wait for the others until their timeout (GANG).
+            it("has its other members stopped (GANG)") {
+                val owner = OwnerOfScriptedWorkers(Step(2, Demand(1_000, 100), isGang = true), workerCount = 2)
+                owner.onStart = { entry, _ ->
+                    1L to if (entry.id == "w1") WorkerAnswer.Refused(StartRefusal.EXPIRED, 0) else owner.done()
+                }
+                owner.tasks.forEachIndexed { index, task -> owner.driver.start(task, owner.worker(index)) }
+                val run = owner.tasks[0].runNumber
+                owner.running["w0"] = listOf(owner.tasks[0].row())
+                owner.passTicking(LONG_MS)
+                owner.stops shouldContain ("w0" to run)
+            }
+        }
     })
 
 private fun TaskRun.row(runNumber: Long = this.runNumber) = RunningRow(id, runNumber, checkpoint = "", percent = 100)
