Ignore the refusal of a start whose run a list has shown

Since the check of the phase before a start's answer was narrowed, a refusal freed the place of a run that a list had shown, so that its task could start elsewhere beside it (TWICE). No path to such a refusal is known; the check is back. A start that stays unanswered after its stop began no longer adds a second series of stops.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -99,6 +99,8 @@
         answer: WorkerAnswer,
     ) {
         if (task.worker !== worker || task.runNumber != runNumber) return
+        // A list has shown the run, so that only an answer with the time of its start tells anything new.
+        if (task.phase == TaskPhase.RUNNING && answer !is WorkerAnswer.Done) return
         when (answer) {
             is WorkerAnswer.Done -> onStarted(worker, task, answer.workerClockMs)
             is WorkerAnswer.Refused -> onStartRefused(worker, task, answer)
@@ -147,8 +149,6 @@
         task: TaskRun,
         answer: WorkerAnswer.Unanswered,
     ) {
-        // A list has shown the run, so that its answer is not needed.
-        if (task.phase == TaskPhase.RUNNING) return
         log.write("start_unanswered", "task", task.id, "run", task.runNumber, "worker", worker.id, "reason", answer.reason)
         if (!answer.mayBeCarriedOut) {
             worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
@@ -159,7 +159,7 @@
         }
         // A worker that leaves holds unanswered too is not judged by its runs, but lost.
         if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker)
-        stop(task)
+        if (task.phase == TaskPhase.STARTING) stop(task)
         stopGangOf(task)
     }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
@@ -83,6 +83,42 @@
                 owner.stops shouldContain ("w0" to run)
             }
         }
+        describe("a start whose answer is overtaken") {
+            // Guards against a refusal that takes away a run that a list has shown (TWICE).
+            it("keeps its run if a list has shown it and the answer is a refusal (TWICE)") {
+                val owner = OwnerOfScriptedWorkers()
+                val task = owner.tasks[0]
+                owner.onStart = { _, _ -> 690L to WorkerAnswer.Refused(StartRefusal.OLD_RUN, 0) }
+                owner.running["w0"] = listOf(task.row(runNumber = 1_001))
+                owner.driver.start(task, owner.worker())
+                owner.passUntil { task.phase == TaskPhase.RUNNING }
+                owner.pass(700)
+                task.phase shouldBe TaskPhase.RUNNING
+                task.runNumber shouldBe 1_001
+            }
+            it("frees its place if it is refused because the stop came first") {
+                val owner = OwnerOfScriptedWorkers()
+                owner.onStart = { _, _ -> 300L to WorkerAnswer.Refused(StartRefusal.OLD_RUN, 0) }
+                owner.onStop = { _, _ -> LOST }
+                owner.driver.start(owner.tasks[0], owner.worker())
+                owner.pass(20)
+                owner.cancelJob()
+                owner.pass(350)
+                owner.tasks[0].worker.shouldBeNull()
+            }
+
+            // Guards against two series of stops for one run, at twice the calls.
+            it("has its stop repeated in one series if neither is answered") {
+                val owner = OwnerOfScriptedWorkers()
+                owner.onStart = { _, _ -> LOST }
+                owner.onStop = { _, _ -> LOST }
+                owner.driver.start(owner.tasks[0], owner.worker())
+                owner.pass(20)
+                owner.cancelJob()
+                owner.passTicking(3_000)
+                owner.stops.size shouldBe 4
+            }
+        }
     })
 
 private fun TaskRun.row(runNumber: Long = this.runNumber) = RunningRow(id, runNumber, checkpoint = "", percent = 100)
