Stop runs by what lists show, whatever was missed before

And a listed run was left alone if its job had ended without a stop for it. Lists are now the last resort: a run that is listed a second after its stop was answered is stopped again (stop_repeated), and so is one whose job is over. A stop that is refused for its fence suspends the owner's orders, as a start does.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -10,6 +10,7 @@
 import io.corianderrock.jobs.ports.RunningRow
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.runtimes.EndedRun
+import io.corianderrock.jobs.state.TaskId
 import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
@@ -127,6 +128,8 @@
         val task = registry.find(row.task.jobId)?.takeIf { it.isLive }?.task(row.task)
         if (current != null && current.runNumber == row.runNumber) {
             confirmRunning(worker, current, row)
+            // Its end stops all runs of a job. One that goes on nevertheless is stopped by what lists show, whatever it has missed.
+            if (!current.stepRun.job.isLive && current.phase != TaskPhase.STOPPING) orders.stop(current)
         } else if (task != null && canAdopt(worker, task, row)) {
             adopt(worker, task, row)
         } else if (current != null) {
@@ -201,7 +204,10 @@
             val runNumber = task?.runNumber ?: worker.orphanedRuns[taskId]
             // The answered stop of a lower run does not cover the known one, which may still arrive.
             val isCovered = runNumber == null || stop.runNumber >= runNumber
-            if (isCovered && runNumber != null && (sentAtMs < stop.atMs || taskId in running)) continue
+            if (isCovered && runNumber != null && (sentAtMs < stop.atMs || taskId in running)) {
+                if (sentAtMs >= stop.atMs + STOP_REPEAT_MS) repeatStop(worker, taskId, runNumber)
+                continue
+            }
             worker.answeredStops.remove(taskId)
             if (!isCovered) continue
             worker.orphanedRuns.remove(taskId)
@@ -213,7 +219,21 @@
         }
     }
 
+    /** Sends the answered stop of a run once more that is listed long after it: whatever the reason, the run has to end. */
+    private fun repeatStop(
+        worker: WorkerView,
+        task: TaskId,
+        runNumber: Long,
+    ) {
+        log.write("stop_repeated", "task", task, "run", runNumber, "worker", worker.id)
+        worker.answeredStops.remove(task)
+        orders.sendStop(worker, task, runNumber)
+    }
+
     private companion object {
+        /** A worker ends a run within 200 ms of its stop; the rest allows for its list. */
+        const val STOP_REPEAT_MS = 1_000L
+
         /** Percentage reported by a worker whose run is at full work. */
         const val FULL_PERCENT = 100
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -223,6 +223,7 @@
                 worker.unsettledStarts.onStopAnswered(task, runNumber)
                 holds.requestLists(worker)
             } else {
+                if (answer is WorkerAnswer.Refused && answer.refusal == StartRefusal.FENCE) context.onFenced()
                 log.write("stop_unanswered", "task", task, "run", runNumber, "worker", worker.id, "answer", answer)
                 loop.after(STOP_RETRY_MS) { retryStop(worker, incarnation, task, runNumber) }
             }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunTransitions.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunTransitions.kt
@@ -3,8 +3,8 @@
  * list, whichever comes first, and its job may end in between: what follows depends on the change, not on the message that told of it.
  *
  * Queued: the task occupies its worker. Begun: its job counts as started and the start is logged, once. Adopted: a run that this owner
- * has not started counts as begun. Stopping: the run keeps its place until the worker no longer lists it; the stop is sent with the
- * change, so that no run of an ended job is left to a later event. Freeing a place is the worker's, [WorkerView.releaseRun].
+ * has not started counts as begun. Stopping: the run keeps its place until the worker no longer lists it; [RunOrders.stop] sends the
+ * stop with the change, so that no run of an ended job is left to a later event. [WorkerView.releaseRun] frees a place.
  */
 package io.corianderrock.jobs.runs
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
@@ -119,6 +119,43 @@
                 owner.stops.size shouldBe 4
             }
         }
+        describe("a run that is listed although it has to be gone") {
+            // Guards against a stop that counts for good once it was answered, whatever lists show (UNASKED).
+            it("is stopped again if it is listed long after its stop was answered (UNASKED)") {
+                val owner = OwnerOfScriptedWorkers()
+                val task = owner.tasks[0]
+                owner.driver.start(task, owner.worker())
+                owner.pass(50)
+                owner.running["w0"] = listOf(task.row())
+                owner.cancelJob()
+                owner.passTicking(LONG_MS)
+                owner.stops.size shouldBeGreaterThan 1
+            }
+
+            // Guards against a run that goes on for good because the end of its job, which sends the stops, did not reach it (UNASKED).
+            it("is stopped if its job has ended without a stop (UNASKED)") {
+                val owner = OwnerOfScriptedWorkers()
+                val task = owner.tasks[0]
+                owner.driver.start(task, owner.worker())
+                owner.pass(50)
+                owner.running["w0"] = listOf(task.row())
+                owner.job.state = JobState.CANCELLED
+                owner.passTicking(LONG_MS)
+                owner.stops shouldContain ("w0" to task.runNumber)
+            }
+        }
+        describe("a stop that is refused for its fence") {
+            // Guards against an owner that goes on ordering other workers after a worker has seen the next owner.
+            it("suspends the orders of the owner") {
+                val owner = OwnerOfScriptedWorkers()
+                owner.driver.start(owner.tasks[0], owner.worker())
+                owner.pass(50)
+                owner.onStop = { _, _ -> 1L to WorkerAnswer.Refused(StartRefusal.FENCE, 0) }
+                owner.cancelJob()
+                owner.pass(10)
+                owner.fencedCount shouldBeGreaterThan 0
+            }
+        }
     })
 
 private fun TaskRun.row(runNumber: Long = this.runNumber) = RunningRow(id, runNumber, checkpoint = "", percent = 100)
