--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
@@ -166,7 +166,13 @@
             token = 2,
             demand = PoolDemand(loop, registry, RunTimeEstimator(MeanRunTimes())),
             capacityShortageMs = { 0 },
-            configuration = { JobsConfiguration(1, emptyList(), listOf(Pool(POOL), Pool("spare", isStandby = true)).associateBy { it.name }) },
+            configuration = {
+                JobsConfiguration(
+                    1,
+                    emptyList(),
+                    listOf(Pool(POOL), Pool("spare", isStandby = true)).associateBy { it.name },
+                )
+            },
             mayOrder = { true },
         )
     val view get() = checkNotNull(controller.find(INSTANCE))
