Count unanswered writes as load, and do not send them again meanwhile

Jobs that entries stored around the owner while the store lost answers kept the part full for seconds after the store was sound.

Cause: the budget took a transaction without an answer for ended. The store carries it out late, refuses it no more, and takes the time of that moment, 237 ms while slow. The entry sent more meanwhile, and the same job again after 200 to 400 ms, also beside a write of it in flight.

Change: - OpenWrites counts writes that are overdue or unanswered, until they are answered, read back or 5 s old; beyond the entry's share of what a slow part carries in a second, callers' writes are refused at once with the delay until the first one is too old. The owner's are not. - OpenRequests: one write a request. Others of the same time join it; later ones read its row. While it is open the router never refuses (503) but answers that the outcome is open (504), also after a refusal by an owner. - After a hold an entry starts at the lowest level, with a pause by chance.

Why it works: what may land late is bounded before the store turns slow, rather than the rate at which it is sent.

Model of the tests: entries of the histories have budgets if the test asks for them (BudgetedTables), and StormCallers press. StoreReturn stores a job once a read for it was answered, as StoredJobService does.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/JobRequestRouter.kt
@@ -134,7 +134,7 @@
         private val backoff by lazy(LazyThreadSafetyMode.NONE) { advice.newBackoff() }
 
         /** True while a refusal would not prove that nothing is carried out. */
-        private val isOutcomeOpen: Boolean get() = isUncertain || openBypassCount > 0
+        private val isOutcomeOpen: Boolean get() = isUncertain || openBypassCount > 0 || store.mayStillApply(request)
 
         /** A job that is not sent to a silent owner can be refused truthfully, or is stored without waiting for a timeout. */
         fun begin() {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
@@ -61,6 +61,7 @@
     private val tables: JobTables,
 ) {
     private val sharedReads = SharedReads(loop, tables)
+    private val openRequests = OpenRequests(loop)
 
     /** Called when this entry has told its callers something of job [id] that was not read here. */
     internal fun onTold(id: String) {
@@ -68,6 +69,14 @@
         sharedReads.outdate(RowKey(Table.PROGRESS, id))
     }
 
+    /** True while a write for [request] may still be carried out: until then a refusal would not be true. */
+    internal fun mayStillApply(request: JobRequest): Boolean =
+        when (request) {
+            is JobRequest.Submit -> openRequests.isOpen(InboxMessage(request.submission.id, isCancel = false).key)
+            is JobRequest.Cancel -> openRequests.isOpen(InboxMessage(request.id, isCancel = true).key)
+            is JobRequest.State, is JobRequest.Pending -> false
+        }
+
     /** Answers any [request] but [JobRequest.Pending], which only the scheduler can answer. */
     internal fun answer(
         request: JobRequest,
@@ -82,12 +91,19 @@
 
     /**
      * Stores [submission] with an inbox message for the scheduler. A job that is already stored is accepted as well. A write to a
-     * store that does not answer may be applied later, so nothing is written unless the store has just answered a read.
+     * store that does not answer may be applied later, so nothing is written unless the store has just answered a read, and nothing
+     * again while an earlier write may still be applied.
      */
     public fun submit(
         submission: JobSubmission,
         onAnswer: (CallerAnswer) -> Unit,
     ) {
+        val message = InboxMessage(submission.id, isCancel = false).key
+        if (openRequests.join(message, onAnswer)) return
+        if (openRequests.isOpen(message)) {
+            settle(message, RowKey(Table.JOBS, submission.id), onAnswer)
+            return
+        }
         var isDecided = false
         val decide = { action: () -> Unit ->
             if (!isDecided) {
@@ -117,7 +133,36 @@
                         InboxMessage(submission.id, isCancel = false).key to INBOX_MESSAGE,
                     ),
             )
-        tables.commit(change) { onAnswer(answerTo(it)) }
+        writeOnce(InboxMessage(submission.id, isCancel = false).key, change, onAnswer)
+    }
+
+    /** Sends [change], which writes [message], unless it is in flight; two callers may have read at the same time that it is needed. */
+    private fun writeOnce(
+        message: RowKey,
+        change: RowChange,
+        onAnswer: (CallerAnswer) -> Unit,
+    ) {
+        if (openRequests.join(message, onAnswer)) return
+        if (openRequests.isOpen(message)) {
+            onAnswer(CallerAnswer.Uncertain(STILL_OPEN))
+            return
+        }
+        openRequests.onSent(message, onAnswer)
+        tables.commit(change) { openRequests.onAnswered(message, answerTo(it)) }
+    }
+
+    /** Looks for [row], which the open write of [message] creates. An absent row, or no answer, leaves the outcome open. */
+    private fun settle(
+        message: RowKey,
+        row: RowKey,
+        onAnswer: (CallerAnswer) -> Unit,
+    ) = tables.read(row) { result ->
+        if (result is ReadResult.Rows && result.rows.isNotEmpty()) {
+            openRequests.onSettled(message)
+            onAnswer(CallerAnswer.Applied)
+        } else {
+            onAnswer(CallerAnswer.Uncertain(STILL_OPEN))
+        }
     }
 
     private fun answerTo(result: ChangeResult): CallerAnswer =
@@ -160,15 +205,18 @@
         id: String,
         access: JobAccess,
         onAnswer: (CallerAnswer) -> Unit,
-    ): Unit =
+    ) {
+        val message = InboxMessage(id, isCancel = true).key
         read(Table.JOBS, id, onAnswer) { job ->
             val account = job?.let { decodeStored(JobSubmission.serializer(), it.value) }?.account
-            if (job == null || !access.permits(account)) {
-                onAnswer(CallerAnswer.NotFound)
-            } else {
-                tables.commit(RowChange(puts = mapOf(InboxMessage(id, isCancel = true).key to INBOX_MESSAGE))) { onAnswer(answerTo(it)) }
+            when {
+                job == null || !access.permits(account) -> onAnswer(CallerAnswer.NotFound)
+                openRequests.join(message, onAnswer) -> Unit
+                openRequests.isOpen(message) -> settle(message, message, onAnswer)
+                else -> writeOnce(message, RowChange(puts = mapOf(message to INBOX_MESSAGE)), onAnswer)
             }
         }
+    }
 
     /** Passes the row to [onRow], null when there is none; answers [onAnswer] when the store cannot be read. */
     private fun read(
@@ -199,6 +247,8 @@
         /** Value of inbox rows, whose keys carry all information. */
         const val INBOX_MESSAGE = "1"
 
+        const val STILL_OPEN = "an earlier write without an answer may still be applied"
+
         /** Within this time a request that cannot be served is refused; a read usually takes 4 ms. */
         const val READ_WAIT_MS = 150L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/BudgetLane.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/BudgetLane.kt
@@ -121,6 +121,16 @@
         if (loop.nowMs >= backoffUntilMs) backoffUntilMs = loop.nowMs + backoff.nextDelayMs()
     }
 
+    /**
+     * Begins at the lowest level and after a pause by chance: nothing was sent for so long that the level tells nothing about the store,
+     * and other entries have waited for as long.
+     */
+    fun restart() {
+        level.lowerToFloor()
+        onLevel(level.value)
+        onRefused()
+    }
+
     fun onAnswered() = backoff.reset()
 
     /** The store has asked to wait for [delayMs]. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/GatedTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/GatedTables.kt
@@ -17,6 +17,9 @@
     private val gate: StoreGate,
     private val callClass: StoreCallClass? = null,
 ) : JobTables {
+    /** By a row that they create, the latest last: reports that a transaction without an answer was found carried out. */
+    private val unanswered = LinkedHashMap<RowKey, (StoreCallEnd) -> Unit>()
+
     override fun commit(
         change: RowChange,
         onResult: (ChangeResult) -> Unit,
@@ -24,12 +27,23 @@
         val call = StoreCall(callClass ?: classOf(change), StoreCallKind.WRITE)
         gate.pass(call, { onResult(ChangeResult.Failed(WITHHELD, mayHaveApplied = false, it)) }) { onEnd ->
             tables.commit(change) { result ->
-                onEnd(endOf(result))
+                val end = endOf(result)
+                onEnd(end)
+                if (end is StoreCallEnd.Unanswered) remember(change, onEnd)
                 onResult(result)
             }
         }
     }
 
+    private fun remember(
+        change: RowChange,
+        onEnd: (StoreCallEnd) -> Unit,
+    ) {
+        val created = change.puts.keys.firstOrNull { change.expected[it] == 0L } ?: return
+        unanswered[created] = onEnd
+        if (unanswered.size > MAX_UNANSWERED) unanswered.remove(unanswered.keys.first())
+    }
+
     override fun scan(
         table: Table,
         onResult: (ReadResult) -> Unit,
@@ -41,7 +55,13 @@
     override fun read(
         key: RowKey,
         onResult: (ReadResult) -> Unit,
-    ): Unit = passRead(StoreCall(callClass ?: StoreCallClass.of(key.table), StoreCallKind.READ), onResult) { tables.read(key, it) }
+    ): Unit =
+        passRead(StoreCall(callClass ?: StoreCallClass.of(key.table), StoreCallKind.READ), onResult) { onRead ->
+            tables.read(key) { result ->
+                if (result is ReadResult.Rows && result.rows.isNotEmpty()) unanswered.remove(key)?.invoke(StoreCallEnd.ReadBack)
+                onRead(result)
+            }
+        }
 
     private fun passRead(
         call: StoreCall,
@@ -89,5 +109,8 @@
 
     private companion object {
         const val WITHHELD = "not sent: the entry's budget for calls to the store is exhausted"
+
+        /** Above what the budget lets callers have open. */
+        const val MAX_UNANSWERED = 64
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/RateLevel.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/RateLevel.kt
@@ -32,6 +32,11 @@
         loweredAtMs = loop.nowMs
     }
 
+    fun lowerToFloor() {
+        loweredTo = REFUSED_FLOOR
+        loweredAtMs = loop.nowMs
+    }
+
     companion object {
         private const val FULL = 1.0
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/StoreBudget.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/StoreBudget.kt
@@ -28,6 +28,8 @@
         StoreCallKind.entries.associateWith { kind ->
             BudgetLane(kind, loop, rates.perS(kind), ::knownEntryCount, log, random) { onLevel(kind, it) }
         }
+    private val openWrites = OpenWrites(loop, slowMs, ::maxOpenWrites, log) { lanes.getValue(StoreCallKind.WRITE).restart() }
+    private val partWritesPerS = rates.perS(StoreCallKind.WRITE)
     private var countedAtMs = Long.MIN_VALUE / 2
     private var lastEntryCount = 1
     private var isDrainScheduled = false
@@ -40,17 +42,22 @@
         val lane = lanes.getValue(call.kind)
         val waiting = WaitingCall(call, loop.nowMs, withhold, send)
         when {
+            call.isCallersWrite && openWrites.isFull() -> withhold(waiting, openWrites.retryAfterMs())
             lane.take(call) -> start(waiting)
             call.callClass != StoreCallClass.OWNERSHIP && lane.enqueue(waiting) -> scheduleDrain()
-            else -> withhold(lane, waiting)
+            else -> withhold(waiting, lane.retryAfterMs())
         }
     }
 
     private fun start(waiting: WaitingCall) {
         val sentAtMs = loop.nowMs
+        val write = if (waiting.call.kind == StoreCallKind.WRITE) openWrites.onSent() else null
         waiting.send { end ->
-            lanes.getValue(waiting.call.kind).onEnded(waiting.call)
-            adapt(waiting.call, sentAtMs, end)
+            write?.let { openWrites.onEnded(it, end) }
+            if (end !is StoreCallEnd.ReadBack) {
+                lanes.getValue(waiting.call.kind).onEnded(waiting.call)
+                adapt(waiting.call, sentAtMs, end)
+            }
             meter.record(waiting.call, end)
             drain()
         }
@@ -77,19 +84,26 @@
     }
 
     private fun withhold(
-        lane: BudgetLane,
         waiting: WaitingCall,
+        retryAfterMs: Long,
     ) {
         meter.record(waiting.call, StoreCallEnd.Withheld)
-        val refusal = StoreRefusal(lane.retryAfterMs())
+        val refusal = StoreRefusal(retryAfterMs)
         loop.post { waiting.withhold(refusal) }
     }
 
     private fun drain() {
         for (lane in lanes.values) {
             if (!lane.hasWaiting) continue
-            lane.expired().forEach { withhold(lane, it) }
-            generateSequence { lane.takeNext() }.forEach(::start)
+            lane.expired().forEach { withhold(it, lane.retryAfterMs()) }
+            generateSequence { lane.takeNext() }.forEach {
+                if (it.call.isCallersWrite && openWrites.isFull()) {
+                    lane.onEnded(it.call)
+                    withhold(it, openWrites.retryAfterMs())
+                } else {
+                    start(it)
+                }
+            }
         }
         if (lanes.values.any { it.hasWaiting }) scheduleDrain()
     }
@@ -103,6 +117,11 @@
         }
     }
 
+    private val StoreCall.isCallersWrite: Boolean get() = callClass == StoreCallClass.CALLERS && kind == StoreCallKind.WRITE
+
+    /** This entry's share of what the part carries in [MAX_BEHIND_S], the longest wait that it accepts itself, while it is slow. */
+    private fun maxOpenWrites(): Int = maxOf(1, (partWritesPerS * MAX_BEHIND_S / SLOW_STORE_FACTOR / knownEntryCount()).toInt())
+
     private fun knownEntryCount(): Int {
         if (loop.nowMs - countedAtMs >= COUNT_INTERVAL_MS) {
             countedAtMs = loop.nowMs
@@ -116,6 +135,11 @@
         const val LEAST_SLOW_MS = 50L
         const val SLOW_TRANSACTIONS = 10
 
+        const val MAX_BEHIND_S = 1.0
+
+        /** How many times as long as usual a transaction takes while the store is slow: it may become so before open writes are carried out. */
+        const val SLOW_STORE_FACTOR = 60
+
         const val DRAIN_INTERVAL_MS = 10L
 
         /** Entries come and go over seconds. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/StoreCall.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/StoreCall.kt
@@ -78,6 +78,11 @@
         override val label: String get() = "unanswered"
     }
 
+    /** A write that had ended as [Unanswered] was found carried out by a read. */
+    public data object ReadBack : StoreCallEnd {
+        override val label: String get() = "read_back"
+    }
+
     /** The call was not sent. */
     public data object Withheld : StoreCallEnd {
         override val label: String get() = "withheld"
@@ -97,7 +102,8 @@
 public interface StoreGate {
     /**
      * Calls [send] once [call] may be sent, at once or later, or else [withhold]: then nothing was sent. [send] reports the end of
-     * the call to the function that it gets. On the event loop.
+     * the call to the function that it gets, and that of a write that ends as [StoreCallEnd.Unanswered] once more if a read shows it
+     * carried out. On the event loop.
      */
     public fun pass(
         call: StoreCall,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/StoreCallMeter.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/StoreCallMeter.kt
@@ -38,7 +38,7 @@
             is StoreCallEnd.Answered -> onAnswered(call.kind)
             is StoreCallEnd.Refused -> onFailed(call, end).refusedCount++
             is StoreCallEnd.Unanswered -> onFailed(call, end).unansweredCount++
-            is StoreCallEnd.Withheld -> Unit
+            is StoreCallEnd.Withheld, is StoreCallEnd.ReadBack -> Unit
         }
     }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/StoredJobServiceTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoredJobServiceTest.kt
@@ -7,8 +7,10 @@
 import io.corianderrock.jobs.accounts.JobAccess
 import io.corianderrock.jobs.entry.CallerAnswer
 import io.corianderrock.jobs.entry.StoredJobService
+import io.corianderrock.jobs.ports.ChangeResult
 import io.corianderrock.jobs.ports.JobTables
 import io.corianderrock.jobs.ports.ReadResult
+import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.StoreRefusal
 import io.corianderrock.jobs.ports.StoredRow
@@ -97,8 +99,106 @@
                 world.told shouldBe listOf(null, JobState.ACTIVE)
             }
         }
+        describe("a job whose write has had no answer") {
+            // Guards against a second transaction for the same job, which costs the store as much and tells nothing about the first.
+            it("is not written again while the first write may be carried out, and not refused") {
+                val world = UnansweredWorld()
+                world.submit()
+                world.run(1_000)
+                world.submit()
+                world.areReadsAnswered = false
+                world.submit()
+                world.run(1_000)
+                world.writeCount shouldBe 1
+                world.answers.map { it is CallerAnswer.Uncertain } shouldBe listOf(true, true, true)
+            }
+            it("is accepted once a read shows it") {
+                val world = UnansweredWorld()
+                world.submit()
+                world.run(1_000)
+                world.isStored = true
+                world.submit()
+                world.run(10)
+                world.answers.last() shouldBe CallerAnswer.Applied
+            }
+            it("is written again after that time") {
+                val world = UnansweredWorld()
+                world.submit()
+                world.run(5_100)
+                world.submit()
+                world.run(10)
+                world.writeCount shouldBe 2
+            }
+            it("has one write for two callers at a time") {
+                val world = UnansweredWorld()
+                world.submit()
+                world.submit()
+                world.run(100)
+                world.submit()
+                world.run(1_000)
+                world.writeCount shouldBe 1
+                world.answers.size shouldBe 3
+            }
+        }
+        describe("a cancellation whose write has had no answer") {
+            it("is not written again meanwhile, and is taken once a read shows it") {
+                val world = UnansweredWorld()
+                world.isStored = true
+                world.cancel()
+                world.run(1_000)
+                world.cancel()
+                world.run(10)
+                world.isCancelStored = true
+                world.cancel()
+                world.run(10)
+                world.writeCount shouldBe 1
+                world.answers.map { it is CallerAnswer.Uncertain } shouldBe listOf(true, true, false)
+                world.answers.last() shouldBe CallerAnswer.Applied
+            }
+        }
     })
 
+private val JOB = JobSubmission("job", Queue("queue", "pool"), "work", listOf(Step(1, Demand(1_000, 1_000))))
+
+/** A store that answers reads after 4 ms and no write. */
+private class UnansweredWorld {
+    private val time = SimTime()
+    private val loop = SimLoop(time)
+    var isStored = false
+    var isCancelStored = false
+    var areReadsAnswered = true
+    var writeCount = 0
+    val answers = ArrayList<CallerAnswer>()
+
+    private val tables =
+        object : JobTables by SilentTables {
+            override fun commit(
+                change: RowChange,
+                onResult: (ChangeResult) -> Unit,
+            ) {
+                writeCount++
+                loop.after(900) { onResult(ChangeResult.Failed("no answer", mayHaveApplied = true)) }
+            }
+
+            override fun read(
+                key: RowKey,
+                onResult: (ReadResult) -> Unit,
+            ) {
+                val value = storedJson.encodeToString(JobSubmission.serializer(), JOB)
+                val isThere = if (key.table == Table.JOBS) isStored else isCancelStored
+                val result = ReadResult.Rows(if (isThere) listOf(StoredRow(key, value, 1)) else emptyList(), time.nowMs)
+                loop.after(if (areReadsAnswered) 4 else 900) { onResult(if (areReadsAnswered) result else ReadResult.Failed("no answer")) }
+            }
+        }
+    private val service = StoredJobService(loop, tables)
+
+    fun submit() = service.submit(JOB) { answers += it }
+
+    fun cancel() = service.cancel("job", JobAccess.ALL) { answers += it }
+
+    fun run(durationMs: Long) = time.runUntil(time.nowMs + durationMs)
+}
+
 /** A store with one job in [state], which reads as of their sending and answers [delaysMs] later, the last one from then on. */
 private class QueriedWorld {
     private val time = SimTime()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/storerate/StoreBudgetTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/storerate/StoreBudgetTest.kt
@@ -113,6 +113,58 @@
                 entry.inFlightCount shouldBe 2
             }
         }
+        describe("a write of callers without an answer") {
+            // Guards against a backlog of writes that the store carries out late, each at the price of that moment.
+            it("keeps back further ones at once until it can no longer be carried out, and none of the owner") {
+                val entry = BudgetedEntry(entryCount = 6)
+                entry.end = StoreCallEnd.Unanswered
+                entry.call(CALLER_WRITE)
+                entry.run(10)
+                entry.end = StoreCallEnd.Answered
+                entry.every(10, forMs = 4_900) { entry.call(CALLER_WRITE) }
+                entry.sentCount shouldBe 1
+                entry.withheld.forEach { (waitedMs, retryAfterMs) ->
+                    waitedMs shouldBe 0L
+                    retryAfterMs shouldBeInRange 1L..2_000L
+                }
+                entry.call(OWNER_WRITE)
+                entry.call(CALLER_READ)
+                entry.sentCount shouldBe 3
+                entry.every(10, forMs = 700) { entry.call(CALLER_WRITE) }
+                entry.sentCount shouldBeInRange 4..20
+                entry.lines.map { it.substringBefore(' ') }.filter { "writes" in it } shouldContainExactly
+                    listOf("store_writes_held", "store_writes_resumed")
+            }
+            it("counts before its timeout once its answer is overdue, until it is answered") {
+                val entry = BudgetedEntry(entryCount = 6, answerMs = 900)
+                entry.call(CALLER_WRITE)
+                entry.run(60)
+                entry.call(CALLER_WRITE)
+                entry.sentCount shouldBe 1
+                entry.run(900)
+                entry.call(CALLER_WRITE)
+                entry.sentCount shouldBe 2
+            }
+            it("counts no more once a read shows that it was carried out") {
+                val entry = BudgetedEntry(entryCount = 6)
+                entry.end = StoreCallEnd.Unanswered
+                entry.call(CALLER_WRITE)
+                entry.run(10)
+                entry.readBack()
+                entry.run(2_000)
+                entry.call(CALLER_WRITE)
+                entry.sentCount shouldBe 2
+            }
+            it("leaves a store that carries many times as many writes more of them") {
+                val entry = BudgetedEntry(entryCount = 6, rates = StoreRates(writesPerS = 20_000.0, partWritesPerS = 10_000.0))
+                entry.end = StoreCallEnd.Unanswered
+                repeat(20) {
+                    entry.call(CALLER_WRITE)
+                    entry.run(10)
+                }
+                entry.sentCount shouldBe 20
+            }
+        }
         describe("callers that press while the store answers nothing") {
             // Guards against a configuration that is missed because callers use up what is left.
             it("leave the feed of the configuration its reads") {
@@ -145,6 +197,7 @@
 private class BudgetedEntry(
     entryCount: Int,
     private val answerMs: Long = 4,
+    rates: StoreRates = StoreRates(),
 ) {
     private val time = SimTime()
     private val loop = SimLoop(time)
@@ -153,12 +206,13 @@
     private val budget =
         StoreBudget(
             loop,
-            StoreRates(),
+            rates,
             { entryCount },
             meter,
             { event, fields -> lines += "$event ${fields.joinToString(" ")}" },
             Random(1),
         )
+    private var lastOnEnd: (StoreCallEnd) -> Unit = {}
     var end: StoreCallEnd = StoreCallEnd.Answered
     var sentCount = 0
     var inFlightCount = 0
@@ -174,6 +228,7 @@
         val sinceMs = loop.nowMs
         budget.pass(call, { withheld += loop.nowMs - sinceMs to checkNotNull(it.retryAfterMs) }) { onEnd ->
             onSent()
+            lastOnEnd = onEnd
             longestWaitMs = maxOf(longestWaitMs, loop.nowMs - sinceMs)
             sentCount++
             inFlightCount++
@@ -184,6 +239,9 @@
         }
     }
 
+    /** A read shows that the last call was carried out. */
+    fun readBack() = lastOnEnd(StoreCallEnd.ReadBack)
+
     fun every(
         intervalMs: Long,
         forMs: Long,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/storerate/StoreReturn.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/storerate/StoreReturn.kt
@@ -24,7 +24,8 @@
 
 /**
  * Each entry reads the owner row four times a second, as while the store is lost, and asks for two jobs and stores one job a second
- * for its callers and once more for each call that was withheld or refused, a second later.
+ * for its callers and once more for each call that was withheld or refused, a second later. Like the entries of the platform it stores a
+ * job once the store has answered a read for it.
  */
 internal class StoreReturn(
     entryCount: Int,
@@ -60,7 +61,7 @@
             val gate = if (isBudgeted) StoreBudget(loop, rates, { knownCount }, meter, { _, _ -> }, Random(random.nextInt())) else meter
             every(250) { call(gate, StoreCall(StoreCallClass.OWNERSHIP, StoreCallKind.READ)) }
             every(500) { call(gate, StoreCall(StoreCallClass.CALLERS, StoreCallKind.READ)) }
-            every(1_000) { call(gate, StoreCall(StoreCallClass.CALLERS, StoreCallKind.WRITE)) }
+            every(1_000) { store(gate) }
         }
     }
 
@@ -83,17 +84,25 @@
         next(random.nextLong(intervalMs))
     }
 
+    private fun store(gate: StoreGate) {
+        val again = { time.after(1_000) { store(gate) } }
+        call(gate, StoreCall(StoreCallClass.CALLERS, StoreCallKind.READ), again) {
+            call(gate, StoreCall(StoreCallClass.CALLERS, StoreCallKind.WRITE), again)
+        }
+    }
+
     private fun call(
         gate: StoreGate,
         call: StoreCall,
+        again: () -> Unit = { if (call.callClass == StoreCallClass.CALLERS) time.after(1_000) { call(gate, call) } },
+        onAnswered: () -> Unit = {},
     ) {
-        val again = { if (call.callClass == StoreCallClass.CALLERS) time.after(1_000) { call(gate, call) } }
         gate.pass(call, { again() }) { onEnd ->
             val atMs = time.nowMs - startMs - OUTAGE_MS
             val end = if (atMs < 0) StoreCallEnd.Unanswered else answer(call, calls.getOrPut(atMs / 1_000) { Calls() })
             time.after(if (end == StoreCallEnd.Unanswered) READ_TIMEOUT_MS else 4) {
                 onEnd(end)
-                if (end != StoreCallEnd.Answered) again()
+                if (end == StoreCallEnd.Answered) onAnswered() else again()
             }
         }
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimStore.kt
@@ -4,6 +4,7 @@
  */
 package io.corianderrock.jobs.world
 
+import io.corianderrock.jobs.ownership.OwnerRow
 import io.corianderrock.jobs.ports.ChangeResult
 import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.ports.JobTables
@@ -40,6 +41,15 @@
     /** The load against the store's rates; null while they do not matter. */
     var load: StoreLoad? = null
 
+    /** The budget that calls of each entry pass from now on; null if they pass none. */
+    var budget: SimBudget? = null
+
+    /** Transactions of entries around the owner that were carried out, and those of them that changed nothing. */
+    var callersCount = 0
+        private set
+    var wastedCount = 0
+        private set
+
     /** Called with each change that an entry sends. */
     var onCommitSent: (SimEntry, RowChange) -> Unit = { _, _ -> }
 
@@ -72,7 +82,7 @@
     fun row(key: RowKey): ReadResult = ReadResult.Rows(listOfNotNull(rows[key]), version, time.nowMs)
 
     /** The tables as [entry] sees them, with delays and faults. */
-    fun tablesFor(entry: SimEntry): JobTables = EntryTables(entry)
+    fun tablesFor(entry: SimEntry): JobTables = BudgetedTables(entry, EntryTables(entry)) { budget }
 
     private inner class EntryTables(
         private val entry: SimEntry,
@@ -117,7 +127,7 @@
             if (isLost && random.nextBoolean()) {
                 time.after(random.nextLong(500, 5_000)) {
                     load.addLateTransaction()
-                    apply(change)
+                    applyCounted(change)
                 }
                 return
             }
@@ -127,11 +137,20 @@
                 return
             }
             time.after(takesMs) {
-                val result = apply(change)
+                val result = applyCounted(change)
                 if (!isLost) loop.after(2) { answer(result) }
             }
         }
 
+        private fun applyCounted(change: RowChange): ChangeResult {
+            val result = apply(change)
+            if (OwnerRow.KEY !in change.puts) {
+                callersCount++
+                if (result is ChangeResult.Conflict) wastedCount++
+            }
+            return result
+        }
+
         private fun once(onResult: (ChangeResult) -> Unit): (ChangeResult) -> Unit {
             var isAnswered = false
             return { result ->
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/StoreLoad.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/StoreLoad.kt
@@ -11,7 +11,16 @@
     val partWritesPerS: Int,
     /** True if a refused transaction takes the time of its part like one that is carried out. The platform does not tell. */
     val countsRefused: Boolean,
-)
+) {
+    /** As the settings of an entry tell them. */
+    fun told() =
+        io.corianderrock.jobs.storerate.StoreRates(
+            readsPerS = readsPerS.toDouble(),
+            writesPerS = writesPerS.toDouble(),
+            partWritesPerS = partWritesPerS.toDouble(),
+            transactionMs = 1_000.0 / partWritesPerS,
+        )
+}
 
 /** What the calls so far leave of [rates]; the time of each call rises with [slowFactor]. */
 internal class StoreLoad(
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/StoreStorm.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/StoreStorm.kt
@@ -21,6 +21,13 @@
     val mostClaimsPerS: Int,
     val claimCount: Int,
     val violations: List<String>,
+    /** For how long the store, without a fault, had more waiting than it lets wait. */
+    val behindMs: Long,
+    /** Transactions of entries around the owner that were carried out, and those of them that changed nothing. */
+    val callersCount: Int,
+    val wastedCount: Int,
+    /** Jobs of [StormCallers] that an entry has accepted. */
+    val acceptedCount: Int,
 )
 
 /** [entryCount] entries share a store of few transactions a second, as hundreds do at a site. */
@@ -29,6 +36,9 @@
     private val rates: StoreRates,
     private val entryCount: Int = 6,
     private val traces: MutableList<String>? = null,
+    private val isBudgeted: Boolean = false,
+    /** Jobs that callers send during the faults beside those of each world. */
+    private val jobCount: Int = 0,
 ) {
     private val random = Random(seed * 31L)
 
@@ -43,6 +53,8 @@
 
     /** When the store has carried out what it took until the last fault ended. */
     private var soundAtMs = 0L
+    private var behindMs = 0L
+    private var callers: StormCallers? = null
     private var wasOwnedAtReturn = true
 
     /** True while the store serves some entries and not others, or none. */
@@ -60,11 +72,17 @@
             mostClaimsPerS,
             claimCount,
             checker.violations,
+            behindMs,
+            world.store.callersCount,
+            world.store.wastedCount,
+            callers?.acceptedCount ?: 0,
         )
     }
 
     private fun begin(world: JobWorld) {
         world.store.load = StoreLoad(world.time, rates)
+        if (isBudgeted) world.store.budget = SimBudget(rates.told(), entryCount)
+        if (jobCount > 0) callers = StormCallers(world, Random(seed * 37L), jobCount, CALLERS_MS)
         world.store.onCommitSent = { _, change -> onCommitSent(world, change) }
         loseAnswers(world, at(2_000, 4_000))
         slowDown(world, at(4_000, 7_000))
@@ -173,6 +191,7 @@
         val nowMs = world.time.nowMs
         val isOwned = world.entries.any { it.scheduler?.canWrite == true && !it.isDisrupted }
         val isSound = world.store.isSound && !turnsEntriesAway
+        if (isSound && (world.store.load?.partExcessMs ?: 0) > 0) behindMs += WATCH_MS
         if (!isSound || nowMs <= faultsOverAtMs) soundAtMs = nowMs + (world.store.load?.partExcessMs ?: 0)
         if (!isOwned && nowMs <= soundAtMs) {
             wasOwnedAtReturn = false
@@ -202,6 +221,9 @@
         const val SECOND_MS = 1_000L
         const val WATCH_MS = 10L
 
+        /** Until the last faults begin. */
+        const val CALLERS_MS = 12_000L
+
         /** Time from one entry's stop to the next. */
         const val TURN_MS = 1_100L
     }
