Put budgets and pressing callers into the histories of the claim storm

ClaimStormTest now runs its series of faults, and the store that refuses for 8 s, also with budgets and 300 jobs of callers; the cases without them stay as they are.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/ClaimStormTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/ClaimStormTest.kt
@@ -7,8 +7,10 @@
 import io.corianderrock.jobs.ownership.OwnerRow
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.world.JobWorld
+import io.corianderrock.jobs.world.SimBudget
 import io.corianderrock.jobs.world.StoreLoad
 import io.corianderrock.jobs.world.StoreStorm
+import io.corianderrock.jobs.world.StormCallers
 import io.corianderrock.jobs.world.stormRates
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
@@ -17,18 +19,23 @@
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldNotBeNull
+import kotlin.random.Random
 
 /** A few of them in each build; more by hand, with `-Dstore.storm.seeds`. */
 private val SEEDS = 1..Integer.getInteger("store.storm.seeds", 25)
+
+/** 25 a second during the faults, of the 60 transactions a second that the part carries. */
+private const val PRESSING_JOBS = 300
 private const val MAX_VACANCY_MS = 3_000L
 private const val MAX_TAKEOVER_MS = 1_500L
 private const val MAX_CLAIMS_PER_S = 5
 
 internal class ClaimStormTest :
     DescribeSpec({
-        for (countsRefused in listOf(true, false)) {
-            describe("series of faults on a store with rates, refused calls counted: $countsRefused") {
-                val records = SEEDS.map { StoreStorm(it, stormRates(countsRefused)).run() }
+        for ((countsRefused, jobCount) in listOf(true to 0, false to 0, true to PRESSING_JOBS, false to PRESSING_JOBS)) {
+            val callers = if (jobCount > 0) "$jobCount jobs of callers and budgets" else "no budget"
+            describe("series of faults on a store with rates, refused calls counted: $countsRefused, $callers") {
+                val records = SEEDS.map { StoreStorm(it, stormRates(countsRefused), isBudgeted = jobCount > 0, jobCount = jobCount).run() }
                 it("leave no sound store without an owner for 3 s") {
                     records.filter { it.longestSoundWithoutOwnerMs > MAX_VACANCY_MS }.shouldBeEmpty()
                 }
@@ -44,9 +51,10 @@
                 }
             }
         }
-        for (entryCount in listOf(3, 6, 12)) {
-            describe("a store that refuses all transactions of $entryCount entries for 8 s after the owner is lost") {
-                val refusals = (1..10).map { RefusedClaims(it, entryCount).apply { run() } }
+        for ((entryCount, isBudgeted) in listOf(3 to false, 6 to false, 12 to false, 3 to true, 6 to true, 12 to true)) {
+            val callers = if (isBudgeted) "callers press and calls pass budgets" else "no budget"
+            describe("a store that refuses all transactions of $entryCount entries for 8 s after the owner is lost, $callers") {
+                val refusals = (1..10).map { RefusedClaims(it, entryCount, isBudgeted).apply { run() } }
                 it("gets at most five claims a second after the first second") {
                     refusals.maxOf { it.mostLaterClaimsPerS } shouldBeLessThanOrEqual MAX_CLAIMS_PER_S
                     refusals.minOf { it.claimCount } shouldBeGreaterThan 0
@@ -62,6 +70,8 @@
 private class RefusedClaims(
     private val seed: Int,
     private val entryCount: Int,
+    /** True for budgets of the entries, and for callers around the missing owner who use up what these leave to them. */
+    private val isBudgeted: Boolean,
 ) {
     private val claimsMs = ArrayList<Long>()
     private var returnsAtMs = Long.MAX_VALUE
@@ -93,6 +103,10 @@
         val rates = stormRates(countsRefused = false)
         val load = StoreLoad(world.time, rates)
         world.store.load = load
+        if (isBudgeted) {
+            world.store.budget = SimBudget(rates.told(), entryCount)
+            StormCallers(world, Random(seed), PRESSING_JOBS, durationMs = REFUSES_FOR_MS)
+        }
         while (load.partExcessMs < REFUSES_FOR_MS) load.addLateTransaction()
         returnsAtMs = world.time.nowMs + load.partExcessMs
         world.entries.first { it.scheduler != null }.kill()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/StoreStormMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/StoreStormMain.kt
@@ -9,7 +9,8 @@
     val seeds = args[0].toInt()..args[1].toInt()
     if (seeds.first == seeds.last) {
         val traces = ArrayList<String>()
-        val record = StoreStorm(seeds.first, stormRates(countsRefused = true), traces = traces).run()
+        val rates = stormRates(countsRefused = true)
+        val record = StoreStorm(seeds.first, rates, traces = traces, isBudgeted = jobCount != null, jobCount = jobCount ?: 0).run()
         traces.forEach(::println)
         println(record)
         return
