--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -11,6 +11,7 @@
 import io.corianderrock.jobs.ports.InstanceOrderAnswer
 import io.corianderrock.jobs.ports.InstanceService
 import io.corianderrock.jobs.ports.InstanceState
+import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.runs.SchedulingSettings
 import io.corianderrock.jobs.runs.WorkerDriver
 import io.corianderrock.jobs.state.Demand
@@ -39,6 +40,9 @@
 
     val isReady: Boolean get() = listing.hasList && mayOrder()
 
+    /** True if the last list of instances was requested later than [timeMs]. */
+    fun isListedSince(timeMs: Long): Boolean = listing.requestedAtMs?.let { it > timeMs } ?: false
+
     /** Workers of [pool] that are not cordoned. */
     fun workersOf(pool: String): List<WorkerView> = byId.values.filter { it.pool == pool && it.cordonReason == null }.mapNotNull(::workerOf)
 
@@ -106,6 +110,12 @@
         for (view in byId.values) if (view.cordonReason != null) workerOf(view)?.isCordoned = true
     }
 
+    /** Called when discovery has listed [entry], before tasks can be placed on its worker: an open order may end them. */
+    fun onWorkerListed(entry: WorkerEntry) {
+        val view = entry.instanceId?.let(::find) ?: return
+        if (view.isOrdered) workerOf(view)?.isCordoned = true
+    }
+
     /** Evicts tasks that can resume elsewhere; long-running ones only while some pool lacks instances. */
     private fun drain(
         view: InstanceView,
@@ -277,7 +287,10 @@
         val applyTo: (Instance) -> Instance,
     )
 
-    /** Stores [order] and then sends it with [callService], unless the ownership has become uncertain meanwhile. */
+    /**
+     * Stores [order] and then sends it with [callService], unless the ownership has become uncertain meanwhile or the instance is not as
+     * it was when the order was decided on: the order would end runs that have begun since.
+     */
     private fun send(
         view: InstanceView,
         order: Order,
@@ -285,6 +298,7 @@
         callService: ((InstanceOrderAnswer) -> Unit) -> Unit,
     ) {
         val worker = workerOf(view)
+        val wasEmpty = worker?.isEmpty == true
         ledger.onLeaving(view.instance.id)
         view.isOrdered = true
         view.movingTo = order.moveTo
@@ -299,9 +313,11 @@
             onDone(answer)
         }
         orders.record(view.instance.id, order.waveNumber) { isInTime ->
+            val current = workerOf(view)
             when {
                 !mayOrder() -> onAnswer(InstanceOrderAnswer.Refused(UNCERTAIN_OWNERSHIP))
                 !isInTime -> onAnswer(InstanceOrderAnswer.Refused(STORED_TOO_LATE))
+                current !== worker || wasEmpty && current?.isEmpty == false -> onAnswer(InstanceOrderAnswer.Refused(WORKER_CHANGED))
                 else -> callService(onAnswer)
             }
         }
@@ -323,7 +339,6 @@
             is InstanceOrderAnswer.Accepted -> onAccepted()
             is InstanceOrderAnswer.Refused -> {
                 view.retryAtMs = loop.nowMs + REFUSED_RETRY_MS
-                workerOf(view)?.isCordoned = view.cordonReason != null
             }
             is InstanceOrderAnswer.Unanswered -> {
                 view.retryAtMs = loop.nowMs + LOST_RETRY_MS
@@ -331,6 +346,7 @@
                 if (view.cordonReason == null) cordon(view, CordonReason.SURPLUS)
             }
         }
+        workerOf(view)?.isCordoned = view.cordonReason != null
     }
 
     private fun capacityOf(pool: String): Demand =
@@ -347,6 +363,7 @@
     private companion object {
         const val UNCERTAIN_OWNERSHIP = "the ownership became uncertain before the order was sent"
         const val STORED_TOO_LATE = "the order took too long to store"
+        const val WORKER_CHANGED = "the worker of the instance is another one or has got runs since the order was decided on"
 
         /** Least time that an instance stays in a pool after joining it. */
         const val MIN_STAY_MS = 1_500L
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceListing.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceListing.kt
@@ -21,7 +21,10 @@
     private var listedAtMs = Long.MIN_VALUE / 2
 
     /** True once a list has been received. */
-    var hasList = false
+    val hasList: Boolean get() = requestedAtMs != null
+
+    /** Loop time at which the last list that was received had been requested, null if there is none. */
+    var requestedAtMs: Long? = null
         private set
 
     val byId: Map<String, InstanceView> get() = views
@@ -49,12 +52,12 @@
         instances: List<Instance>,
         sentAtMs: Long,
     ) {
-        hasList = true
+        requestedAtMs = sentAtMs
         driver.onInstancesListed(instances, sentAtMs)
         for (instance in instances) {
             val view = views.getOrPut(instance.id) { InstanceView(instance) }
             if (view.isOrdered || view.changedAtMs >= sentAtMs) continue
-            view.isOutcomeOpen = false
+            if (view.isOutcomeOpen) settleOutcome(view, instance)
             if (view.instance.state != instance.state || view.instance.workerId != instance.workerId) logListed(view.instance, instance)
             if (view.instance.state != InstanceState.UP && instance.state == InstanceState.UP) view.joinedAtMs = loop.nowMs
             view.instance = instance
@@ -68,6 +71,16 @@
         }
     }
 
+    /** An unanswered move that [listed] shows to be carried out ends the cordon, as an accepted one does. */
+    private fun settleOutcome(
+        view: InstanceView,
+        listed: Instance,
+    ) {
+        view.isOutcomeOpen = false
+        val isMoved = listed.state == InstanceState.MOVING || listed.pool != view.instance.pool
+        if (isMoved && view.cordonReason == CordonReason.SURPLUS) view.cordonReason = null
+    }
+
     private fun logListed(
         before: Instance,
         listed: Instance,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -8,6 +8,7 @@
 import io.corianderrock.jobs.ports.StartRefusal
 import io.corianderrock.jobs.ports.StopOrder
 import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.state.AnsweredStop
 import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.TaskId
 import io.corianderrock.jobs.state.TaskPhase
@@ -52,6 +53,7 @@
     ) {
         if (!isStartStillAllowed(worker, task)) {
             worker.releaseRun(task, loop.nowMs)
+            stopGangOf(task)
             return
         }
         val order = startOrder(worker, task)
@@ -97,6 +99,8 @@
         answer: WorkerAnswer,
     ) {
         if (task.worker !== worker || task.runNumber != runNumber) return
+        // A list has shown the run, so that only an answer with the time of its start tells anything new.
+        if (task.phase == TaskPhase.RUNNING && answer !is WorkerAnswer.Done) return
         when (answer) {
             is WorkerAnswer.Done -> onStarted(worker, task, answer.workerClockMs)
             is WorkerAnswer.Refused -> onStartRefused(worker, task, answer)
@@ -135,6 +139,7 @@
         if (answer.refusal == StartRefusal.FENCE) context.onFenced()
         if (answer.refusal == StartRefusal.TICKET) task.stepRun.ticketsExpireAtMs = 0
         worker.releaseRun(task, loop.nowMs)
+        stopGangOf(task)
         if (answer.refusal == StartRefusal.OTHER_INCARNATION) worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
         context.onChange(worker.entry.pool)
     }
@@ -144,18 +149,18 @@
         task: TaskRun,
         answer: WorkerAnswer.Unanswered,
     ) {
-        // A list has shown the run, so that its answer is not needed.
-        if (task.phase == TaskPhase.RUNNING) return
         log.write("start_unanswered", "task", task.id, "run", task.runNumber, "worker", worker.id, "reason", answer.reason)
         if (!answer.mayBeCarriedOut) {
             worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
             worker.releaseRun(task, loop.nowMs)
+            stopGangOf(task)
             context.onChange(worker.entry.pool)
             return
         }
         // A worker that leaves holds unanswered too is not judged by its runs, but lost.
         if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker)
-        stop(task)
+        if (task.phase == TaskPhase.STARTING) stop(task)
+        stopGangOf(task)
     }
 
     /**
@@ -172,6 +177,14 @@
         sendStop(worker, task.id, task.runNumber)
     }
 
+    /** Stops the members of the gang that [task] belongs to, if any, of which this one has not started: they would wait for it alone. */
+    private fun stopGangOf(task: TaskRun) {
+        if (!task.stepRun.step.isGang) return
+        task.stepRun.tasks
+            .filter { it.runNumber == task.runNumber && it.occupiesWorker && it.phase != TaskPhase.STOPPING }
+            .forEach(::stop)
+    }
+
     fun stopRunsOf(job: JobRun) {
         for (task in job.tasks) if (task.occupiesWorker) stop(task)
     }
@@ -206,12 +219,11 @@
             if (worker.incarnation != incarnation) return@stop
             if (answer is WorkerAnswer.Done) {
                 log.write("run_stopped", "task", task, "run", runNumber, "worker", worker.id)
-                // The answered stop of a lower run that the worker was found to run does not cover the known one, which may still arrive.
-                val known = worker.runs[task]?.runNumber ?: runNumber
-                if (runNumber >= known) worker.stopAnsweredAtMs[task] = loop.nowMs
+                worker.answeredStops[task] = AnsweredStop(runNumber, loop.nowMs)
                 worker.unsettledStarts.onStopAnswered(task, runNumber)
                 holds.requestLists(worker)
             } else {
+                if (answer is WorkerAnswer.Refused && answer.refusal == StartRefusal.FENCE) context.onFenced()
                 log.write("stop_unanswered", "task", task, "run", runNumber, "worker", worker.id, "answer", answer)
                 loop.after(STOP_RETRY_MS) { retryStop(worker, incarnation, task, runNumber) }
             }
