--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
@@ -7,6 +7,7 @@
 package io.corianderrock.jobs.world
 
 import io.corianderrock.jobs.runs.SchedulingSettings
+import java.util.TreeMap
 
 /** All decisions on pool sizes and moves that are off by default. */
 internal val POOL_SETTINGS =
@@ -51,28 +52,31 @@
     }
     val startNs = System.nanoTime()
     val pairCounts = HashMap<Pair<EventKind, EventKind>, Int>()
-    val found =
-        (first..last)
-            .associateWith { seed ->
-                val world = world(seed)
-                val pairs = EventPairs(world.time).also { world.events.listen(it::onEvent) }
-                world
-                    .run()
-                    .violations
-                    .toList()
-                    .also { pairs.addTo(pairCounts) }
-            }.filterValues { it.isNotEmpty() }
+    var waitingCountChecks = 0
+    val found = TreeMap<Int, List<String>>()
+    for (seed in first..last) {
+        val world = world(seed)
+        val pairs = EventPairs(world.time).also { world.events.listen(it::onEvent) }
+        val checker = world.run()
+        if (checker.violations.isNotEmpty()) found[seed] = checker.violations
+        pairs.addTo(pairCounts)
+        waitingCountChecks += checker.waitingCountChecks
+    }
     found.forEach { (seed, violations) -> violations.forEach { println("seed $seed: $it") } }
     println(
         "${last - first + 1} seeds, ${found.size} fail, ${found.values.sumOf {
             it.size
         }} violations, ${(System.nanoTime() - startNs) / 1_000_000} ms",
     )
-    val most = EventKind.entries.size * EventKind.entries.size
-    println(
-        "pairs of events within ${EventPairs.WITHIN_MS} ms: ${pairCounts.size} of $most kinds, ${pairCounts.values.count {
-            it >= 10
-        }} ten times",
-    )
-    println(pairCounts.entries.sortedBy { it.value }.joinToString(", ") { "${it.key.first}-${it.key.second} ${it.value}" })
+    println("$waitingCountChecks counts of waiting jobs checked")
+    printPairs(pairCounts)
 }
+
+private fun printPairs(counts: Map<Pair<EventKind, EventKind>, Int>) {
+    val possible = EventKind.entries.size * EventKind.entries.size
+    val often = counts.values.count { it >= OFTEN }
+    println("pairs of events within ${EventPairs.WITHIN_MS} ms: ${counts.size} of $possible kinds, $often of them $OFTEN times or more")
+    println(counts.entries.sortedBy { it.value }.joinToString(", ") { "${it.key.first}-${it.key.second} ${it.value}" })
+}
+
+private const val OFTEN = 10
