--- a/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimRange.kt
+++ b/core/src/main/kotlin/io/corianderrock/coordination/claim/ClaimRange.kt
@@ -35,7 +35,7 @@
 )
 
 /**
- * Limits of claim ownership. [claimTimeoutMs] is how long a claim waits for the log. [commitsPerSecond] bounds all owners together. [retentionMs] is how long a claim is
+ * Limits of claim ownership. [commitsPerSecond] bounds all owners together. [retentionMs] is how long a claim is
  * remembered; [maxKeptResponses] and [maxResponseBytes] bound the responses kept for resends.
  */
 public data class ClaimLimits(
