--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -60,7 +60,7 @@
                 is Lookup.Found -> apply(message)
                 // Jobs are stored before or with their messages, so this one has expired.
                 is Lookup.Absent -> delete(message)
-                is Lookup.Unknown -> Unit
+                is Lookup.Unreadable, is Lookup.Unknown -> Unit
             }
         }
     }
@@ -81,6 +81,10 @@
 
         data object Absent : Lookup
 
+        /** The row cannot be decoded, now or later. */
+        data object Unreadable : Lookup
+
+        /** The store did not answer. */
         data object Unknown : Lookup
     }
 
@@ -94,7 +98,7 @@
         when {
             isClosed() || result !is ReadResult.Rows -> onResult(Lookup.Unknown)
             row == null -> onResult(Lookup.Absent)
-            submission == null -> onResult(Lookup.Unknown)
+            submission == null -> onResult(Lookup.Unreadable)
             else -> {
                 log.write("job_from_inbox", "job", id, "version", row.version)
                 val job = registry.load(submission, progress = null, isInherited = false)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -51,17 +51,17 @@
         val isSameIncarnation = bornBeforeMs == worker.bornWallMs
         val unknown = jobs.unknownIn(worker, lists)
         if (unknown.isEmpty()) {
-            apply(worker, order, sentAtMs, lists, isSameIncarnation)
+            applyLists(worker, order, sentAtMs, lists, isSameIncarnation)
             return
         }
         worker.deferredLists = lists
         jobs.find(unknown) {
             // Before tasks of a job that was found can be placed.
-            if (worker.deferredLists === lists) apply(worker, order, sentAtMs, lists, isSameIncarnation)
+            if (worker.deferredLists === lists) applyLists(worker, order, sentAtMs, lists, isSameIncarnation)
         }
     }
 
-    private fun apply(
+    private fun applyLists(
         worker: WorkerView,
         order: HoldOrder,
         sentAtMs: Long,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -196,7 +196,7 @@
             when (found) {
                 is JobInbox.Lookup.Found -> SubmitResult.Accepted
                 is JobInbox.Lookup.Absent -> SubmitResult.Rejected(refusal.reason, refusal.retryAfterMs)
-                is JobInbox.Lookup.Unknown -> SubmitResult.Unavailable
+                is JobInbox.Lookup.Unreadable, is JobInbox.Lookup.Unknown -> SubmitResult.Unavailable
             },
         )
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -1,8 +1,7 @@
 /*
  * The workers of one owner, for those who place tasks and order instances. Its parts decide: [WorkerRegister] which workers
- * exist and when they have ended, [RunOrders] starts and stops,
- * [RunTransitions] what follows when a run begins or is to end, [WorkerHolds] holds and leases, [RunLists] what becomes of
- * reported runs.
+ * exist and when they have ended, [RunOrders] starts and stops, [RunTransitions] what follows when a run begins or is to end,
+ * [WorkerHolds] holds and leases, [RunLists] what becomes of reported runs.
  */
 package io.corianderrock.jobs.runs
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -240,6 +240,7 @@
 
     private fun remove(worker: WorkerView) {
         worker.releaseRuns(loop.nowMs)
+        worker.deferredLists = null
         markReconciled(worker.id)
         workers.remove(worker, loop.nowMs)
         leaseRows.delete(worker)
