--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/OpenRequests.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/OpenRequests.kt
@@ -8,7 +8,7 @@
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.storerate.OpenWrites
 
-/** By the inbox row that each writes. Confined to [loop]. */
+/** The requests in flight, and those whose answer was lost, by the inbox row that each writes. Confined to [loop]. */
 internal class OpenRequests(
     private val loop: EventLoop,
 ) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -346,6 +346,7 @@
                 if (view.cordonReason == null) cordon(view, CordonReason.SURPLUS)
             }
         }
+        // The instance may have another worker than when the order was sent.
         workerOf(view)?.isCordoned = view.cordonReason != null
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -36,8 +36,8 @@
     private val log = context.log
 
     /**
-     * Called with the [lists] that [worker] has sent in answer to [order], sent at loop time [sentAtMs]. They are applied at once, or when the
-     * jobs that this owner does not know have been looked up, unless later ones have come by then.
+     * Called with the [lists] that [worker] has sent in answer to [order], sent at loop time [sentAtMs]. They are applied at once, or once
+     * the jobs that this owner does not know have been looked up, unless later lists have come by then.
      */
     fun onListed(
         worker: WorkerView,
@@ -153,7 +153,7 @@
         val task = registry.find(row.task.jobId)?.takeIf { it.isLive }?.task(row.task)
         if (current != null && current.runNumber == row.runNumber) {
             confirmRunning(worker, current, row)
-            // Its end stops all runs of a job. One that goes on nevertheless is stopped by what lists show, whatever it has missed.
+            // The end of a job stops its runs. A run that this has missed is stopped here.
             if (!current.stepRun.job.isLive && current.phase != TaskPhase.STOPPING) orders.stop(current)
         } else if (task != null && canAdopt(worker, task, row)) {
             adopt(worker, task, row)
@@ -244,7 +244,7 @@
         }
     }
 
-    /** Sends the answered stop of a run once more that is listed long after it: whatever the reason, the run has to end. */
+    /** Sends a stop once more that was answered long ago although [worker] still lists the run. */
     private fun repeatStop(
         worker: WorkerView,
         task: TaskId,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -177,7 +177,7 @@
         sendStop(worker, task.id, task.runNumber)
     }
 
-    /** Stops the members of the gang that [task] belongs to, if any, of which this one has not started: they would wait for it alone. */
+    /** Stops the other members of the gang of [task], if it is in one, as its start has failed: they would wait for it until their timeout. */
     private fun stopGangOf(task: TaskRun) {
         if (!task.stepRun.step.isGang) return
         task.stepRun.tasks
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/BudgetLane.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/BudgetLane.kt
@@ -122,7 +122,7 @@
     }
 
     /**
-     * Begins at the lowest level and after a pause by chance: nothing was sent for so long that the level tells nothing about the store,
+     * Begins at the lowest level and after a random pause: nothing was sent for so long that the level tells nothing about the store,
      * and other entries have waited for as long.
      */
     fun restart() {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/OpenWrites.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/OpenWrites.kt
@@ -74,10 +74,10 @@
     }
 
     internal companion object {
-        /** The platform carries calls without an answer out seconds later and tells no bound. */
+        /** Age up to which a call without an answer counts as still to be carried out: the platform does so seconds later and tells no bound. */
         const val MAY_LAND_MS = 5_000L
 
-        /** Half of the lost answers are to transactions that a read finds at once, and an owner that takes over accepts jobs itself. */
+        /** Longest delay that callers are told: by then a read may have settled the open writes, or a new owner accepts jobs itself. */
         private const val LONGEST_RETRY_AFTER_MS = 2_000L
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OvertakenStopsTest.kt
@@ -63,6 +63,7 @@
                 owner.pass(20)
                 owner.worker().isEmpty shouldBe false
             }
+            // Guards against a lost stop that is not repeated because no list shows the run yet (UNASKED).
             it("is told to stop until that is answered") {
                 val owner = owner()
                 owner.passTicking(3_000)
@@ -96,6 +97,7 @@
                 task.phase shouldBe TaskPhase.RUNNING
                 task.runNumber shouldBe 1_001
             }
+            // Guards against a place that stays occupied by a run that the stop has kept from beginning (LOST).
             it("frees its place if it is refused because the stop came first") {
                 val owner = OwnerOfScriptedWorkers()
                 owner.onStart = { _, _ -> 300L to WorkerAnswer.Refused(StartRefusal.OLD_RUN, 0) }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfScriptedWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfScriptedWorkers.kt
@@ -22,7 +22,7 @@
 import io.corianderrock.jobs.world.SimLoop
 import io.corianderrock.jobs.world.SimTime
 
-/** An owner whose workers answer as [onStart], [onStop] and [onHold] say: after how long, and what. */
+/** An owner whose workers answer orders as [onStart] and [onStop] say: after how long, and what. */
 internal class OwnerOfScriptedWorkers(
     step: Step = Step(1, Demand(1_000, 100)),
     workerCount: Int = 1,
