--- a/review/lib/progress_case.py
+++ b/review/lib/progress_case.py
@@ -37,8 +37,6 @@
     deployment = Deployment(record, run_ms=lambda task: TASK_MS)
     rng = random.Random(1)
     try:
-        for index in range(deployment.worker_count):
-            await deployment.add_worker(f"m-{index}", f"r-{index % 2}")
         if not await deployment.start():
             print("the entries did not become ready")
             return 2
