--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -23,6 +23,8 @@
 TX_BYTES = 1_000_000
 TX_S = 0.003
 HOLD_MAX_MS = 6000
+STANDBY = "spare"
+CAPACITY = {"cpu": 32000, "memMb": 131072, "gpu": 0}
 
 
 def now_ms():
@@ -218,7 +220,7 @@
 
     def __init__(self, record, store, machine, service, rack, run_ms, capacity=None):
         self.record, self.store, self.machine, self.service, self.rack, self.run_ms = record, store, machine, service, rack, run_ms
-        self.capacity = capacity or {"cpu": 32000, "memMb": 131072, "gpu": 0}
+        self.capacity = capacity or CAPACITY
         self.id = f"i-{os.urandom(5).hex()}"
         self.addr = f"127.0.0.1:{free_port()}"
         self.born = int(time.time() * 1000)
@@ -333,19 +335,48 @@
 
 
 class Machines:
-    """The machine service: lists; orders are accepted at no time here, since the configuration has no standby pool and no wave."""
+    """The machine service: lists machines and moves them between pools. A machine of the standby pool is off and has no worker."""
 
-    def __init__(self, workers):
-        self.workers = workers
+    MIGRATE_S = 1.5
+
+    def __init__(self, record, workers, add_worker):
+        self.record, self.workers, self.add_worker = record, workers, add_worker
+        self.rows = {}
         self.server = HttpServer(self.handle)
 
+    def add(self, machine, pool, rack):
+        self.rows[machine] = {"pool": pool, "state": "up", "rack": rack}
+
     async def handle(self, method, path, query, headers, body):
-        if path != "/v1/machines":
+        if path == "/v1/machines":
+            return 200, {"machines": [self._row(machine, row) for machine, row in self.rows.items()]}
+        order = json.loads(body)
+        row = self.rows.get(order.get("machine"))
+        if path != "/v1/machine-move" or row is None:
             return 400, {}
-        return 200, {"machines": [
-            {"machine": worker.machine, "pool": worker.service, "state": "up", "zone": "zone-a", "labels": ["a", worker.rack],
-             "capacity": worker.capacity, "id": worker.id} for worker in self.workers.values()
-        ]}
+        if row["pool"] == order["pool"]:
+            return 200, {}
+        if row["state"] != "up":
+            return 409, {"reason": "busy"}
+        self.record.write("move", machine=order["machine"], pool=order["pool"])
+        row["pool"], row["state"] = order["pool"], "moving"
+        worker = self.workers.pop(order["machine"], None)
+        if worker:
+            await worker.crash()
+            await worker.store.delete("servers", worker.id)
+        asyncio.create_task(self._arrive(order["machine"], row))
+        return 200, {}
+
+    async def _arrive(self, machine, row):
+        await asyncio.sleep(self.MIGRATE_S)
+        row["state"] = "up"
+        if row["pool"] != STANDBY:
+            await self.add_worker(machine, row["rack"])
+
+    def _row(self, machine, row):
+        worker = self.workers.get(machine)
+        fields = {"machine": machine, "pool": row["pool"], "state": row["state"], "zone": "zone-a", "labels": ["a", row["rack"]], "capacity": CAPACITY}
+        return {**fields, "id": worker.id} if worker else fields
 
 
 class Entry:
@@ -434,14 +465,15 @@
 
 
 class Deployment:
-    """A store, a machine service, workers of one service and two entries."""
+    """A store, a machine service, workers of one service, machines in standby and two entries."""
 
-    def __init__(self, record, run_ms, worker_count=4, entry_count=2):
+    def __init__(self, record, run_ms, worker_count=4, entry_count=2, standby_count=0):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store(record)
         self.workers = {}
-        self.run_ms, self.worker_count, self.entry_count = run_ms, worker_count, entry_count
+        self.run_ms, self.worker_count, self.entry_count, self.standby_count = run_ms, worker_count, entry_count, standby_count
+        self.machines = Machines(record, self.workers, self.add_worker)
         self.entries = []
 
     async def add_worker(self, machine, rack):
@@ -451,13 +483,16 @@
         return worker
 
     async def start(self):
-        await self.store.put("op", "config", CONFIG)
+        spare = [{"name": STANDBY, "admissionCheck": False, "standby": True}] if self.standby_count else []
+        await self.store.put("op", "config", {**CONFIG, "services": CONFIG["services"] + spare})
         store, cloud = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
         await self.store.server.start(*store.split(":"))
-        machines = Machines(self.workers)
-        await machines.server.start(*cloud.split(":"))
-        for index in range(self.worker_count):
-            await self.add_worker(f"m-{index}", f"r-{index % 2}")
+        await self.machines.server.start(*cloud.split(":"))
+        for index in range(self.worker_count + self.standby_count):
+            pool = "svc" if index < self.worker_count else STANDBY
+            self.machines.add(f"m-{index}", pool, f"r-{index % 2}")
+            if pool != STANDBY:
+                await self.add_worker(f"m-{index}", f"r-{index % 2}")
         hosts = [f"127.0.0.{2 + index}" for index in range(self.entry_count)]
         peer_port = free_port(hosts)
         for index, host in enumerate(hosts):
