--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -334,6 +334,25 @@
         }
 
 
+class Advice:
+    """The advice service: grants a ticket for each worker named that is_allowed(worker id) lets run the queue's steps."""
+
+    FIELDS = {"decideMs": 20, "periodMs": 1, "validMs": 3000}
+
+    def __init__(self, record, is_allowed):
+        self.record, self.is_allowed = record, is_allowed
+        self.turn = asyncio.Lock()
+        self.server = HttpServer(self.handle)
+
+    async def handle(self, method, path, query, headers, body):
+        call = json.loads(body)
+        async with self.turn:
+            await asyncio.sleep((self.FIELDS["decideMs"] + self.FIELDS["periodMs"] * len(call["workers"])) / 1000)
+        granted = [[worker, f"t-{worker}"] for worker in call["workers"] if self.is_allowed(worker)]
+        self.record.write("advice", step=call["step"], asked=len(call["workers"]), granted=len(granted))
+        return 200, {"granted": granted, "validMs": self.FIELDS["validMs"]}
+
+
 class Machines:
     """The machine service: lists machines and moves them between pools. A machine of the standby pool is off and has no worker."""
 
@@ -382,12 +401,12 @@
 class Entry:
     """One entry process, started by the run line of the deploy file with settings after its template."""
 
-    def __init__(self, folder, name, ip, peer_port, seeds, store, cloud):
+    def __init__(self, folder, name, ip, peer_port, seeds, store, cloud, advice):
         self.name, self.ip, self.folder = name, ip, folder
         self.front = f"{ip}:{free_port((ip,))}"
         self.ready = f"{ip}:{free_port((ip,))}"
         self.fields = {
-            "nodeName": name, "zone": "zone-a", "ip": ip, "advice": "", "seeds": seeds, "portRange": [peer_port, peer_port + 15],
+            "nodeName": name, "zone": "zone-a", "ip": ip, "advice": advice, "seeds": seeds, "portRange": [peer_port, peer_port + 15],
             "limits": {"cpuShare": 0.75, "cores": 1}, "listen": {"front": self.front, "ready": self.ready},
             "platform": {"addr": store, "readsPerS": 2000.0, "writesPerS": 600.0, "partWritesS": 300, "txMs": 3.0},
             "cloud": {"addr": cloud},
@@ -475,6 +494,8 @@
         self.run_ms, self.worker_count, self.entry_count, self.standby_count = run_ms, worker_count, entry_count, standby_count
         self.machines = Machines(record, self.workers, self.add_worker)
         self.entries = []
+        self.advice = ""
+        self.route_fields = {}
 
     async def add_worker(self, machine, rack):
         worker = Worker(self.record, self.store, machine, "svc", rack, self.run_ms)
@@ -484,7 +505,9 @@
 
     async def start(self):
         spare = [{"name": STANDBY, "admissionCheck": False, "standby": True}] if self.standby_count else []
-        await self.store.put("op", "config", {**CONFIG, "services": CONFIG["services"] + spare})
+        await self.store.put("op", "config", {
+            **CONFIG, "routes": [{**CONFIG["routes"][0], **self.route_fields}], "services": CONFIG["services"] + spare,
+        })
         store, cloud = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
         await self.store.server.start(*store.split(":"))
         await self.machines.server.start(*cloud.split(":"))
@@ -496,7 +519,7 @@
         hosts = [f"127.0.0.{2 + index}" for index in range(self.entry_count)]
         peer_port = free_port(hosts)
         for index, host in enumerate(hosts):
-            entry = Entry(self.folder, f"edge-{index}", host, peer_port, [f"{h}:{peer_port}" for h in hosts], store, cloud)
+            entry = Entry(self.folder, f"edge-{index}", host, peer_port, [f"{h}:{peer_port}" for h in hosts], store, cloud, self.advice)
             self.entries.append(entry)
             entry.start()
         for _ in range(200):
