Log whom a question for advice leaves out, and why one failed

The line named the count of usable workers as asked, also where only 30 of them were named in the call, and a failed call left no reason. It now tells usable, asked, asked for the first time and never asked apart, which distinguishes a policy that allows nobody from workers that are never asked about.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -188,10 +188,31 @@
         stepRun.isAdviceInFlight = true
         val name = "${stepRun.job.id}.${stepRun.occurrence}.${stepRun.number}"
         val sentAtMs = loop.nowMs
-        advice.ask(name, workers.take(MAX_ADVISED_WORKERS).map { it.id }) { answer ->
+        val asked = workers.take(MAX_ADVISED_WORKERS).map { it.id }
+        val firstAskedCount = asked.count(stepRun.advisedWorkerIds::add)
+        val neverAskedCount = workers.count { it.id !in stepRun.advisedWorkerIds }
+        advice.ask(name, asked) { answer ->
             stepRun.isAdviceInFlight = false
             val granted = answer.granted
-            log.write("advice", "step", name, "asked", workers.size, "granted", granted?.size, "tookMs", loop.nowMs - sentAtMs)
+            log.write(
+                "advice",
+                "step",
+                name,
+                "usable",
+                workers.size,
+                "asked",
+                asked.size,
+                "askedFirstTime",
+                firstAskedCount,
+                "neverAsked",
+                neverAskedCount,
+                "granted",
+                granted?.size,
+                "failure",
+                answer.failure,
+                "tookMs",
+                loop.nowMs - sentAtMs,
+            )
             if (granted != null) {
                 stepRun.tickets = granted.associate { it.workerId to it.ticket }
                 stepRun.ticketsExpireAtMs = sentAtMs + answer.validForMs - TICKET_EXPIRY_MARGIN_MS
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/InstanceService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/InstanceService.kt
@@ -66,10 +66,14 @@
     val ticket: String,
 )
 
-/** Answer of the advice service. [granted] is null when the call failed; tickets are valid for [validForMs] milliseconds. */
+/**
+ * Answer of the advice service. [granted] is null when the call failed, for the reason in [failure]; tickets are valid for
+ * [validForMs] milliseconds.
+ */
 public data class AdviceAnswer(
     val granted: List<Ticket>?,
     val validForMs: Long,
+    val failure: String? = null,
 )
 
 /** Decides which workers may run a step. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -123,6 +123,9 @@
     var ticketsExpireAtMs: Long = 0
     var isAdviceInFlight: Boolean = false
 
+    /** Ids of the workers that questions about advice have named. */
+    val advisedWorkerIds = HashSet<String>()
+
     /** What is learned about the run times of its tasks; null before the first prediction. */
     var runTimes: StepRunTimes? = null
 
