Ask for advice about the workers that no question has named

Cause: a question named the first 30 usable workers in the order of the owner's table. When none of them was allowed, the empty list of tickets counted as valid for validMs, and the same 30 were asked about when it had expired, for ever. What the service had said of a worker was forgotten with the ticket, although it holds for the worker's life.

Change: StepAdvice keeps for each step which workers are allowed, by incarnation. StepAdviser asks only when a waiting task has found no worker with a valid ticket and some worker that is not known to be denied has room, and leaves out those that are denied or have a valid ticket: each question tells something new or renews a ticket. The first question about a step names 30 workers, as before; the next ones as many as are expected to give as many tickets, 100 at most, which is what one call takes. The order is that of placement costs. An answer starts a placement pass at once instead of with the next tick. A refused ticket is renewed alone. task_waits tells how many workers are allowed, denied and unknown.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -19,7 +19,7 @@
     private val registry: JobRegistry,
     private val driver: WorkerDriver,
     private val runTimes: RunTimeEstimator,
-    private val advice: AdviceService,
+    advice: AdviceService,
     private val log: DecisionLog,
     private val mayOrder: () -> Boolean,
     private val order: CandidateOrder = ObjectiveOrder,
@@ -28,7 +28,10 @@
     private val rackWaits: RackWaits? = null,
     private val wideTaskRoom: WideTaskRoom? = null,
     poolShares: PoolShares = PoolShares { emptyList() },
+    /** Called with a pool in which an answer of the advice service may let tasks start. */
+    onAdvice: (String) -> Unit = {},
 ) {
+    private val adviser = StepAdviser(loop, advice, choice, log, onAdvice)
     private val explainer = WaitExplainer(loop, registry, driver, choice, log, poolShares) { !mayStartAny(it.stepRun, listOf(it)) }
 
     /** By pool: since when, in loop time, every pass has left a task without capacity. */
@@ -107,7 +110,10 @@
             worker.consecutiveLostHolds == 0 &&
             loop.nowMs >= worker.avoidUntilMs
 
-    /** Assigns the waiting tasks of [candidate]; false when one of them found no worker with capacity. */
+    /**
+     * Assigns the waiting tasks of [candidate]; false when one of them found no worker with capacity, and none that may turn out to be
+     * allowed has any.
+     */
     private fun placeStep(
         candidate: Candidate,
         capacity: PoolCapacity,
@@ -117,12 +123,11 @@
         if (!mayStartAny(stepRun, candidate.tasks)) return true
         if (!capacity.hasRoomFor(stepRun, choice.expectedEndMs(stepRun))) return false
         val capacities = capacity.workers
-        if (stepRun.job.queue.needsAdvice && !ensureTickets(stepRun, capacities)) return true
         if (stepRun.step.isGang) return placeGang(stepRun, capacities)
         for (task in candidate.tasks.filter { it.phase == TaskPhase.WAITING }) {
             if (!startLimit.mayStart(task)) return true
             if (rackWaits?.holds(task, capacity) == true) continue
-            val chosen = choice.cheapestWorker(task, capacities) ?: return false
+            val chosen = choice.cheapestWorker(task, capacities) ?: return adviser.awaitsAdvice(task, capacities)
             assign(task, chosen)
         }
         return true
@@ -152,7 +157,7 @@
             chosen.add(capacity)
         }
         freeBefore.forEach { (capacity, free) -> capacity.free = free }
-        if (chosen.size < stepRun.tasks.size) return false
+        if (chosen.size < stepRun.tasks.size) return adviser.awaitsAdvice(stepRun.tasks[chosen.size], capacities)
         val runNumber = stepRun.tasks.maxOf { it.lastRunNumber }
         val checkpoint = stepRun.tasks.firstNotNullOfOrNull { it.checkpoint }
         for ((task, capacity) in stepRun.tasks.zip(chosen)) {
@@ -175,57 +180,4 @@
         driver.start(task, capacity.worker)
         startLimit.onStarted(task)
     }
-
-    /** True while the tickets of [stepRun] are valid; otherwise requests new ones, which a later pass uses. */
-    private fun ensureTickets(
-        stepRun: StepRun,
-        capacities: List<WorkerCapacity>,
-    ): Boolean {
-        if (loop.nowMs < stepRun.ticketsExpireAtMs) return true
-        if (stepRun.isAdviceInFlight) return false
-        val workers = capacities.map { it.worker }.filter { choice.mayTake(it, stepRun.step) }.sortedBy(choice::isFailing)
-        if (workers.isEmpty()) return false
-        stepRun.isAdviceInFlight = true
-        val name = "${stepRun.job.id}.${stepRun.occurrence}.${stepRun.number}"
-        val sentAtMs = loop.nowMs
-        val asked = workers.take(MAX_ADVISED_WORKERS).map { it.id }
-        val firstAskedCount = asked.count(stepRun.advisedWorkerIds::add)
-        val neverAskedCount = workers.count { it.id !in stepRun.advisedWorkerIds }
-        advice.ask(name, asked) { answer ->
-            stepRun.isAdviceInFlight = false
-            val granted = answer.granted
-            log.write(
-                "advice",
-                "step",
-                name,
-                "usable",
-                workers.size,
-                "asked",
-                asked.size,
-                "askedFirstTime",
-                firstAskedCount,
-                "neverAsked",
-                neverAskedCount,
-                "granted",
-                granted?.size,
-                "failure",
-                answer.failure,
-                "tookMs",
-                loop.nowMs - sentAtMs,
-            )
-            if (granted != null) {
-                stepRun.tickets = granted.associate { it.workerId to it.ticket }
-                stepRun.ticketsExpireAtMs = sentAtMs + answer.validForMs - TICKET_EXPIRY_MARGIN_MS
-            }
-        }
-        return false
-    }
-
-    private companion object {
-        /** Maximum number of workers in one advice request; the advice service spends one period on each. */
-        const val MAX_ADVISED_WORKERS = 30
-
-        /** Tickets count as expired this long before their validity ends. */
-        const val TICKET_EXPIRY_MARGIN_MS = 300L
-    }
 }
--- /dev/null
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/StepAdviser.kt
@@ -0,0 +1,139 @@
+/*
+ * Asks the advice service on which workers waiting tasks may start. The service takes calls of one entry in turn, each of a length that
+ * grows with the workers named, so that a worker is named again only for a new ticket, and the next question names
+ * workers that no earlier one did.
+ */
+package io.corianderrock.jobs.placement
+
+import io.corianderrock.jobs.ports.AdviceAnswer
+import io.corianderrock.jobs.ports.AdviceService
+import io.corianderrock.jobs.ports.DecisionLog
+import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.state.AdviceStanding
+import io.corianderrock.jobs.state.AdvisedWorker
+import io.corianderrock.jobs.state.StepAdvice
+import io.corianderrock.jobs.state.StepRun
+import io.corianderrock.jobs.state.TaskRun
+import kotlin.math.ceil
+
+/** Used on the event loop only. */
+internal class StepAdviser(
+    private val loop: EventLoop,
+    private val service: AdviceService,
+    private val choice: WorkerChoice,
+    private val log: DecisionLog,
+    /** Called with the pool of a step after each answer about it. */
+    private val onAnswer: (String) -> Unit,
+) {
+    /**
+     * True if [task], which may start on none of the workers with a valid ticket, waits for advice on others that have room for it. Asks
+     * for it unless that has been done. False if advice would not help now.
+     */
+    fun awaitsAdvice(
+        task: TaskRun,
+        capacities: List<WorkerCapacity>,
+    ): Boolean {
+        val stepRun = task.stepRun
+        if (!stepRun.needsAdvice) return false
+        val nowMs = loop.nowMs
+        val open = capacities.filter { isOpen(stepRun.advice.standing(it.worker, nowMs)) && choice.mayRunWithAdvice(task, it, 0) }
+        val (withRoom, full) = open.partition { choice.hasRoom(task, it) }
+        if (withRoom.isEmpty()) return false
+        if (stepRun.advice.isInFlight) return true
+        // Those without room come last: their tickets may be of use when a run there ends.
+        ask(stepRun, preferred(task, withRoom) + preferred(task, full), capacities.size)
+        return true
+    }
+
+    private fun isOpen(standing: AdviceStanding) = standing == AdviceStanding.UNKNOWN || standing == AdviceStanding.TICKET_EXPIRED
+
+    /** Workers that are known to be allowed come first, then by cost. */
+    private fun preferred(
+        task: TaskRun,
+        candidates: List<WorkerCapacity>,
+    ): List<WorkerCapacity> =
+        choice
+            .sortedByCost(task, candidates)
+            .sortedBy { task.stepRun.advice.standing(it.worker, loop.nowMs) == AdviceStanding.UNKNOWN }
+
+    private fun ask(
+        stepRun: StepRun,
+        candidates: List<WorkerCapacity>,
+        usableCount: Int,
+    ) {
+        val advice = stepRun.advice
+        val question = Question(stepRun, candidates.take(questionSize(advice)).map { AdvisedWorker(it.worker) }, candidates.size, usableCount)
+        advice.isInFlight = true
+        service.ask(question.name, question.asked.map { it.worker.id }) { answer ->
+            advice.isInFlight = false
+            onAnswered(question, answer)
+            onAnswer(stepRun.job.queue.pool)
+        }
+    }
+
+    private inner class Question(
+        val stepRun: StepRun,
+        val asked: List<AdvisedWorker>,
+        val openCount: Int,
+        val usableCount: Int,
+    ) {
+        val name = "${stepRun.job.id}.${stepRun.occurrence}.${stepRun.number}"
+        val sentAtMs = loop.nowMs
+        val newCount = asked.count { stepRun.advice.standing(it.worker, sentAtMs) == AdviceStanding.UNKNOWN }
+    }
+
+    /** As many workers as are expected to give what a question about [USUAL_QUESTION_SIZE] gives where all are allowed. */
+    private fun questionSize(advice: StepAdvice): Int {
+        val allowedShare = (advice.allowedCount + 1.0) / (advice.knownCount + 1.0)
+        return minOf(MAX_QUESTION_SIZE, ceil(USUAL_QUESTION_SIZE / allowedShare).toInt())
+    }
+
+    private fun onAnswered(
+        question: Question,
+        answer: AdviceAnswer,
+    ) {
+        logAnswer(question, answer)
+        val granted = answer.granted ?: return
+        question.stepRun.advice.onAnswer(question.asked, granted.associate { it.workerId to it.ticket }, question.sentAtMs + answer.validForMs - EXPIRY_MARGIN_MS)
+    }
+
+    private fun logAnswer(
+        question: Question,
+        answer: AdviceAnswer,
+    ) = log.write(
+        "advice",
+        "step",
+        question.name,
+        "usable",
+        question.usableCount,
+        "open",
+        question.openCount,
+        "asked",
+        question.asked.size,
+        "askedFirstTime",
+        question.newCount,
+        "known",
+        question.stepRun.advice.knownCount,
+        "knownAllowed",
+        question.stepRun.advice.allowedCount,
+        "granted",
+        answer.granted?.size,
+        "validMs",
+        answer.validForMs,
+        "failure",
+        answer.failure,
+        "tookMs",
+        loop.nowMs - question.sentAtMs,
+    )
+
+    private companion object {
+        /** The size of the question that the objectives of jobs account for, one a step. */
+        const val USUAL_QUESTION_SIZE = 30
+
+        /** The service accepts no more workers in one call. */
+        const val MAX_QUESTION_SIZE = 100
+
+        /** Tickets count as expired this long before their validity ends. */
+        const val EXPIRY_MARGIN_MS = 300L
+    }
+}
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
@@ -125,9 +125,21 @@
             task.stepRun.step.occupied.memoryMb,
             "maxPerWorker",
             task.stepRun.step.maxPerWorker,
+            "advice",
+            adviceCounts(task, capacities),
         )
     }
 
+    /** How many usable workers the advice service allows, denies and so on; null where the step needs no advice. */
+    private fun adviceCounts(
+        task: TaskRun,
+        capacities: List<WorkerCapacity>,
+    ): String? {
+        if (!task.stepRun.needsAdvice) return null
+        val counts = capacities.groupingBy { task.stepRun.advice.standing(it.worker, loop.nowMs) }.eachCount()
+        return counts.entries.sortedBy { it.key }.joinToString(",") { "${it.key}:${it.value}" }
+    }
+
     private companion object {
         /** Minimum time between two explanations of waiting tasks. */
         const val EXPLAIN_INTERVAL_MS = 1_000L
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WideTaskRoom.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WideTaskRoom.kt
@@ -57,7 +57,7 @@
         stepRun: StepRun,
         capacity: PoolCapacity,
     ) {
-        if (stepRun.step.isGang || stepRun.job.queue.needsAdvice) return
+        if (stepRun.step.isGang || stepRun.needsAdvice) return
         val sinceMs = stepRun.withoutRoomSinceMs ?: loop.nowMs.also { stepRun.withoutRoomSinceMs = it }
         if (loop.nowMs - sinceMs < MIN_WAIT_MS) return
         val rooms = pools.getOrPut(stepRun.job.queue.pool) { PoolRooms() }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
@@ -51,11 +51,28 @@
         return best
     }
 
+    /** [candidates] in the order in which [task] would be placed on them, the cheapest first. */
+    fun sortedByCost(
+        task: TaskRun,
+        candidates: List<WorkerCapacity>,
+    ): List<WorkerCapacity> {
+        val step = task.stepRun.step
+        val racks = if (step.isRackSensitive) racksOf(task.stepRun) else emptySet()
+        val durationMs = if (runTimes.predictsEnds) runTimes.durationMs(task.stepRun) else 0.0
+        return candidates.map { it to cost(task, step, it, racks, durationMs) }.sortedBy { it.second }.map { it.first }
+    }
+
     /** True if [task] may start on the worker of [capacity] now, beside [plannedCount] more tasks of its step. */
     fun fits(
         task: TaskRun,
         capacity: WorkerCapacity,
         plannedCount: Int,
+    ): Boolean = hasRoom(task, capacity) && mayRunOn(task, capacity, plannedCount)
+
+    /** True if the worker of [capacity] has room for [task] now, beside what is kept for others. */
+    fun hasRoom(
+        task: TaskRun,
+        capacity: WorkerCapacity,
     ): Boolean {
         if (!task.stepRun.step.occupied
                 .fitsIn(capacity.free)
@@ -63,8 +80,7 @@
             return false
         }
         val room = capacity.room
-        if (room != null && !room.permits(task.stepRun, expectedEndMs(task.stepRun))) return false
-        return mayRunOn(task, capacity, plannedCount)
+        return room == null || room.permits(task.stepRun, expectedEndMs(task.stepRun))
     }
 
     /** The loop time at which a task of [stepRun] would end if it started now. */
@@ -75,6 +91,13 @@
         task: TaskRun,
         capacity: WorkerCapacity,
         plannedCount: Int,
+    ): Boolean = task.stepRun.mayStartOn(capacity.worker, loop.nowMs) && mayRunWithAdvice(task, capacity, plannedCount)
+
+    /** True if the rules other than capacity and advice let [task] start on the worker of [capacity] now. */
+    fun mayRunWithAdvice(
+        task: TaskRun,
+        capacity: WorkerCapacity,
+        plannedCount: Int,
     ): Boolean {
         val step = task.stepRun.step
         if (capacity.isReserved || !mayTake(capacity.worker, step)) return false
@@ -83,7 +106,6 @@
         if (step.requiredLabel != null && step.requiredLabel !in capacity.worker.entry.labels) return false
         // A best-effort task would slow down a task with a response time target on the same worker.
         if (step.isBestEffort && capacity.hasServingTask || step.responseTargetMs != null && capacity.hasBestEffortTask) return false
-        if (task.stepRun.job.queue.needsAdvice && capacity.worker.id !in task.stepRun.tickets) return false
         val max = step.maxPerWorker ?: return true
         return task.stepRun.taskCountOn(capacity.worker) + plannedCount < max
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -89,7 +89,7 @@
             expiresAtWorkerMs = holds.nextLeaseEndMs(worker),
             fence = context.epoch,
             checkpoint = task.checkpoint,
-            ticket = task.stepRun.tickets[worker.id],
+            ticket = task.stepRun.advice.ticket(worker, loop.nowMs),
         )
 
     private fun onStartAnswer(
@@ -137,7 +137,7 @@
         // A worker that was idle for long refuses an order as expired by an estimate that has fallen behind its clock.
         answer.workerClockMs?.let { worker.recordClock(it, loop.nowMs) }
         if (answer.refusal == StartRefusal.FENCE) context.onFenced()
-        if (answer.refusal == StartRefusal.TICKET) task.stepRun.ticketsExpireAtMs = 0
+        if (answer.refusal == StartRefusal.TICKET) task.stepRun.advice.onTicketRefused(worker)
         worker.releaseRun(task, loop.nowMs)
         stopGangOf(task)
         if (answer.refusal == StartRefusal.OTHER_INCARNATION) worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -102,6 +102,7 @@
             rackWaits = if (settings.waitsForPreferredRack) RackWaits(loop, runTimes, choice, bounds.remoteFactor) else null,
             wideTaskRoom = if (settings.keepsRoomForWideTasks) WideTaskRoom(loop, choice, log) else null,
             poolShares = accountRules.poolShares,
+            onAdvice = ::requestPlacement,
         )
     private val demand = PoolDemand(loop, registry, runTimes, accountRules.demandLimit, settings.estimatesInheritedDemand)
     private val instanceOrders =
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -119,12 +119,10 @@
     /** Loop time since which every pass has left a task without a worker that has capacity; null after one that did not. */
     var withoutRoomSinceMs: Long? = null
     val occupyingCount: Int get() = step.count - doneCount - waitingCount
-    var tickets: Map<String, String> = emptyMap()
-    var ticketsExpireAtMs: Long = 0
-    var isAdviceInFlight: Boolean = false
 
-    /** Ids of the workers that questions about advice have named. */
-    val advisedWorkerIds = HashSet<String>()
+    /** True if a start needs a ticket. */
+    val needsAdvice: Boolean get() = job.queue.needsAdvice
+    val advice = StepAdvice()
 
     /** What is learned about the run times of its tasks; null before the first prediction. */
     var runTimes: StepRunTimes? = null
@@ -148,6 +146,12 @@
         phaseCounts[after.ordinal]++
     }
 
+    /** True if the rules on advice let a task start on [worker] at loop time [nowMs]. */
+    fun mayStartOn(
+        worker: WorkerView,
+        nowMs: Long,
+    ): Boolean = !needsAdvice || advice.standing(worker, nowMs) == AdviceStanding.TICKET_VALID
+
     fun taskCountOn(worker: WorkerView): Int = tasks.count { it.occupiesWorker && it.worker === worker }
 }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/placement/PlacementPool.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/placement/PlacementPool.kt
@@ -6,6 +6,7 @@
 import io.corianderrock.jobs.contention.JobRanking
 import io.corianderrock.jobs.contention.RemainingGain
 import io.corianderrock.jobs.ownership.OwnerRow
+import io.corianderrock.jobs.ports.AdviceService
 import io.corianderrock.jobs.ports.DecisionLog
 import io.corianderrock.jobs.ports.EndKind
 import io.corianderrock.jobs.ports.WorkerEntry
@@ -35,12 +36,20 @@
     private val remoteFactor: Double = 1.5,
     private val capacity: Demand = Demand(16_000, 32_000),
     seed: Int = 1,
+    private val advice: AdviceService? = null,
 ) {
     private val random = Random(seed)
     private val time = SimTime()
     private val loop = SimLoop(time)
     val events = ArrayList<String>()
-    private val log = DecisionLog { event, _ -> events.add(event) }
+
+    /** What was logged, by event. */
+    val logged = ArrayList<Pair<String, List<Any?>>>()
+    private val log =
+        DecisionLog { event, fields ->
+            events.add(event)
+            logged.add(event to fields.toList())
+        }
     private val committer = Committer(loop, SilentTables, log, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
     private val registry = JobRegistry(loop, committer, log)
     private val driver = WorkerDriver(loop, AnsweringLink(loop), committer, registry, log, 1, 6_000, { true }, {}, {}, {})
@@ -53,7 +62,7 @@
             registry = registry,
             driver = driver,
             runTimes = estimator,
-            advice = { _, _, _ -> },
+            advice = { step, workers, onAnswer -> advice?.ask(step, workers, onAnswer) },
             log = log,
             mayOrder = { true },
             order = if (settings.ranksByRemainingGain) JobRanking(loop, RemainingGain(loop, estimator, model), log) else ObjectiveOrder,
@@ -78,6 +87,9 @@
     val nowMs: Long get() = loop.nowMs
     val workers: List<WorkerView> get() = driver.workers.toList()
 
+    /** How long the passes have left some task without a worker that has capacity, in milliseconds. */
+    val capacityShortageMs: Long get() = placer.capacityShortageMs("pool")
+
     init {
         driver.open()
         for (rack in 0 until rackCount) {
@@ -99,7 +111,14 @@
         registry.load(
             JobSubmission(
                 id,
-                Queue(queue, "pool", priority, stretchFactor = STRETCH_FACTOR, targetLatencyMs = TARGET_LATENCY_MS),
+                Queue(
+                    name = queue,
+                    pool = "pool",
+                    priority = priority,
+                    stretchFactor = STRETCH_FACTOR,
+                    targetLatencyMs = TARGET_LATENCY_MS,
+                    needsAdvice = advice != null,
+                ),
                 "s",
                 steps.toList(),
             ),
@@ -109,6 +128,19 @@
         return id
     }
 
+    /** Begins another incarnation of the worker [id], which runs nothing. */
+    fun restart(id: String) {
+        val worker = workers.first { it.id == id }
+        worker.beginIncarnation(bornWallMs = time.nowMs, time.nowMs)
+        worker.isReconciled = true
+    }
+
+    /** Calls [action] after [delayMs]. */
+    fun after(
+        delayMs: Long,
+        action: () -> Unit,
+    ) = time.after(delayMs, action)
+
     /** The time from the submission of [id] to its end; null while it runs. */
     fun tookMs(id: String): Long? = tookMs[id]
 
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/placement/StepAdviserTest.kt
@@ -0,0 +1,75 @@
+/*
+ * Jobs of a queue whose policy lets only some workers run a step.
+ */
+package io.corianderrock.jobs.placement
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldBeUnique
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.longs.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+
+/** The last eight of forty workers in the order in which they are listed. */
+private val LAST_EIGHT = (12..19).map { "w-1-$it" }.toSet()
+
+internal class StepAdviserTest :
+    DescribeSpec({
+        describe("a policy that allows a fifth of the workers") {
+            // Guards against advice that is asked on the same first thirty workers again and again (LOST).
+            it("starts tasks on workers that the first question left out") {
+                val advised = AdvisedPool(isAllowed = { it in LAST_EIGHT })
+                val job = advised.submitShort()
+                advised.pool.play(1_000)
+                advised.pool.startsMs(job).size shouldBe 3
+            }
+            // Guards against questions that name a worker again although what is known of it holds for its life.
+            it("asks once about each worker that is not allowed") {
+                val advised = AdvisedPool(isAllowed = { false })
+                advised.submitShort()
+                advised.pool.play(10_000)
+                advised.askedWorkers.size shouldBe 40
+                advised.askedWorkers.shouldBeUnique()
+            }
+            // Guards against an answer on one life of a worker that is held against the next one.
+            it("asks about a worker again when it has restarted under its id") {
+                var allowed = emptySet<String>()
+                val advised = AdvisedPool(isAllowed = { it in allowed })
+                val job = advised.submitShort()
+                advised.pool.play(1_000)
+                allowed = setOf("w-0-0")
+                advised.pool.restart("w-0-0")
+                advised.pool.play(1_000)
+                advised.pool.startsMs(job).shouldNotBeEmpty()
+            }
+        }
+
+        describe("a policy that allows all workers") {
+            it("asks one question about thirty workers for a step") {
+                val advised = AdvisedPool(isAllowed = { true })
+                advised.submitShort()
+                advised.pool.play(1_000)
+                advised.calls.map { it.workers.size } shouldBe listOf(30)
+            }
+            // Guards against tasks that wait for a renewal of tickets on workers that are not allowed, too.
+            it("renews tickets without naming workers that are not allowed") {
+                val advised = AdvisedPool(1, 4, validMs = 1_000, isAllowed = { it == "w-0-1" })
+                repeat(20) { advised.submitShort() }
+                advised.pool.play(8_000)
+                val later = advised.calls.groupBy { it.step }.values.flatMap { it.drop(1) }
+                later.shouldNotBeEmpty()
+                later.flatMap { it.workers }.toSet() shouldBe setOf("w-0-1")
+            }
+        }
+
+        describe("a pool of which no worker is allowed") {
+            // Guards against tasks that wait for ever beside instances in standby, as the wait for advice was no shortage (LOST).
+            it("is short of capacity, so that it gets another instance") {
+                val advised = AdvisedPool(1, 4, isAllowed = { false })
+                val job = advised.submitShort()
+                advised.pool.play(2_000)
+                advised.pool.startsMs(job).shouldBeEmpty()
+                advised.pool.capacityShortageMs shouldBeGreaterThan 1_000
+            }
+        }
+    })
