Ask for advice on two steps at a time, and less often while calls fail

Cause: each waiting step asked at once and, when its call was refused, again in the next pass. The advice service takes one call of an entry at a time and refuses what finds 32 waiting, so that with more steps than that most calls were refused, those that were accepted aged in the line, and a service that was down was called in every pass.

Change: at most two questions are in flight, one that the service works on and the next one, so that the order of questions is the order of the candidates when a place becomes free. After a failed call nothing is asked for a delay that grows (RetryBackoff).

The renewal of tickets is tested with one wide step in place of twenty narrow ones, which now get their tickets one after the other and need no renewal. The assertions are the same.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/StepAdviser.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/StepAdviser.kt
@@ -1,6 +1,6 @@
 /*
  * Asks the advice service on which workers waiting tasks may start. The service takes calls of one entry in turn, each of a length that
- * grows with the workers named, so that a worker is named again only for a new ticket, and the next question names
+ * grows with the workers named, so that few are in flight, a worker is named again only for a new ticket, and the next question names
  * workers that no earlier one did.
  */
 package io.corianderrock.jobs.placement
@@ -14,6 +14,7 @@
 import io.corianderrock.jobs.state.StepAdvice
 import io.corianderrock.jobs.state.StepRun
 import io.corianderrock.jobs.state.TaskRun
+import io.corianderrock.jobs.storerate.RetryBackoff
 import kotlin.math.ceil
 
 /** Used on the event loop only. */
@@ -25,9 +26,15 @@
     /** Called with the pool of a step after each answer about it. */
     private val onAnswer: (String) -> Unit,
 ) {
+    private val backoff = RetryBackoff(FIRST_RETRY_WINDOW_MS, LONGEST_RETRY_WINDOW_MS, LEAST_RETRY_MS)
+    private var inFlightCount = 0
+
+    /** Loop time before which nothing is asked, after a call that failed. */
+    private var retryAtMs = 0L
+
     /**
      * True if [task], which may start on none of the workers with a valid ticket, waits for advice on others that have room for it. Asks
-     * for it unless that has been done. False if advice would not help now.
+     * for it unless that has been done or the service has enough to do. False if advice would not help now.
      */
     fun awaitsAdvice(
         task: TaskRun,
@@ -39,7 +46,7 @@
         val open = capacities.filter { isOpen(stepRun.advice.standing(it.worker, nowMs)) && choice.mayRunWithAdvice(task, it, 0) }
         val (withRoom, full) = open.partition { choice.hasRoom(task, it) }
         if (withRoom.isEmpty()) return false
-        if (stepRun.advice.isInFlight) return true
+        if (stepRun.advice.isInFlight || inFlightCount >= MAX_IN_FLIGHT || nowMs < retryAtMs) return true
         // Those without room come last: their tickets may be of use when a run there ends.
         ask(stepRun, preferred(task, withRoom) + preferred(task, full), capacities.size)
         return true
@@ -64,7 +71,9 @@
         val advice = stepRun.advice
         val question = Question(stepRun, candidates.take(questionSize(advice)).map { AdvisedWorker(it.worker) }, candidates.size, usableCount)
         advice.isInFlight = true
+        inFlightCount++
         service.ask(question.name, question.asked.map { it.worker.id }) { answer ->
+            inFlightCount--
             advice.isInFlight = false
             onAnswered(question, answer)
             onAnswer(stepRun.job.queue.pool)
@@ -93,7 +102,12 @@
         answer: AdviceAnswer,
     ) {
         logAnswer(question, answer)
-        val granted = answer.granted ?: return
+        val granted = answer.granted
+        if (granted == null) {
+            retryAtMs = loop.nowMs + backoff.nextDelayMs()
+            return
+        }
+        backoff.reset()
         question.stepRun.advice.onAnswer(question.asked, granted.associate { it.workerId to it.ticket }, question.sentAtMs + answer.validForMs - EXPIRY_MARGIN_MS)
     }
 
@@ -133,6 +147,13 @@
         /** The service accepts no more workers in one call. */
         const val MAX_QUESTION_SIZE = 100
 
+        /** One that the service works on and one that it has next; more would only age in its line. */
+        const val MAX_IN_FLIGHT = 2
+
+        const val LEAST_RETRY_MS = 20L
+        const val FIRST_RETRY_WINDOW_MS = 100L
+        const val LONGEST_RETRY_WINDOW_MS = 1_000L
+
         /** Tickets count as expired this long before their validity ends. */
         const val EXPIRY_MARGIN_MS = 300L
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/placement/StepAdviserTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/placement/StepAdviserTest.kt
@@ -7,7 +7,10 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldBeUnique
 import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.longs.shouldBeGreaterThan
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 
 /** The last eight of forty workers in the order in which they are listed. */
@@ -54,7 +57,7 @@
             // Guards against tasks that wait for a renewal of tickets on workers that are not allowed, too.
             it("renews tickets without naming workers that are not allowed") {
                 val advised = AdvisedPool(1, 4, validMs = 1_000, isAllowed = { it == "w-0-1" })
-                repeat(20) { advised.submitShort() }
+                advised.submitShort(taskCount = 100)
                 advised.pool.play(8_000)
                 val later = advised.calls.groupBy { it.step }.values.flatMap { it.drop(1) }
                 later.shouldNotBeEmpty()
@@ -62,6 +65,29 @@
             }
         }
 
+        describe("a service that takes one call at a time and refuses what finds 32 waiting") {
+            // Guards against calls that are refused, and repeated in the next pass, since all waiting steps ask at once.
+            it("gets no more calls than it can take") {
+                val advised = AdvisedPool(isAllowed = { true })
+                repeat(60) { advised.submitShort(taskCount = 1) }
+                advised.pool.play(5_000)
+                advised.refusedCount shouldBe 0
+                advised.mostWaiting shouldBeLessThanOrEqual 2
+                advised.pool.ended().size shouldBe 60
+            }
+            // Guards against a call that fails and is repeated in each pass.
+            it("is asked at increasing intervals while it fails") {
+                val advised = AdvisedPool(isAllowed = { true })
+                advised.isDown = true
+                val job = advised.submitShort()
+                advised.pool.play(5_000)
+                advised.calls.size shouldBeLessThan 40
+                advised.isDown = false
+                advised.pool.play(2_500)
+                advised.pool.tookMs(job).shouldNotBeNull()
+            }
+        }
+
         describe("a pool of which no worker is allowed") {
             // Guards against tasks that wait for ever beside instances in standby, as the wait for advice was no shortage (LOST).
             it("is short of capacity, so that it gets another instance") {
