Use tickets whose validity is short

Cause: tickets counted as expired 300 ms before their validity ended, counted from when the call was sent. Tickets of less validity, and those of a call that took nearly as long as they are valid, were expired when they arrived: they were asked for again and again and never used, and the task never started.

Change: the margin is at most a quarter of the validity, and a ticket counts as valid for at least that long after its answer. A worker that rejects it costs a start; never trying costs the task. Tickets without any validity are asked for with growing delays.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/StepAdviser.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/StepAdviser.kt
@@ -103,12 +103,22 @@
     ) {
         logAnswer(question, answer)
         val granted = answer.granted
-        if (granted == null) {
-            retryAtMs = loop.nowMs + backoff.nextDelayMs()
-            return
-        }
-        backoff.reset()
-        question.stepRun.advice.onAnswer(question.asked, granted.associate { it.workerId to it.ticket }, question.sentAtMs + answer.validForMs - EXPIRY_MARGIN_MS)
+        // Tickets that are never valid would be asked for with each answer.
+        if (granted == null || answer.validForMs <= 0) retryAtMs = loop.nowMs + backoff.nextDelayMs() else backoff.reset()
+        if (granted == null) return
+        question.stepRun.advice.onAnswer(question.asked, granted.associate { it.workerId to it.ticket }, expiryMs(question, answer))
+    }
+
+    /**
+     * Loop time at which the tickets of [answer] count as expired. Their validity may have begun as early as the call was sent; what a
+     * long call leaves of that is raised to a part of it, as a ticket that is never used would be asked for again and again.
+     */
+    private fun expiryMs(
+        question: Question,
+        answer: AdviceAnswer,
+    ): Long {
+        val marginMs = minOf(EXPIRY_MARGIN_MS, answer.validForMs / LEAST_VALIDITY_DIVISOR)
+        return maxOf(question.sentAtMs + answer.validForMs - marginMs, loop.nowMs + answer.validForMs / LEAST_VALIDITY_DIVISOR)
     }
 
     private fun logAnswer(
@@ -154,7 +164,8 @@
         const val FIRST_RETRY_WINDOW_MS = 100L
         const val LONGEST_RETRY_WINDOW_MS = 1_000L
 
-        /** Tickets count as expired this long before their validity ends. */
+        /** Tickets count as expired this long before their validity ends, or a quarter of it where that is less. */
         const val EXPIRY_MARGIN_MS = 300L
+        const val LEAST_VALIDITY_DIVISOR = 4
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/placement/StepAdviserTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/placement/StepAdviserTest.kt
@@ -88,6 +88,22 @@
             }
         }
 
+        describe("tickets of short validity") {
+            // Guards against tickets that count as expired when they arrive, and are asked for again and again (LOST).
+            it("are used") {
+                val advised = AdvisedPool(1, 4, validMs = 250, isAllowed = { true })
+                val job = advised.submitShort()
+                advised.pool.play(2_000)
+                advised.pool.tookMs(job).shouldNotBeNull()
+            }
+            it("are asked for at increasing intervals if they are never valid") {
+                val advised = AdvisedPool(1, 4, validMs = 0, isAllowed = { true })
+                advised.submitShort()
+                advised.pool.play(5_000)
+                advised.calls.size shouldBeLessThan 40
+            }
+        }
+
         describe("a pool of which no worker is allowed") {
             // Guards against tasks that wait for ever beside instances in standby, as the wait for advice was no shortage (LOST).
             it("is short of capacity, so that it gets another instance") {
