Ask less often for tickets that a worker refuses, and heed a policy that came later

And a step whose queue had no policy when its job was accepted never asked at all: its starts were sent without a ticket and refused for ever.

Change: a refusal concerns the worker that sent it. The first one is followed by a new ticket at once, the next ones after pauses that grow to 2 s, until the worker takes a start; other workers are used meanwhile. A step of which a worker has refused a start for want of a ticket needs advice from then on.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -76,7 +76,11 @@
     private fun isStartStillAllowed(
         worker: WorkerView,
         task: TaskRun,
-    ): Boolean = context.mayStart() && task.stepRun.job.isLive && worker.isReconciled && worker.isListed && worker.drainingSinceMs == null
+    ): Boolean = context.mayStart() &&
+            task.stepRun.job.isLive &&
+            worker.isReconciled &&
+            worker.isListed &&
+            worker.drainingSinceMs == null
 
     private fun startOrder(
         worker: WorkerView,
@@ -116,6 +120,7 @@
         workerClockMs: Long,
     ) {
         task.startedClockMs = workerClockMs
+        task.stepRun.advice.onTicketAccepted(worker)
         if (task.phase != TaskPhase.STARTING) return
         worker.recordClock(workerClockMs, loop.nowMs)
         transitions.onBegun(task, worker, StartEvidence.ANSWER)
@@ -137,7 +142,7 @@
         // A worker that was idle for long refuses an order as expired by an estimate that has fallen behind its clock.
         answer.workerClockMs?.let { worker.recordClock(it, loop.nowMs) }
         if (answer.refusal == StartRefusal.FENCE) context.onFenced()
-        if (answer.refusal == StartRefusal.TICKET) task.stepRun.advice.onTicketRefused(worker)
+        if (answer.refusal == StartRefusal.TICKET) task.stepRun.onTicketRefused(worker, loop.nowMs)
         worker.releaseRun(task, loop.nowMs)
         stopGangOf(task)
         if (answer.refusal == StartRefusal.OTHER_INCARNATION) worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -120,8 +120,8 @@
     var withoutRoomSinceMs: Long? = null
     val occupyingCount: Int get() = step.count - doneCount - waitingCount
 
-    /** True if a start needs a ticket. */
-    val needsAdvice: Boolean get() = job.queue.needsAdvice
+    /** True if a start needs a ticket, by the queue or by a worker that has refused a start without one. */
+    var needsAdvice: Boolean = job.queue.needsAdvice
     val advice = StepAdvice()
 
     /** What is learned about the run times of its tasks; null before the first prediction. */
@@ -152,6 +152,15 @@
         nowMs: Long,
     ): Boolean = !needsAdvice || advice.standing(worker, nowMs) == AdviceStanding.TICKET_VALID
 
+    /** Called when [worker] has refused a start for want of a valid ticket: the queue may need advice since the job was accepted. */
+    fun onTicketRefused(
+        worker: WorkerView,
+        nowMs: Long,
+    ) {
+        needsAdvice = true
+        advice.onTicketRefused(worker, nowMs)
+    }
+
     fun taskCountOn(worker: WorkerView): Int = tasks.count { it.occupiesWorker && it.worker === worker }
 }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/StepAdvice.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/StepAdvice.kt
@@ -17,6 +17,9 @@
     /** The worker may run the step, and its ticket is valid. */
     TICKET_VALID,
 
+    /** The worker refused a valid ticket and is not asked about again yet. */
+    TICKET_REFUSED,
+
     /** The worker may not run the step. */
     DENIED,
 }
@@ -35,6 +38,10 @@
         val ticket: String?,
         /** Loop time. */
         var expiresAtMs: Long,
+        /** Tickets that the worker has refused in a row. */
+        var refusalCount: Int,
+        /** Loop time before which no ticket is asked for after a refusal. */
+        var askAgainAtMs: Long = 0,
     )
 
     /** Weak, since a long-running step outlives many workers. */
@@ -58,6 +65,7 @@
             verdict == null -> AdviceStanding.UNKNOWN
             verdict.ticket == null -> AdviceStanding.DENIED
             nowMs < verdict.expiresAtMs -> AdviceStanding.TICKET_VALID
+            nowMs < verdict.askAgainAtMs -> AdviceStanding.TICKET_REFUSED
             else -> AdviceStanding.TICKET_EXPIRED
         }
     }
@@ -77,14 +85,34 @@
         verdicts.entries.removeIf { (worker, verdict) -> worker.incarnation != verdict.incarnation }
         for (question in asked) {
             if (question.worker.incarnation != question.incarnation) continue
-            verdicts[question.worker] = Verdict(question.incarnation, tickets[question.worker.id], expiresAtMs)
+            val refusalCount = verdictOf(question.worker)?.refusalCount ?: 0
+            verdicts[question.worker] = Verdict(question.incarnation, tickets[question.worker.id], expiresAtMs, refusalCount)
         }
     }
 
-    /** Called when [worker] has refused its ticket. */
-    fun onTicketRefused(worker: WorkerView) {
-        verdictOf(worker)?.expiresAtMs = 0
+    /** Called when [worker] has refused its ticket. After the first refusal in a row a new one is asked for at once. */
+    fun onTicketRefused(
+        worker: WorkerView,
+        nowMs: Long,
+    ) {
+        val verdict = verdictOf(worker)?.takeIf { it.expiresAtMs > 0 } ?: return
+        verdict.expiresAtMs = 0
+        verdict.askAgainAtMs =
+            if (verdict.refusalCount == 0) nowMs else nowMs + (FIRST_REFUSAL_DELAY_MS shl minOf(verdict.refusalCount - 1, MAX_REFUSAL_DOUBLINGS))
+        verdict.refusalCount++
+    }
+
+    /** Called when [worker] has taken a start with its ticket. */
+    fun onTicketAccepted(worker: WorkerView) {
+        verdictOf(worker)?.refusalCount = 0
     }
 
     private fun verdictOf(worker: WorkerView): Verdict? = verdicts[worker]?.takeIf { it.incarnation == worker.incarnation }
+
+    private companion object {
+        const val FIRST_REFUSAL_DELAY_MS = 250L
+
+        /** Delays stay within 2 s, below the 3 s for which a task may wait while a worker has room for it. */
+        const val MAX_REFUSAL_DOUBLINGS = 3
+    }
 }
