Do not send a start whose ticket has expired while it waited

Cause: a start waits until the row that records runs on its worker is stored, and for earlier starts there. Its ticket was looked up, but its validity was not checked when it was sent, so that a slow store made workers reject starts.

Change: a start whose ticket has expired is not sent; its task waits again and asks for a new one.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -80,7 +80,8 @@
             task.stepRun.job.isLive &&
             worker.isReconciled &&
             worker.isListed &&
-            worker.drainingSinceMs == null
+            worker.drainingSinceMs == null &&
+            task.stepRun.mayStartOn(worker, loop.nowMs)
 
     private fun startOrder(
         worker: WorkerView,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/AdvisedStartTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/AdvisedStartTest.kt
@@ -8,7 +8,9 @@
 import io.corianderrock.jobs.state.AdviceStanding
 import io.corianderrock.jobs.state.AdvisedWorker
 import io.corianderrock.jobs.state.StepAdvice
+import io.corianderrock.jobs.state.TaskPhase
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 
 private const val VALID_MS = 3_000L
@@ -71,4 +73,18 @@
                 owner.standing() shouldBe AdviceStanding.TICKET_EXPIRED
             }
         }
+
+        describe("a start that waits for the store") {
+            // Guards against a start with a ticket that has expired meanwhile, which the worker rejects.
+            it("is not sent once its ticket has expired") {
+                val owner = OwnerOfScriptedWorkers()
+                val task = owner.tasks.first()
+                task.stepRun.needsAdvice = true
+                task.stepRun.advice.grant(owner, 0, validMs = 2)
+                owner.driver.start(task, owner.worker())
+                owner.pass(100)
+                owner.starts.shouldBeEmpty()
+                task.phase shouldBe TaskPhase.WAITING
+            }
+        }
     })
