Let only a worker that answers take the place of another on its instance

Cause: the entry alone was taken as proof that the earlier worker of the machine had ended. Its runs were freed without asking anybody and started elsewhere while they went on, and the entry became the worker of that machine for moves and upkeeps.

Change: an earlier worker of an instance is removed, and a crash under a lapsed one is counted, when the new one has answered a hold, which takes a few milliseconds where a worker did start. Until then the worker that has answered stays the one of the instance. An entry whose address never answers is dropped after two lists of instances, as before. An instance that has an open order cordons each worker that is listed there, also one that has not answered.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -113,7 +113,7 @@
     /** Called when discovery has listed [entry], before tasks can be placed on its worker: an open order may end them. */
     fun onWorkerListed(entry: WorkerEntry) {
         val view = entry.instanceId?.let(::find) ?: return
-        if (view.isOrdered) workerOf(view)?.isCordoned = true
+        if (view.isOrdered) driver.find(entry.id)?.isCordoned = true
     }
 
     /** Evicts tasks that can resume elsewhere; long-running ones only while some pool lacks instances. */
@@ -346,8 +346,8 @@
                 if (view.cordonReason == null) cordon(view, CordonReason.SURPLUS)
             }
         }
-        // The instance may have another worker than when the order was sent.
-        workerOf(view)?.isCordoned = view.cordonReason != null
+        // The instance may have another worker than when the order was sent, which may not have answered yet.
+        for (listed in driver.workers) if (listed.entry.instanceId == view.instance.id) listed.isCordoned = view.cordonReason != null
     }
 
     private fun capacityOf(pool: String): Demand =
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -79,10 +79,7 @@
         completeStops(worker, sentAtMs, lists)
         // What the last incarnation has acknowledged says nothing of this one's ends.
         if (isSameIncarnation) worker.acknowledgedEnd = maxOf(worker.acknowledgedEnd, order.acknowledgedEnd)
-        if (!worker.isReconciled) {
-            worker.isReconciled = true
-            register.markReconciled(worker.id)
-        }
+        if (!worker.isReconciled) register.onReconciled(worker)
     }
 
     private fun onRunEnded(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -52,10 +52,6 @@
             assumeLateStartsOfEarlierOwners(worker, worker.entry.bornWallMs)
         }
         for (lease in leases) if (workers.find(lease.workerId) == null) addUnlisted(lease)
-        workers.all
-            .filter { it.isListed }
-            .toList()
-            .forEach { removeEarlierWorkers(it.entry) }
     }
 
     private fun addUnlisted(lease: WorkerLeaseRow) {
@@ -98,8 +94,6 @@
             onNewIncarnation(worker, entry.bornWallMs)
         }
         assumeLateStartsOfEarlierOwners(worker, entry.bornWallMs)
-        removeEarlierWorkers(entry)
-        if (registered == null) crashes.onAppeared(worker)
         if (registered == null || registered.entry != entry) logListed(entry)
         workers.unlinkInstance(worker)
         worker.entry = entry
@@ -130,10 +124,11 @@
     }
 
     /**
-     * Removes older workers of the same instance: each boot has a worker of its own, so their runs have ended. A row without a start
-     * does not tell that it is the newer one.
+     * Removes older workers of the instance of [worker], which has answered: each boot has a worker of its own, so their runs have
+     * ended. A row alone proves nothing, as any program can write it; one without a start does not tell that it is the newer one.
      */
-    private fun removeEarlierWorkers(entry: WorkerEntry) {
+    private fun removeEarlierWorkers(worker: WorkerView) {
+        val entry = worker.entry
         val instanceId = entry.instanceId ?: return
         for (other in workers.all.filter { it.id != entry.id && it.entry.instanceId == instanceId }) {
             if (other.entry.bornWallMs > entry.bornWallMs) continue
@@ -262,6 +257,13 @@
         if (!worker.isListed && worker.unsettledStarts.isEmpty(loop.nowMs)) remove(worker)
     }
 
+    /** Called when the first lists that [worker] has sent in its incarnation are applied. */
+    fun onReconciled(worker: WorkerView) {
+        worker.isReconciled = true
+        if (worker.isListed) workers.linkInstance(worker)
+        markReconciled(worker.id)
+    }
+
     /** Marks the inherited runs on [workerId] as known. */
     fun markReconciled(workerId: String) {
         if (inheritedLeases.markReconciled(workerId)) context.onChange(null)
@@ -275,6 +277,10 @@
         worker: WorkerView,
         bornWallMs: Long,
     ) {
+        if (!worker.isReconciled) {
+            crashes.onAppeared(worker)
+            removeEarlierWorkers(worker)
+        }
         if (worker.bornWallMs != 0L && bornWallMs != 0L && bornWallMs != worker.bornWallMs) onNewIncarnation(worker, bornWallMs)
         if (worker.bornWallMs == 0L) recordIncarnation(worker, bornWallMs)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
@@ -46,14 +46,21 @@
         unlinkInstance(worker)
     }
 
-    /** Records that discovery lists [worker] on its instance, unless a worker is listed there that was started later. */
+    /**
+     * Records that discovery lists [worker] on its instance, unless one is listed there that was started later, or that has answered
+     * while [worker] has not.
+     */
     fun linkInstance(worker: WorkerView) {
         val instanceId = worker.entry.instanceId ?: return
         val listed = listedByInstance[instanceId]
-        if (listed == null || listed.entry.bornWallMs <= worker.entry.bornWallMs) listedByInstance[instanceId] = worker
+        if (listed == null || CURRENT_LAST.compare(listed, worker) <= 0) listedByInstance[instanceId] = worker
     }
 
     fun unlinkInstance(worker: WorkerView) {
         worker.entry.instanceId?.let { listedByInstance.remove(it, worker) }
     }
+
+    private companion object {
+        val CURRENT_LAST: Comparator<WorkerView> = compareBy({ it.isReconciled }, { it.entry.bornWallMs })
+    }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
@@ -162,7 +162,15 @@
         )
 
     /** Lists another worker of the same instance. */
-    fun listOther(bornWallMs: Long) = driver.onListed(entry().copy(id = "other", bornWallMs = bornWallMs))
+    fun listOther(bornWallMs: Long) = driver.onListed(otherEntry(bornWallMs))
+
+    fun otherEntry(bornWallMs: Long) = entry().copy(id = OTHER, bornWallMs = bornWallMs)
+
+    /** True if what answers at the address of [OTHER] is a worker. */
+    var isOtherWorker = true
+
+    /** The worker that counts as the one of the instance. */
+    val workerOfInstance: String? get() = driver.listedOn(INSTANCE)?.id
 
     fun entry() = WorkerEntry(WORKER, WORKER, POOL, "dc", INSTANCE, CAPACITY, emptyList(), false, null, bornWallMs)
 
@@ -201,6 +209,10 @@
         order: HoldOrder,
         onAnswer: (WorkerAnswer) -> Unit,
     ) {
+        if (entry.id == OTHER && !isOtherWorker) {
+            loop.after(1) { onAnswer(WorkerAnswer.Unanswered("status 404", mayBeCarriedOut = false)) }
+            return
+        }
         holdCount++
         acknowledgements.add(order.acknowledgedEnd)
         if (lostHoldAnswers > 0) {
@@ -224,6 +236,9 @@
 
     companion object {
         const val WORKER = "w"
+
+        /** Another entry for the instance of [WORKER]. */
+        const val OTHER = "other"
         const val INSTANCE = "i"
         const val POOL = "pool"
         const val LONGEST_LEASE_MS = 6_000L
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
@@ -81,6 +81,20 @@
                 owner.pass(ANSWER_MS)
                 owner.task.worker?.id shouldBe WORKER
             }
+            // Guards against runs that are started again because a program beside a running worker lists itself with a later start (TWICE).
+            it("keeps its tasks and its instance while the other one does not answer as a worker") {
+                val owner = OwnerOfOneWorker()
+                owner.startAgain()
+                owner.startTask()
+                owner.pass(4 * ANSWER_MS)
+                owner.isOtherWorker = false
+                owner.listOther(bornWallMs = owner.time.nowMs)
+                repeat(40) {
+                    owner.passTicking(500)
+                    owner.task.worker?.id shouldBe WORKER
+                    owner.workerOfInstance shouldBe WORKER
+                }
+            }
             it("loses them if that worker started later") {
                 val owner = OwnerOfOneWorker()
                 owner.startAgain()
