Explain the waits of each pool

Cause: tasks that wait were explained at most once a second in all, by the first pool that had any ready step, also if none of its tasks had waited long. With several pools in a pass that was always the same one, so that nothing told why the tasks of the others wait.

Change: the limit holds for each pool.

WaitExplainerTest, on the commit before: of two pools whose tasks wait only the first one is explained.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
@@ -19,7 +19,8 @@
     private val poolShares: PoolShares,
     private val isAtLimit: (TaskRun) -> Boolean,
 ) {
-    private var explainedAtMs = 0L
+    /** By pool: when, in loop time, its waiting tasks were last explained. */
+    private val explainedAtMs = HashMap<String, Long>()
 
     /** By pool: when, in loop time, the jobs that wait for unreconciled workers were last logged. */
     private val reconcilingLoggedAtMs = HashMap<String, Long>()
@@ -42,22 +43,21 @@
         )
     }
 
-    /** Logs at most every [EXPLAIN_INTERVAL_MS] why the tasks that have waited longest are not placed. */
+    /** Logs at most every [EXPLAIN_INTERVAL_MS] for each pool why the tasks of [ready] that have waited longest are not placed. */
     fun explainWaiting(
         ready: List<Candidate>,
         capacities: List<WorkerCapacity>,
     ) {
-        if (loop.nowMs - explainedAtMs < EXPLAIN_INTERVAL_MS) return
-        explainedAtMs = loop.nowMs
+        val pool =
+            ready
+                .first()
+                .stepRun.job.queue.pool
+        if (loop.nowMs - (explainedAtMs[pool] ?: 0) < EXPLAIN_INTERVAL_MS) return
+        explainedAtMs[pool] = loop.nowMs
         val waiting = ready.mapNotNull { candidate -> candidate.tasks.firstOrNull { it.phase == TaskPhase.WAITING } }
         val longest = waiting.filter { loop.nowMs - it.waitingSinceMs > EXPLAIN_AFTER_MS }.sortedBy { it.waitingSinceMs }
         if (longest.isEmpty()) return
-        val shares =
-            poolShares.sharesIn(
-                ready
-                    .first()
-                    .stepRun.job.queue.pool,
-            )
+        val shares = poolShares.sharesIn(pool)
         for (task in longest.take(MAX_EXPLAINED)) explain(task, capacities, waiting.size, shares)
     }
 
