--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/StepAdviser.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/StepAdviser.kt
@@ -33,8 +33,8 @@
     private var retryAtMs = 0L
 
     /**
-     * True if [task], which may start on none of the workers with a valid ticket, waits for advice on others that have room for it. Asks
-     * for it unless that has been done or the service has enough to do. False if advice would not help now.
+     * Called when [task] may start on no worker with a valid ticket. True if it waits for advice on others that have room for it, which
+     * is asked for unless that has been done or two questions are in flight. False if advice would not help now.
      */
     fun awaitsAdvice(
         task: TaskRun,
@@ -44,11 +44,11 @@
         if (!stepRun.needsAdvice) return false
         val nowMs = loop.nowMs
         val open = capacities.filter { isOpen(stepRun.advice.standing(it.worker, nowMs)) && choice.mayRunWithAdvice(task, it, 0) }
-        val (withRoom, full) = open.partition { choice.hasRoom(task, it) }
+        val (withRoom, withoutRoom) = open.partition { choice.hasRoom(task, it) }
         if (withRoom.isEmpty()) return false
         if (stepRun.advice.isInFlight || inFlightCount >= MAX_IN_FLIGHT || nowMs < retryAtMs) return true
-        // Those without room come last: their tickets may be of use when a run there ends.
-        ask(stepRun, preferred(task, withRoom) + preferred(task, full), capacities.size)
+        // Those without room come last: a ticket may be of use there when a run ends.
+        ask(stepRun, preferred(task, withRoom) + preferred(task, withoutRoom), capacities.size)
         return true
     }
 
@@ -69,7 +69,8 @@
         usableCount: Int,
     ) {
         val advice = stepRun.advice
-        val question = Question(stepRun, candidates.take(questionSize(advice)).map { AdvisedWorker(it.worker) }, candidates.size, usableCount)
+        val question =
+            Question(stepRun, candidates.take(questionSize(advice)).map { AdvisedWorker(it.worker) }, candidates.size, usableCount)
         advice.isInFlight = true
         inFlightCount++
         service.ask(question.name, question.asked.map { it.worker.id }) { answer ->
@@ -80,6 +81,7 @@
         }
     }
 
+    /** A question about [asked], of [openCount] workers that could be asked about and [usableCount] that could take tasks. */
     private inner class Question(
         val stepRun: StepRun,
         val asked: List<AdvisedWorker>,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -76,7 +76,8 @@
     private fun isStartStillAllowed(
         worker: WorkerView,
         task: TaskRun,
-    ): Boolean = context.mayStart() &&
+    ): Boolean =
+        context.mayStart() &&
             task.stepRun.job.isLive &&
             worker.isReconciled &&
             worker.isListed &&
@@ -94,7 +95,7 @@
             expiresAtWorkerMs = holds.nextLeaseEndMs(worker),
             fence = context.epoch,
             checkpoint = task.checkpoint,
-            ticket = task.stepRun.advice.ticket(worker, loop.nowMs),
+            ticket = task.stepRun.ticket(worker, loop.nowMs),
         )
 
     private fun onStartAnswer(
@@ -121,7 +122,7 @@
         workerClockMs: Long,
     ) {
         task.startedClockMs = workerClockMs
-        task.stepRun.advice.onTicketAccepted(worker)
+        if (task.stepRun.needsAdvice) task.stepRun.advice.onTicketAccepted(worker)
         if (task.phase != TaskPhase.STARTING) return
         worker.recordClock(workerClockMs, loop.nowMs)
         transitions.onBegun(task, worker, StartEvidence.ANSWER)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -122,7 +122,9 @@
 
     /** True if a start needs a ticket, by the queue or by a worker that has refused a start without one. */
     var needsAdvice: Boolean = job.queue.needsAdvice
-    val advice = StepAdvice()
+
+    /** Created when it is first needed: most queues have no policy. */
+    val advice: StepAdvice by lazy(LazyThreadSafetyMode.NONE) { StepAdvice() }
 
     /** What is learned about the run times of its tasks; null before the first prediction. */
     var runTimes: StepRunTimes? = null
@@ -146,11 +148,17 @@
         phaseCounts[after.ordinal]++
     }
 
+    /** The ticket for a start on [worker] at loop time [nowMs]; null if none is valid or needed. */
+    fun ticket(
+        worker: WorkerView,
+        nowMs: Long,
+    ): String? = if (needsAdvice) advice.ticket(worker, nowMs) else null
+
     /** True if the rules on advice let a task start on [worker] at loop time [nowMs]. */
     fun mayStartOn(
         worker: WorkerView,
         nowMs: Long,
-    ): Boolean = !needsAdvice || advice.standing(worker, nowMs) == AdviceStanding.TICKET_VALID
+    ): Boolean = !needsAdvice || advice.ticket(worker, nowMs) != null
 
     /** Called when [worker] has refused a start for want of a valid ticket: the queue may need advice since the job was accepted. */
     fun onTicketRefused(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/StepAdvice.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/StepAdvice.kt
@@ -98,7 +98,13 @@
         val verdict = verdictOf(worker)?.takeIf { it.expiresAtMs > 0 } ?: return
         verdict.expiresAtMs = 0
         verdict.askAgainAtMs =
-            if (verdict.refusalCount == 0) nowMs else nowMs + (FIRST_REFUSAL_DELAY_MS shl minOf(verdict.refusalCount - 1, MAX_REFUSAL_DOUBLINGS))
+            if (verdict.refusalCount ==
+                0
+            ) {
+                nowMs
+            } else {
+                nowMs + (FIRST_REFUSAL_DELAY_MS shl minOf(verdict.refusalCount - 1, MAX_REFUSAL_DOUBLINGS))
+            }
         verdict.refusalCount++
     }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/AdvisedStartTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/AdvisedStartTest.kt
@@ -41,7 +41,9 @@
                 val owner = OwnerOfScriptedWorkers().apply { onStart = { _, _ -> refusal() } }
                 owner.driver.start(owner.tasks.first(), owner.worker())
                 owner.pass(100)
-                owner.tasks.first().stepRun.needsAdvice shouldBe true
+                owner.tasks
+                    .first()
+                    .stepRun.needsAdvice shouldBe true
             }
             // Guards against a worker whose refusal makes the tickets of all others void.
             it("leaves the tickets of other workers valid") {
@@ -57,7 +59,10 @@
             // Guards against a worker that refuses each ticket, for which a call and a start are spent over and over.
             it("is followed by longer and longer pauses while the worker refuses new tickets, until it takes one") {
                 val owner = OwnerOfScriptedWorkers()
-                val advice = owner.tasks.first().stepRun.advice
+                val advice =
+                    owner.tasks
+                        .first()
+                        .stepRun.advice
                 val pausesMs =
                     List(6) {
                         advice.grant(owner, 0)
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/placement/StepAdviserTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/placement/StepAdviserTest.kt
@@ -59,7 +59,11 @@
                 val advised = AdvisedPool(1, 4, validMs = 1_000, isAllowed = { it == "w-0-1" })
                 advised.submitShort(taskCount = 100)
                 advised.pool.play(8_000)
-                val later = advised.calls.groupBy { it.step }.values.flatMap { it.drop(1) }
+                val later =
+                    advised.calls
+                        .groupBy { it.step }
+                        .values
+                        .flatMap { it.drop(1) }
                 later.shouldNotBeEmpty()
                 later.flatMap { it.workers }.toSet() shouldBe setOf("w-0-1")
             }
