--- a/jobs/src/test/kotlin/io/corianderrock/jobs/placement/PlacementPool.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/placement/PlacementPool.kt
@@ -42,14 +42,7 @@
     private val time = SimTime()
     private val loop = SimLoop(time)
     val events = ArrayList<String>()
-
-    /** What was logged, by event. */
-    val logged = ArrayList<Pair<String, List<Any?>>>()
-    private val log =
-        DecisionLog { event, fields ->
-            events.add(event)
-            logged.add(event to fields.toList())
-        }
+    private val log = DecisionLog { event, _ -> events.add(event) }
     private val committer = Committer(loop, SilentTables, log, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
     private val registry = JobRegistry(loop, committer, log)
     private val driver = WorkerDriver(loop, AnsweringLink(loop), committer, registry, log, 1, 6_000, { true }, {}, {}, {})
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/placement/StepAdviserTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/placement/StepAdviserTest.kt
@@ -109,7 +109,7 @@
         }
 
         describe("a pool of which no worker is allowed") {
-            // Guards against tasks that wait for ever beside instances in standby, as the wait for advice was no shortage (LOST).
+            // Guards against tasks that wait for ever beside instances in standby, as a wait for advice does not count as a shortage (LOST).
             it("is short of capacity, so that it gets another instance") {
                 val advised = AdvisedPool(1, 4, isAllowed = { false })
                 val job = advised.submitShort()
