Let a large answer arrive on a slow link, and compress the configuration for peers

Cause: a call ended by its time limit from connect to last byte, however much had arrived, and was begun anew. The feed of the operator's table, which had several versions to catch up with, and the configurations of up to two peers shared the link, so that none was ever whole: feed_lost at 2.5 s without feed_regained, and "no complete answer within 700 ms" 105 times at one entry. The class: an attempt that is ended for lack of time although it makes progress, and whose repetition takes the time of the next.

An answer of which parts arrive may now take longer, as long as no pause reaches the limit; a failed call says how much has arrived. A peer's configuration is compressed, once for all that ask, where the asking entry names gzip; earlier releases get what they got.

AsyncHttpClientTest and PeerProtocolTest hold the parts.

--- a/transport/src/main/kotlin/io/corianderrock/transport/AsyncHttpClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/AsyncHttpClient.kt
@@ -51,7 +51,8 @@
 
     /**
      * Sends one request to [url] (`http://host:port/path`), without retries. The call, from connect to last byte, takes at most
-     * [timeoutMs]; [onResult] runs on the loop, once. A request whose address or headers are not valid fails at once.
+     * [timeoutMs]; a large answer on a slow link may take up to [transferMs] longer while it arrives without a pause of [timeoutMs].
+     * [onResult] runs on the loop, once. A request whose address or headers are not valid fails at once.
      */
     public fun send(
         method: String,
@@ -59,6 +60,7 @@
         body: ByteArray,
         timeoutMs: Long,
         headers: Map<String, String> = emptyMap(),
+        transferMs: Long = 0,
         onResult: (HttpResult) -> Unit,
     ) {
         val target = url.removePrefix("http://")
@@ -72,7 +74,7 @@
                 return fail("invalid request to $authority: ${e.message}", onResult)
             }
         ioThread.execute {
-            call.startTimer(timeoutMs)
+            call.startTimer(timeoutMs, transferMs)
             connectionsByAuthority.getOrPut(authority) { HostConnections(address, lookup, ioThread, limits) }.start(call)
         }
     }
--- a/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
@@ -43,6 +43,7 @@
     private var connection: ClientConnection? = null
     private var onReusable: (ClientConnection) -> Unit = {}
     private val received = ByteArrayOutputStream()
+    private var receivedAtNs = 0L
     private val message = clientRequest()
     var isDone = false
         private set
@@ -50,8 +51,38 @@
     /** Called when the call ends before it has a connection. */
     var onAbandoned: () -> Unit = {}
 
-    fun startTimer(timeoutMs: Long) {
-        timer = ioThread.executeAfter({ fail(IOException("no complete answer within $timeoutMs ms")) }, timeoutMs, TimeUnit.MILLISECONDS)
+    /**
+     * Ends the call after [timeoutMs]. An answer of which parts arrive may take up to [transferMs] longer, as long as no pause between
+     * them reaches [timeoutMs].
+     */
+    fun startTimer(
+        timeoutMs: Long,
+        transferMs: Long,
+    ) {
+        val transferEndNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs + transferMs)
+        await(timeoutMs, timeoutMs, transferEndNs)
+    }
+
+    private fun await(
+        delayMs: Long,
+        timeoutMs: Long,
+        transferEndNs: Long,
+    ) {
+        timer = ioThread.executeAfter({ onTimer(timeoutMs, transferEndNs) }, delayMs, TimeUnit.MILLISECONDS)
+    }
+
+    private fun onTimer(
+        timeoutMs: Long,
+        transferEndNs: Long,
+    ) {
+        val nowNs = System.nanoTime()
+        val pauseEndNs = receivedAtNs + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
+        val leftMs = if (received.size() == 0) 0 else TimeUnit.NANOSECONDS.toMillis(minOf(pauseEndNs - nowNs, transferEndNs - nowNs))
+        if (leftMs > 0) {
+            await(leftMs, timeoutMs, transferEndNs)
+        } else {
+            fail(IOException("no complete answer within $timeoutMs ms, ${received.size()} bytes received"))
+        }
     }
 
     /** Sends the request on [chosen], which is passed to [onReusable] once the response is complete. */
@@ -159,6 +190,7 @@
                     }
                     if (received.size() + count > MAX_ANSWER_BYTES) throw IOException("the answer has more than $MAX_ANSWER_BYTES bytes")
                     received.write(buffer.array(), buffer.arrayOffset(), count)
+                    receivedAtNs = System.nanoTime()
                 }
             }
             complete(exchange)
--- a/transport/src/main/kotlin/io/corianderrock/transport/PeerSchedulerClient.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/PeerSchedulerClient.kt
@@ -18,9 +18,11 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.http4k.core.Body
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
+import java.nio.ByteBuffer
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
@@ -152,6 +154,8 @@
     private val status: () -> PeerStatus,
     private val configuration: () -> JobsConfiguration? = { null },
 ) {
+    private val compressed = CompressedConfiguration()
+
     /**
      * Runs job requests on the event loop and blocks for the reply, so it must not be called on that loop. Responds with
      * 404 on another path and 400 on a body that cannot be decoded; all other results are encoded in a 200 response.
@@ -161,13 +165,20 @@
         return when (request.uri.path) {
             JOBS_PATH -> handleJob(request)
             STATUS_PATH -> Response(Status.OK).body(encodePeerStatus(status()))
-            CONFIGURATION_PATH ->
-                configuration()?.let { Response(Status.OK).body(encodePeerConfiguration(it)) }
-                    ?: Response(Status.NOT_FOUND)
+            CONFIGURATION_PATH -> configuration()?.let { configurationResponse(request, it) } ?: Response(Status.NOT_FOUND)
             else -> Response(Status.NOT_FOUND)
         }
     }
 
+    private fun configurationResponse(
+        request: Request,
+        configuration: JobsConfiguration,
+    ): Response {
+        val acceptsGzip = request.header(ACCEPT_ENCODING_HEADER)?.contains(GZIP) == true
+        if (!acceptsGzip) return Response(Status.OK).body(encodePeerConfiguration(configuration))
+        return Response(Status.OK).header("Content-Encoding", GZIP).body(Body(ByteBuffer.wrap(compressed.bytesOf(configuration))))
+    }
+
     private fun handleJob(request: Request): Response {
         val jobRequest =
             try {
--- a/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/AsyncHttpClientTest.kt
@@ -76,6 +76,54 @@
                 }
             }
         }
+        describe("an answer that arrives in parts, over longer than the time limit") {
+            val parts = listOf("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n1", "2", "3", "4", "5", "6", "7", "8")
+
+            // Guards against large configurations that a slow link never carries whole, as each attempt is ended and begun anew (CONFIG).
+            it("is received whole if the call allows for its transfer") {
+                RawServer { request -> parts.forEach { request.answer(it, afterMs = 100) } }.use { server ->
+                    client
+                        .call(server, "hello", timeoutMs = 400, transferMs = 4_000)
+                        .shouldBeInstanceOf<HttpResult.Answer>()
+                        .body
+                        .decodeToString() shouldBe "12345678"
+                }
+            }
+            it("ends the call otherwise, which says how much has arrived") {
+                RawServer { request -> parts.forEach { request.answer(it, afterMs = 100) } }.use { server ->
+                    val failed = client.call(server, "hello", timeoutMs = 400).shouldBeInstanceOf<HttpResult.Failed>()
+                    failed.hasSentBytes shouldBe true
+                    failed.reason shouldContain "bytes received"
+                }
+            }
+            it("ends the call once a pause reaches the time limit, long before the end of the transfer time") {
+                RawServer { request ->
+                    parts.take(3).forEach { request.answer(it, afterMs = 100) }.also { request.waitForReset() }
+                }.use { server ->
+                    val startNs = System.nanoTime()
+                    client.call(server, "hello", timeoutMs = 400, transferMs = 20_000).shouldBeInstanceOf<HttpResult.Failed>()
+                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs) shouldBeLessThan 10_000
+                }
+            }
+            it("ends the call at the end of the transfer time, however many parts arrive") {
+                RawServer { request ->
+                    repeat(60) {
+                        request.answer(
+                            if (it ==
+                                0
+                            ) {
+                                parts[0].replace("8", "80")
+                            } else {
+                                "x"
+                            },
+                            afterMs = 100,
+                        )
+                    }
+                }.use { server ->
+                    client.call(server, "hello", timeoutMs = 400, transferMs = 800).shouldBeInstanceOf<HttpResult.Failed>()
+                }
+            }
+        }
         describe("a call to an address that is not valid") {
             // Guards against calls that wait out their time because a malformed row names the address.
             for (authority in listOf(
@@ -234,9 +282,10 @@
     authority: String,
     body: String,
     timeoutMs: Long,
+    transferMs: Long = 0,
 ): CompletableFuture<HttpResult> {
     val result = CompletableFuture<HttpResult>()
-    send("POST", "http://$authority/path", body.toByteArray(), timeoutMs) { result.complete(it) }
+    send("POST", "http://$authority/path", body.toByteArray(), timeoutMs, transferMs = transferMs) { result.complete(it) }
     return result
 }
 
@@ -244,13 +293,15 @@
     server: RawServer,
     body: String,
     timeoutMs: Long = 1_000,
-): HttpResult = call("127.0.0.1:${server.port}", body, timeoutMs)
+    transferMs: Long = 0,
+): HttpResult = call("127.0.0.1:${server.port}", body, timeoutMs, transferMs)
 
 private fun AsyncHttpClient.call(
     authority: String,
     body: String,
     timeoutMs: Long = 1_000,
-): HttpResult = start(authority, body, timeoutMs).get(timeoutMs + 2_000, TimeUnit.MILLISECONDS)
+    transferMs: Long = 0,
+): HttpResult = start(authority, body, timeoutMs, transferMs).get(timeoutMs + transferMs + 2_000, TimeUnit.MILLISECONDS)
 
 private fun answerOnce(socket: Socket) =
     socket.use {
--- a/transport/src/test/kotlin/io/corianderrock/transport/PeerProtocolTest.kt
+++ b/transport/src/test/kotlin/io/corianderrock/transport/PeerProtocolTest.kt
@@ -18,12 +18,14 @@
 import io.corianderrock.jobs.state.Queue
 import io.corianderrock.jobs.state.QueueRoute
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import org.http4k.core.Method
 import org.http4k.core.Request
+import org.http4k.core.Response
 import org.http4k.core.Status
 
 private val CONFIGURATION =
@@ -56,6 +58,34 @@
                 decodePeerConfiguration("[".repeat(20_000)).shouldBeNull()
             }
         }
+        describe("a configuration with many routes") {
+            val routes = List(1_700) { QueueRoute("host$it.example", "/path$it/", Queue("queue$it", "p", priority = 1)) }
+            val large = CONFIGURATION.copy(routes = routes)
+            val request = Request(Method.GET, "/peer/configuration")
+
+            // Guards against entries that keep an old configuration, as a slow link does not carry the new one to all that ask (CONFIG).
+            it("is sent in a tenth of its size to peers that take it compressed") {
+                val compressed = handler(configuration = large).handle(request.header("Accept-Encoding", "gzip")).bytes()
+                compressed.size shouldBeLessThan encodePeerConfiguration(large).length / 10
+                decodePeerConfiguration(compressed) shouldBe large
+            }
+            it("is sent as it is to peers of an earlier release") {
+                decodePeerConfiguration(handler(configuration = large).handle(request).bytes()) shouldBe large
+            }
+            it("is compressed anew for each version") {
+                var current = CONFIGURATION
+                val handler = handler { current }
+                for (version in 7L..9L) {
+                    current = CONFIGURATION.copy(version = version)
+                    val answer = handler.handle(request.header("Accept-Encoding", "gzip"))
+                    decodePeerConfiguration(answer.bytes())?.version shouldBe version
+                }
+            }
+            it("is none if its compressed form is damaged") {
+                val compressed = handler().handle(request.header("Accept-Encoding", "gzip")).bytes()
+                for (length in 0 until compressed.size) decodePeerConfiguration(compressed.copyOf(length)).shouldBeNull()
+            }
+        }
         describe("a status") {
             it("has the version and the age of its confirmation") {
                 val answer = handler().handle(Request(Method.GET, "/peer/status")).bodyString()
@@ -79,9 +109,16 @@
         }
     })
 
+private fun Response.bytes(): ByteArray = body.stream.readBytes()
+
 private fun handler(
     asked: MutableList<JobRequest> = ArrayList(),
     configuration: JobsConfiguration? = CONFIGURATION,
+): PeerJobsHandler = handler(asked) { configuration }
+
+private fun handler(
+    asked: MutableList<JobRequest> = ArrayList(),
+    configuration: () -> JobsConfiguration?,
 ): PeerJobsHandler =
     PeerJobsHandler(
         loop = ThreadEventLoop("test"),
@@ -91,5 +128,5 @@
         },
         directory = PeerDirectory("self"),
         status = { PeerStatus(null, isOwner = false, canWrite = true, configuration = ConfigurationSighting(7, 90)) },
-        configuration = { configuration },
+        configuration = configuration,
     )
