Keep jobs that last when workers crash under them, and blame no task for a rack

Workers of a rack that crashed by themselves counted under the tasks there.

Change: a job that lasts is never given up for crashes. Losses of two workers of one rack within a second are the rack's unless each had just been sent a task of the same job; crashes counted before that is seen are taken back.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -31,6 +31,7 @@
     /** Called with a pool in which an answer of the advice service may let tasks start. */
     onAdvice: (String) -> Unit = {},
 ) {
+    private val suspects = SuspectRestarts(loop, choice, log)
     private val adviser = StepAdviser(loop, advice, choice, log, onAdvice)
     private val explainer = WaitExplainer(loop, registry, driver, choice, log, poolShares) { !mayStartAny(it.stepRun, listOf(it)) }
 
@@ -55,6 +56,7 @@
         val capacity =
             PoolCapacity(driver.workers.filter { it.entry.pool == pool && isUsable(it) }.map(::WorkerCapacity), loop.nowMs, runTimes)
         rackWaits?.beginPass()
+        suspects.beginPass { driver.workers.filter { it.entry.pool == pool } }
         var isShort = false
         for (candidate in ready) {
             if (placeStep(candidate, capacity)) {
@@ -126,9 +128,10 @@
         if (stepRun.step.isGang) return placeGang(stepRun, capacities)
         for (task in candidate.tasks.filter { it.phase == TaskPhase.WAITING }) {
             if (!startLimit.mayStart(task)) return true
-            if (rackWaits?.holds(task, capacity) == true) continue
-            val chosen = choice.cheapestWorker(task, capacities) ?: return adviser.awaitsAdvice(task, capacities)
-            assign(task, chosen)
+            if (rackWaits?.holds(task, capacity) == true || suspects.holds(task)) continue
+            val chosen = choice.cheapestWorker(task, capacities)
+            if (chosen == null && suspects.awaitsIdleWorker(task, capacities)) continue
+            assign(task, chosen ?: return adviser.awaitsAdvice(task, capacities))
         }
         return true
     }
@@ -148,7 +151,7 @@
         stepRun: StepRun,
         capacities: List<WorkerCapacity>,
     ): Boolean {
-        if (stepRun.waitingCount < stepRun.step.count) return true
+        if (stepRun.waitingCount < stepRun.step.count || stepRun.tasks.any(suspects::holds)) return true
         val freeBefore = capacities.associateWith { it.free }
         val chosen = ArrayList<WorkerCapacity>()
         for (task in stepRun.tasks) {
@@ -178,6 +181,7 @@
         capacity.lastEndMs = null
         capacity.room?.onAssigned(task.stepRun, choice.expectedEndMs(task.stepRun))
         driver.start(task, capacity.worker)
+        suspects.onStarted(task, capacity.worker)
         startLimit.onStarted(task)
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
@@ -24,7 +24,7 @@
     val hasCrashSuspect: Boolean get() = crashSuspects.isNotEmpty()
 
     /** True while a crash suspect that may not have survived its start runs here: no further task is placed beside it. */
-    var isReserved: Boolean = crashSuspects.any { !hasSurvivedStart(it) }
+    var isReserved: Boolean = crashSuspects.any { !worker.hasSurvivedStart(it) }
 
     /** True if a task runs here under which a worker has crashed before. */
     val hasCrashedTask: Boolean get() = worker.runs.values.any { it.crashedRuns.isNotEmpty() }
@@ -36,23 +36,22 @@
     val hasServingTask: Boolean get() = worker.runs.values.any { it.stepRun.step.responseTargetMs != null }
     val hasBestEffortTask: Boolean get() = worker.runs.values.any { it.stepRun.step.isBestEffort }
 
-    /** True if the worker has reported [task] as running late enough that its start has not crashed the worker. */
-    private fun hasSurvivedStart(task: TaskRun): Boolean {
-        if (task.phase != TaskPhase.RUNNING) return false
-        // By the worker's clock: a queued start is sent later than it was decided. Adopted runs were listed when they were adopted.
-        val reportedAgeMs = task.startedClockMs?.let { worker.listedClockMs - it } ?: (worker.lastReportedAtMs - task.startedAtMs)
-        return reportedAgeMs >= ISOLATION_MS
-    }
+}
 
-    private companion object {
-        /**
-         * Least age of a run that shows that its start did no harm. With the interval between reports and the next pass it is well
-         * below the 3 s for which a long-running task may be away although there is capacity for it.
-         */
-        const val ISOLATION_MS = 500L
-    }
+/** True if the worker has reported [task] as running late enough that its start has not crashed the worker. */
+internal fun WorkerView.hasSurvivedStart(task: TaskRun): Boolean {
+    if (task.phase != TaskPhase.RUNNING) return false
+    // By the worker's clock: a queued start is sent later than it was decided. Adopted runs were listed when they were adopted.
+    val reportedAgeMs = task.startedClockMs?.let { listedClockMs - it } ?: (lastReportedAtMs - task.startedAtMs)
+    return reportedAgeMs >= ISOLATION_MS
 }
 
+/**
+ * Least age of a run that shows that its start did no harm. With the interval between reports and the next pass it is well
+ * below the 3 s for which a long-running task may be away although there is capacity for it.
+ */
+private const val ISOLATION_MS = 500L
+
 /** The usable workers of one pool. Their free capacity only decreases during the pass. */
 internal class PoolCapacity(
     val workers: List<WorkerCapacity>,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
@@ -119,6 +119,8 @@
             capacities.count { it.isReserved },
             "crashes",
             task.crashedRuns.size,
+            "suspectWaitsFor",
+            task.loggedSuspectWait,
             "cpu",
             task.stepRun.step.occupied.cpuMilli,
             "memoryMb",
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
@@ -6,6 +6,7 @@
 import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.state.Step
 import io.corianderrock.jobs.state.StepRun
+import io.corianderrock.jobs.state.SuspectBackoff
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
 
@@ -101,6 +102,7 @@
     ): Boolean {
         val step = task.stepRun.step
         if (capacity.isReserved || !mayTake(capacity.worker, step)) return false
+        if (task.isLastingSuspect && capacity.worker.runs.isNotEmpty() && loop.nowMs < SuspectBackoff.latestStartMs(task)) return false
         // One more crash of either would fail the jobs of both. Long-running tasks are to run at all times.
         if (task.isCrashSuspect && capacity.hasCrashSuspect && !step.isLongRunning) return false
         if (step.requiredLabel != null && step.requiredLabel !in capacity.worker.entry.labels) return false
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -153,22 +153,36 @@
     }
 
     /**
-     * Records that the worker crashed during the run [runNumber] of [task]. The job fails after [MAX_CRASHES] crashes under one
-     * of its tasks, as further starts would only cost more workers.
+     * Records that the worker, with which contact was lost at loop time [lostAtMs], crashed during the run [runNumber] of [task].
+     * A job that ends fails after [MAX_CRASHES] crashes under one of its tasks, as further starts would only cost more workers.
+     * One that lasts is to run until it is cancelled.
      */
     fun taskCrashed(
         task: TaskRun,
         runNumber: Long,
+        lostAtMs: Long,
     ) {
         val job = task.stepRun.job
         if (job.state.isFinal || !task.crashedRuns.add(runNumber)) return
-        if (task.crashedRuns.size >= MAX_CRASHES) {
+        task.lastCrashAtMs = lostAtMs
+        if (job.isLongRunning) {
+            if (task.crashedRuns.size > MAX_KEPT_CRASHES) task.crashedRuns.remove(task.crashedRuns.first())
+        } else if (task.crashedRuns.size >= MAX_CRASHES) {
             log.write("job_crashes_workers", "job", job.id, "task", task.id, "runs", task.crashedRuns.joinToString("+"))
             finish(job, JobState.FAILED)
         }
         storeProgress(job)
     }
 
+    /** Takes back the crash that was counted for the run [runNumber] of [task]. */
+    fun withdrawCrash(
+        task: TaskRun,
+        runNumber: Long,
+    ) {
+        val job = task.stepRun.job
+        if (!job.state.isFinal && task.crashedRuns.remove(runNumber)) storeProgress(job)
+    }
+
     /** Clears the crashes counted for [task], which has run long enough not to be their cause. */
     fun clearCrashes(task: TaskRun) {
         if (task.crashedRuns.isEmpty()) return
@@ -278,6 +292,9 @@
         /** Crashes under one task after which its job fails. Before the last one the task runs apart from other suspects. */
         const val MAX_CRASHES = 3
 
+        /** Crashes kept of a task that lasts: more do not change its back-off, and the progress row of a job is bounded. */
+        const val MAX_KEPT_CRASHES = 8
+
         /** Callers may query a job for 120 s after it became final; a quarter more allows for slow clocks. */
         const val RETENTION_MS = 150_000L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -49,9 +49,9 @@
     private val context = WorkerOrderContext(loop, link, log, epoch, mayOrder, mayStart, onChange, onFenced)
     private val table = WorkerTable()
     private val inheritedLeases = InheritedWorkerLeases(log)
-    private val crashes = CrashTracker(registry, log)
+    private val crashes = CrashTracker(loop, registry, log)
     private val leaseRows = WorkerLeaseRows(table, committer)
-    private val holds = WorkerHolds(context, table, longestLeaseMs, onLists = ::onLists, onOtherWorker = ::onOtherWorker)
+    private val holds = WorkerHolds(context, table, longestLeaseMs, onLists = ::onLists, onOtherWorker = ::onOtherWorker, onContactLost = crashes::onContactLost)
     private val avoidance = WorkerAvoidance(loop, log) { table.all }
     private val failures = WorkerFailures(avoidance, table::find)
     private val speeds = speedModel?.let { WorkerSpeeds(avoidance, it) }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -18,6 +18,8 @@
     private val onLists: (WorkerView, HoldOrder, Long, WorkerAnswer.Listed) -> Unit,
     /** Called when another worker answers at a worker's address. */
     private val onOtherWorker: (WorkerView) -> Unit,
+    /** Called when the first hold of a worker that answered before is not answered. */
+    private val onContactLost: (WorkerView) -> Unit,
 ) {
     private val loop = context.loop
     private val log = context.log
@@ -154,6 +156,7 @@
     ) {
         worker.consecutiveLostHolds++
         if (worker.consecutiveLostHolds == 1) {
+            onContactLost(worker)
             log.write(
                 "worker_lost",
                 "worker",
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -57,6 +57,15 @@
 
     /** True if the task may be what crashed its workers, so that it must not take other tasks with it once more. */
     val isCrashSuspect: Boolean get() = crashedRuns.size >= CRASHES_BEFORE_ISOLATION
+
+    /** True for a suspect of a job that lasts: the job is never given up for it, so that its restarts are spaced out instead. */
+    val isLastingSuspect: Boolean get() = isCrashSuspect && stepRun.job.isLongRunning
+
+    /** Loop time at which the last worker that crashed under the task was lost; null if none was in this owner's term. */
+    var lastCrashAtMs: Long? = null
+
+    /** What the task was last logged to wait for as a suspect; null if it does not wait. */
+    var loggedSuspectWait: SuspectWait? = null
     var checkpoint: String? = null
     var startedAtMs: Long = 0
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -21,6 +21,9 @@
 ) {
     val id: String get() = entry.id
 
+    /** The label of the worker's rack, which follows that of its kind; null if it names none. */
+    val rack: String? get() = entry.labels.getOrNull(1)
+
     /** False once discovery no longer lists the worker. */
     var isListed: Boolean = true
     var drainingSinceMs: Long? = null
