Clear what a suspect is said to wait for once it no longer waits for it

Cause: task_waits could name a back-off that was over while the task waited for capacity. Change: cleared when the hold ends. CrashLoopTest, CrashTrackerTest and SuspectRestartsTest pass with it.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
@@ -35,7 +35,6 @@
     /** Assigned tasks are among the worker's runs at once, so these need no update during the pass. */
     val hasServingTask: Boolean get() = worker.runs.values.any { it.stepRun.step.responseTargetMs != null }
     val hasBestEffortTask: Boolean get() = worker.runs.values.any { it.stepRun.step.isBestEffort }
-
 }
 
 /** True if the worker has reported [task] as running late enough that its start has not crashed the worker. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/SuspectRestarts.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/SuspectRestarts.kt
@@ -39,7 +39,10 @@
         return when {
             loop.nowMs < endsAtMs -> waitsFor(task, SuspectWait.BACK_OFF, endsAtMs)
             loop.nowMs < latestMs && startingInPool() != null -> waitsFor(task, SuspectWait.OTHER_SUSPECT, latestMs)
-            else -> false
+            else -> {
+                if (task.loggedSuspectWait != SuspectWait.IDLE_WORKER) task.loggedSuspectWait = null
+                false
+            }
         }
     }
 
@@ -55,8 +58,9 @@
         capacities: List<WorkerCapacity>,
     ): Boolean {
         val latestMs = SuspectBackoff.latestStartMs(task)
-        if (!task.isLastingSuspect || loop.nowMs >= latestMs) return false
-        return capacities.any { !it.isReserved && choice.hasRoom(task, it) } && waitsFor(task, SuspectWait.IDLE_WORKER, latestMs)
+        val waits = task.isLastingSuspect && loop.nowMs < latestMs && capacities.any { !it.isReserved && choice.hasRoom(task, it) }
+        if (waits) waitsFor(task, SuspectWait.IDLE_WORKER, latestMs) else task.loggedSuspectWait = null
+        return waits
     }
 
     private fun waitsFor(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -51,7 +51,15 @@
     private val inheritedLeases = InheritedWorkerLeases(log)
     private val crashes = CrashTracker(loop, registry, log)
     private val leaseRows = WorkerLeaseRows(table, committer)
-    private val holds = WorkerHolds(context, table, longestLeaseMs, onLists = ::onLists, onOtherWorker = ::onOtherWorker, onContactLost = crashes::onContactLost)
+    private val holds =
+        WorkerHolds(
+            context,
+            table,
+            longestLeaseMs,
+            onLists = ::onLists,
+            onOtherWorker = ::onOtherWorker,
+            onContactLost = crashes::onContactLost,
+        )
     private val avoidance = WorkerAvoidance(loop, log) { table.all }
     private val failures = WorkerFailures(avoidance, table::find)
     private val speeds = speedModel?.let { WorkerSpeeds(avoidance, it) }
