Give up a row that the store refuses for good instead of repeating its batch for ever

A refusal now says whether it is permanent. A batch refused for good is sent in halves under the same condition on the owner row until the row at fault is alone. It is given up once the store accepts the owner row without it, with a line (job, table, size, limit) and a callback; a store that refuses even the owner row gets nothing dropped. Batches are built below the store's limit of bytes, and rows known to be over a limit are not sent. A lease row that covers refused progress is evaluated again, so that ends whose effect is not stored are not acknowledged; the worker is still held.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
@@ -42,6 +42,61 @@
     val deletes: Set<RowKey> = emptySet(),
 )
 
+/**
+ * What a store accepts. [rowBytes] bounds the value of one row and [transactionBytes] one transaction. A store counts a value in
+ * Base64, in which it is sent.
+ */
+public data class StoreLimits(
+    val rowBytes: Int = DEFAULT_ROW_BYTES,
+    val transactionBytes: Int = DEFAULT_TRANSACTION_BYTES,
+) {
+    /** Bytes of one transaction that rows may take: the rest is for the names of fields and the owner row. */
+    internal val batchBytes: Int get() = transactionBytes - TRANSACTION_RESERVE_BYTES
+
+    /** Bytes of [value] as the store counts them. */
+    internal fun sizeOf(value: String): Int = (value.toByteArray().size + 2) / BASE64_INPUT_BYTES * BASE64_OUTPUT_BYTES
+
+    /** Bytes of a transaction that a row takes, with its condition: the value, and the names and key in JSON twice. */
+    internal fun entrySizeOf(
+        key: RowKey,
+        value: String?,
+    ): Int = (value?.let(::sizeOf) ?: 0) + 2 * (ENTRY_NAMES_BYTES + 2 * key.key.toByteArray().size)
+
+    /** The first limit that the row [key] with [value] is over; null if it can be stored. */
+    internal fun exceededBy(
+        key: RowKey,
+        value: String,
+    ): ExceededLimit? {
+        val size = sizeOf(value)
+        val entrySize = entrySizeOf(key, value)
+        return when {
+            size > rowBytes -> ExceededLimit("rowBytes", size, rowBytes)
+            entrySize > batchBytes -> ExceededLimit("transactionBytes", entrySize, batchBytes)
+            else -> null
+        }
+    }
+
+    private companion object {
+        const val DEFAULT_ROW_BYTES = 65_536
+        const val DEFAULT_TRANSACTION_BYTES = 1_000_000
+
+        /** The owner row has some 200 bytes; the rest allows for a store that counts a little more than is sent. */
+        const val TRANSACTION_RESERVE_BYTES = 20_000
+
+        /** Field names, table, part and version of an entry have some 110 bytes. */
+        const val ENTRY_NAMES_BYTES = 160
+        const val BASE64_INPUT_BYTES = 3
+        const val BASE64_OUTPUT_BYTES = 4
+    }
+}
+
+/** The limit [name] of the store, of [limitBytes], that something of [sizeBytes] is over. */
+public data class ExceededLimit(
+    val name: String,
+    val sizeBytes: Int,
+    val limitBytes: Int,
+)
+
 /** A refusal for load: nothing was done. [retryAfterMs] is the delay that was asked for, null if there was none. */
 public data class StoreRefusal(
     val retryAfterMs: Long? = null,
@@ -62,12 +117,13 @@
 
     /**
      * The call failed. If [mayHaveApplied], the change may have been applied or may still be applied later. [refusal] is set if the
-     * call was refused for load.
+     * call was refused for load, [isPermanent] if the store refused the change for what it holds: sent again as it is, it is refused again.
      */
     public data class Failed(
         val reason: String,
         val mayHaveApplied: Boolean,
         val refusal: StoreRefusal? = null,
+        val isPermanent: Boolean = false,
     ) : ChangeResult
 }
 
@@ -92,6 +148,9 @@
 
 /** Reads and writes the tables of the scheduler. Results are delivered on the event loop. */
 public interface JobTables {
+    /** What the store accepts. */
+    public val limits: StoreLimits get() = StoreLimits()
+
     /** Applies [change] atomically. */
     public fun commit(
         change: RowChange,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -2,6 +2,8 @@
  * Groups all writes of the owner into transactions, with one in flight at a time. Each transaction is conditional on the
  * version of the owner row and rewrites it. A scheduler that has lost its ownership therefore cannot write, and a
  * transaction without an answer can be retried safely: only one of the attempts takes effect.
+ *
+ * A transaction that the store refuses for its content is sent in halves until the row at fault is alone; that one is given up.
  */
 package io.corianderrock.jobs.runs
 
@@ -16,6 +18,18 @@
 import io.corianderrock.jobs.storerate.RetryBackoff
 import kotlin.random.Random
 
+/**
+ * A write that the store does not accept, now or later. [limitName] is the limit that it is over, "content" if the store did not tell;
+ * [sizeBytes] is the size of the value as the store counts it.
+ */
+internal data class WriteRefusal(
+    val key: RowKey,
+    val sizeBytes: Int,
+    val reason: String,
+    val limitName: String = "content",
+    val limitBytes: Int? = null,
+)
+
 /** Writes rows for the owner [owner]. All methods and callbacks run on the event loop; [onLost] gets the reason as text. */
 internal class Committer(
     private val loop: EventLoop,
@@ -36,6 +50,16 @@
         val onDropped: ArrayList<() -> Unit> = ArrayList(),
         /** Not empty if the write may be given up while it is certain that it was not applied. */
         val onWithdrawn: ArrayList<() -> Unit> = ArrayList(),
+        val onRefused: ArrayList<(WriteRefusal) -> Unit> = ArrayList(),
+        /** True if the value covers what earlier writes store, so that it must not be stored as it is once one of these was refused. */
+        val coversEarlierWrites: Boolean = false,
+    )
+
+    /** Writes of a refused batch that are yet to be sent by themselves, with the values that they had in it. */
+    private class Remainder(
+        val writes: List<Write>,
+        val values: Map<RowKey, String?>,
+        val mayHaveApplied: Boolean,
     )
 
     private class Batch(
@@ -49,6 +73,14 @@
 
     private val pending = LinkedHashMap<RowKey, Write>()
     private var inFlight: Batch? = null
+
+    /** What is left of refused batches, to be sent before [pending]. */
+    private val remainders = ArrayDeque<Remainder>()
+
+    /** A write that was refused alone. It is given up once the store accepts the owner row without it, so that the row is at fault. */
+    private var suspect: Remainder? = null
+    private var suspectReason = ""
+    private val limits = tables.limits
     private var lastSentAtMs = Long.MIN_VALUE / 2
     private var isScheduled = false
     private var isClosed = false
@@ -82,40 +114,60 @@
      * write that is still pending for the same key keeps its place, writes the later [value] and calls [onStored] as well; one in
      * flight with [mustBeAbsent] is joined, since a second one would only conflict with it. [onDropped] is called instead if the
      * ownership ends before the answer: the row may have been written or not. With [onWithdrawn] the write is given up once the
-     * store is lost, if it is certain that it was not and will not be applied.
+     * store is lost, if it is certain that it was not and will not be applied. [onRefused] is called, and [onStored] is not, if the
+     * store does not accept the row: it holds what it held before. Without [onRefused], [onDropped] is called then.
      */
     fun put(
         key: RowKey,
         mustBeAbsent: Boolean = false,
         onDropped: () -> Unit = {},
         onWithdrawn: (() -> Unit)? = null,
+        onRefused: ((WriteRefusal) -> Unit)? = null,
         onStored: (StoredRow?) -> Unit = {},
         value: () -> String?,
     ) {
         val write =
-            inFlight?.writes?.firstOrNull { mustBeAbsent && it.mustBeAbsent && it.key == key }
+            sentWrites().firstOrNull { mustBeAbsent && it.mustBeAbsent && it.key == key }
                 ?: pending.getOrPut(key) { Write(key, value, mustBeAbsent) }.also { if (!it.mustBeAbsent) it.value = value }
         write.onStored.add(onStored)
         write.onDropped.add(onDropped)
         onWithdrawn?.let(write.onWithdrawn::add)
+        write.onRefused.add(onRefused ?: { onDropped() })
         schedule()
     }
 
-    /** Like [put], but commits in the same transaction as the writes pending now, or in a later one. */
+    /** Writes of refused batches and of the batch in flight, which have a value already. */
+    private fun sentWrites(): List<Write> =
+        inFlight?.writes.orEmpty() + suspect?.writes.orEmpty() + remainders.flatMap { it.writes }
+
+    /**
+     * Like [put], but commits in the same transaction as the writes pending now, or in a later one. If one of these is refused,
+     * [value] is evaluated again before the row is stored.
+     */
     fun putAfterPending(
         key: RowKey,
+        onDropped: () -> Unit = {},
+        onRefused: ((WriteRefusal) -> Unit)? = null,
         onStored: (StoredRow?) -> Unit,
         value: () -> String?,
     ) {
-        val earlier = pending.remove(key)
-        val write = Write(key, value, mustBeAbsent = false)
+        val write = moveToEnd(Write(key, value, mustBeAbsent = false, coversEarlierWrites = true))
+        write.onStored.add(onStored)
+        write.onDropped.add(onDropped)
+        write.onRefused.add(onRefused ?: { onDropped() })
+        schedule()
+    }
+
+    /** Makes [write] the last one pending; it takes over the callbacks of one that is pending for the same key. */
+    private fun moveToEnd(write: Write): Write {
+        val earlier = pending.remove(write.key)
         earlier?.let {
             write.onStored.addAll(it.onStored)
             write.onDropped.addAll(it.onDropped)
+            write.onRefused.addAll(it.onRefused)
         }
-        write.onStored.add(onStored)
-        pending[key] = write
-        schedule()
+        pending[write.key] = write
+        return write
     }
 
     /** Rewrites the owner row if no transaction was sent for [RENEW_INTERVAL_MS]. */
@@ -135,11 +187,25 @@
             inFlight = Batch(kept, batch.owner, batch.values, batch.firstSentAt)
             withdrawn += unsent
         }
+        if (batch == null || isRetryDue && !batch.mayHaveApplied) withdrawn += withdrawRemainders()
         if (withdrawn.isEmpty()) return
         log.write("writes_withdrawn", "jobs", withdrawn.size, "confirmedAgoMs", ownership.ageMs)
         for (write in withdrawn) write.onWithdrawn.forEach { it() }
     }
 
+    private fun withdrawRemainders(): List<Write> {
+        val withdrawn = ArrayList<Write>()
+        val kept =
+            remainders.map { remainder ->
+                val (unsent, others) = remainder.writes.partition { it.onWithdrawn.isNotEmpty() && !remainder.mayHaveApplied }
+                withdrawn += unsent
+                Remainder(others, remainder.values, remainder.mayHaveApplied)
+            }
+        remainders.clear()
+        remainders.addAll(kept.filter { it.writes.isNotEmpty() })
+        return withdrawn
+    }
+
     /**
      * Releases the ownership in the next transaction, which also carries pending writes; nothing is written afterwards. Dropping
      * the rest is safe: workers list ended runs until they are acknowledged, and callers whose jobs were not stored are told that
@@ -168,34 +234,65 @@
 
     private fun send() {
         if (isClosed) return
-        val batch = inFlight ?: takeBatch().also { inFlight = it }
+        val batch = inFlight ?: takeRemainder() ?: takeBatch()
+        // A row that was given up on the way may have ended the term.
+        if (isClosed) return
+        inFlight = batch
         lastSentAtMs = loop.nowMs
         isRetryDue = false
         val sentAt = loop.readClocks()
         tables.commit(changeOf(batch)) { onResult(batch, sentAt, it) }
     }
 
+    private fun takeRemainder(): Batch? {
+        val remainder = remainders.removeFirstOrNull() ?: return null
+        return Batch(remainder.writes, nextOwnerRow(), remainder.values, loop.readClocks(), remainder.mayHaveApplied)
+    }
+
+    private fun nextOwnerRow(): OwnerRow = owner.copy(heartbeat = owner.heartbeat + 1, earlierOrdersWindowMs = earlierOrdersWindowMs())
+
     private fun takeBatch(): Batch {
-        val writes = nextWrites()
-        writes.forEach { pending.remove(it.key) }
-        val next = if (onReleased != null) owner.released() else owner.copy(heartbeat = owner.heartbeat + 1)
-        return Batch(
-            writes,
-            next.copy(earlierOrdersWindowMs = earlierOrdersWindowMs()),
-            writes.associate { it.key to it.value() },
-            loop.readClocks(),
-        )
+        val values = LinkedHashMap<RowKey, String?>()
+        val writes = takeWrites(values)
+        // The release is the last write: it waits for what does not fit into one transaction no longer than for one that is refused.
+        val next = if (onReleased != null) owner.released().copy(earlierOrdersWindowMs = earlierOrdersWindowMs()) else nextOwnerRow()
+        return Batch(writes, next, values, loop.readClocks())
+    }
+
+    /** Takes the writes of the next transaction from [pending] and puts their values into [values]. Rows that cannot be stored are given up. */
+    private fun takeWrites(values: MutableMap<RowKey, String?>): List<Write> {
+        val taken = ArrayList<Write>()
+        var leftBytes = limits.batchBytes
+        val (newJobs, others) = nextWrites()
+        for (group in listOf(newJobs, others)) {
+            val reservedBytes = if (group === newJobs && others.isNotEmpty()) limits.batchBytes / RESERVED_BYTES_DIVISOR else 0
+            for (write in group) {
+                val value = write.value()
+                val exceeded = value?.let { limits.exceededBy(write.key, it) }
+                if (exceeded == null) {
+                    val size = limits.entrySizeOf(write.key, value)
+                    // A row that is not larger than the limit fits into an empty transaction.
+                    if (size > leftBytes - reservedBytes && leftBytes < limits.batchBytes) break
+                    leftBytes -= size
+                    taken.add(write)
+                    values[write.key] = value
+                }
+                pending.remove(write.key)
+                exceeded?.let { refuse(write, WriteRefusal(write.key, it.sizeBytes, "not sent", it.name, it.limitBytes)) }
+            }
+        }
+        return taken
     }
 
     /**
      * As many pending writes as one transaction holds: new jobs first, since their callers wait, then in order of arrival. New jobs
      * leave a share to other rows, without which nothing starts on new workers and no end is acknowledged.
      */
-    private fun nextWrites(): List<Write> {
+    private fun nextWrites(): Pair<List<Write>, List<Write>> {
         val (newJobs, others) = pending.values.partition { it.mustBeAbsent }
         val reserved = minOf(others.size, RESERVED_ENTRIES)
         val first = newJobs.take((MAX_ENTRIES - OWNER_ROW_ENTRIES - reserved) / ENTRIES_PER_NEW_JOB)
-        return first + others.take(MAX_ENTRIES - OWNER_ROW_ENTRIES - first.size * ENTRIES_PER_NEW_JOB)
+        return first to others.take(MAX_ENTRIES - OWNER_ROW_ENTRIES - first.size * ENTRIES_PER_NEW_JOB)
     }
 
     private fun changeOf(batch: Batch): RowChange {
@@ -221,7 +318,7 @@
         when (result) {
             is ChangeResult.Committed -> onCommitted(batch, sentAt, result.version)
             is ChangeResult.Conflict -> onConflict(batch, result.rows)
-            is ChangeResult.Failed -> onFailed(batch, result)
+            is ChangeResult.Failed -> if (result.isPermanent) onRefused(batch, result) else onFailed(batch, result)
         }
     }
 
@@ -240,10 +337,12 @@
         ownership.confirm(sentAt)
         canWrite = true
         inFlight = null
+        if (batch.writes.isEmpty()) giveUpSuspect()
         for (write in batch.writes) write.onStored.forEach { it(null) }
         when {
+            isClosed -> Unit
             owner.holder.isEmpty() -> finishRelease()
-            onReleased != null -> send()
+            onReleased != null || remainders.isNotEmpty() -> send()
             pending.isNotEmpty() -> schedule()
         }
     }
@@ -278,6 +377,85 @@
         send()
     }
 
+    /**
+     * The store does not accept a row of [batch], and will not. The halves are sent under the same condition on the owner row. As long
+     * as an attempt at the whole may still be applied, the first keeps its owner row, by which [onConflict] knows that it was.
+     */
+    private fun onRefused(
+        batch: Batch,
+        result: ChangeResult.Failed,
+    ) {
+        if (batch.writes.isEmpty()) {
+            // Not even the owner row is accepted: this is the state of the store, not of the row that was refused before.
+            suspect?.let { remainders.addFirst(it) }
+            suspect = null
+            onFailed(batch, result)
+            return
+        }
+        val halfCount = batch.writes.size / 2
+        val first = batch.writes.take(halfCount)
+        val rest = Remainder(batch.writes.drop(halfCount), batch.values, batch.mayHaveApplied)
+        if (halfCount == 0) {
+            suspect = rest
+            suspectReason = result.reason
+        } else {
+            remainders.addFirst(rest)
+        }
+        // The release of the ownership ends all writes, so it waits for the other half.
+        val ownerRow = if (batch.owner.holder.isEmpty()) nextOwnerRow() else batch.owner
+        inFlight = Batch(first, ownerRow, batch.values, batch.firstSentAt, batch.mayHaveApplied)
+        send()
+    }
+
+    private fun giveUpSuspect() {
+        val refused = suspect ?: return
+        suspect = null
+        val write = refused.writes.single()
+        val size = refused.values.getValue(write.key)?.let(limits::sizeOf) ?: 0
+        refuse(write, WriteRefusal(write.key, size, suspectReason))
+        for (remainder in remainders.toList()) {
+            val (covering, others) = remainder.writes.partition { it.coversEarlierWrites }
+            if (covering.isEmpty()) continue
+            remainders[remainders.indexOf(remainder)] = Remainder(others, remainder.values, remainder.mayHaveApplied)
+            covering.forEach(::reevaluate)
+        }
+        remainders.removeAll { it.writes.isEmpty() }
+    }
+
+    /** Puts [write] back among the pending ones, so that its value is evaluated again; one that was put since keeps its later value. */
+    private fun reevaluate(write: Write) {
+        val later = pending[write.key]
+        if (later == null) {
+            pending[write.key] = write
+        } else {
+            later.onStored.addAll(0, write.onStored)
+            later.onDropped.addAll(0, write.onDropped)
+            later.onRefused.addAll(0, write.onRefused)
+        }
+    }
+
+    private fun refuse(
+        write: Write,
+        refusal: WriteRefusal,
+    ) {
+        log.write(
+            "write_refused",
+            "job",
+            refusal.key.key,
+            "table",
+            refusal.key.table.id,
+            "bytes",
+            refusal.sizeBytes,
+            "limit",
+            refusal.limitName,
+            "limitBytes",
+            refusal.limitBytes ?: "",
+            "reason",
+            refusal.reason,
+        )
+        write.onRefused.forEach { it(refusal) }
+    }
+
     private fun onFailed(
         batch: Batch,
         result: ChangeResult.Failed,
@@ -309,8 +487,10 @@
     }
 
     private fun dropWrites() {
-        val dropped = inFlight?.writes.orEmpty() + pending.values
+        val dropped = sentWrites() + pending.values
         inFlight = null
+        suspect = null
+        remainders.clear()
         pending.clear()
         for (write in dropped) write.onDropped.forEach { it() }
     }
@@ -342,6 +522,9 @@
         /** Entries that new jobs leave to other rows. */
         const val RESERVED_ENTRIES = 32
 
+        /** New jobs leave a quarter of the bytes to other rows. */
+        const val RESERVED_BYTES_DIVISOR = 4
+
         /** The row and the condition that it is absent. */
         const val ENTRIES_PER_NEW_JOB = 2
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -65,12 +65,14 @@
 
     /**
      * Stores [submission]. [onAccepted] is called once it is stored, also if it was stored before; [onDropped] if the
-     * ownership ends before that is known; [onWithdrawn] if the store is lost and it is certain that nothing was stored.
+     * ownership ends before that is known; [onWithdrawn] if the store is lost and it is certain that nothing was stored; [onRefused] if
+     * the store does not accept the job, of which nothing is kept then.
      */
     fun submit(
         submission: JobSubmission,
         onDropped: () -> Unit,
         onWithdrawn: () -> Unit,
+        onRefused: (WriteRefusal) -> Unit,
         onAccepted: (JobRun) -> Unit,
     ) {
         val registered = jobs[submission.id]
@@ -83,11 +85,16 @@
             if (!job.isStored) jobs.remove(job.id, job)
             if (job.isStored) onAccepted(job) else onWithdrawn()
         }
-        val key = RowKey(Table.JOBS, submission.id)
-        committer.put(key, mustBeAbsent = true, onDropped = onDropped, onWithdrawn = withdraw, onStored = { existing ->
+        val refuse = { refusal: WriteRefusal ->
+            if (!job.isStored) jobs.remove(job.id, job)
+            if (job.isStored) onAccepted(job) else onRefused(refusal)
+        }
+        val onStored = { existing: StoredRow? ->
             if (!job.isStored) registerStored(job, existing)
             onAccepted(job)
-        }) { storedJson.encodeToString(JobSubmission.serializer(), submission) }
+        }
+        val key = RowKey(Table.JOBS, submission.id)
+        committer.put(key, mustBeAbsent = true, onDropped, withdraw, refuse, onStored) { storedJson.encodeToString(JobSubmission.serializer(), submission) }
     }
 
     private fun registerStored(
@@ -257,7 +264,13 @@
         onDropped: () -> Unit = {},
         onStored: () -> Unit = {},
     ) {
-        committer.put(RowKey(Table.PROGRESS, job.id), onDropped = onDropped, onStored = {
+        val key = RowKey(Table.PROGRESS, job.id)
+        val onRefused = { _: WriteRefusal ->
+            job.refusedRows.add(key)
+            onDropped()
+        }
+        committer.put(key, onDropped = onDropped, onRefused = onRefused, onStored = {
+            job.refusedRows.remove(key)
             if (job.storingState.isFinal) {
                 job.visibleState = job.storingState
                 releaseTasksIfIdle(job)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -11,6 +11,7 @@
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.runtimes.EndedRun
 import io.corianderrock.jobs.state.TaskId
+import io.corianderrock.jobs.state.OpenEnd
 import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
@@ -101,7 +102,10 @@
         val ranKey = if (ended?.isWhole == true) "ranMs" else "ranAtLeastMs"
         val ranMs = ended?.tookMs ?: 0
         log.write("task_ended", "task", end.task, "run", end.runNumber, "worker", worker.id, "outcome", end.kind, ranKey, ranMs)
-        if (task != null) recordEnd(worker, task, end)
+        if (task != null) {
+            worker.openEnds.add(OpenEnd(end.number, task.stepRun.job))
+            recordEnd(worker, task, end)
+        }
         // After the job's progress: an ended run is acknowledged only once its effect on the job is stored.
         leaseRows.storeEnd(worker) { holds.onEndsStored(worker) }
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -184,7 +184,12 @@
             return
         }
         val onWithdrawn = { onResult(SubmitResult.Unavailable) }
-        registry.submit(submission, { onResult(SubmitResult.Unknown) }, onWithdrawn) { onResult(SubmitResult.Accepted) }
+        registry.submit(
+            submission,
+            onDropped = { onResult(SubmitResult.Unknown) },
+            onWithdrawn = onWithdrawn,
+            onRefused = { onResult(SubmitResult.Rejected("the store does not accept the job: ${it.reason}", UNSTORABLE_RETRY_MS)) },
+        ) { onResult(SubmitResult.Accepted) }
     }
 
     /** Another entry may have stored the job since the inbox was last read, so that a refusal would not be true. */
@@ -364,6 +369,9 @@
         /** Greatest age of the last confirmed write at which orders to instances are sent; the next owner waits as long. */
         const val INSTANCE_ORDER_FRESHNESS_MS = 1_500L
 
+        /** Retry delay for a job that the store does not accept: sent again as it is, it is refused again. */
+        const val UNSTORABLE_RETRY_MS = 60_000L
+
         /** Margin added to the time between instance orders of two owners: covers an order's timeout and network delays. */
         const val TAKEOVER_MARGIN_MS = 1_100L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -61,6 +61,7 @@
     /** Called once ends on [worker] are stored, which the next hold acknowledges. */
     fun onEndsStored(worker: WorkerView) {
         worker.storedEnd = worker.storingEnd
+        worker.openEnds.removeAll { it.number <= worker.storedEnd }
         if (!worker.isHoldInFlight) scheduleAt(worker, loop.nowMs)
     }
 
@@ -179,7 +180,7 @@
             when {
                 answer is WorkerAnswer.Unanswered && worker.consecutiveLostHolds < LOST_HOLDS_BEFORE_AVOIDING -> 0L
                 answer !is WorkerAnswer.Listed -> if (worker.isEmpty) IDLE_WORKER_HOLD_RETRY_MS else UNANSWERED_HOLD_RETRY_MS
-                worker.storedEnd < worker.processedEnd -> return
+                worker.storedEnd < worker.storableEnd -> return
                 worker.deferredLists != null -> HOLD_PAUSE_MS
                 !worker.isLeaseConfirmed -> 0L
                 else -> HOLD_PAUSE_MS
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerLeaseRows.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerLeaseRows.kt
@@ -27,7 +27,10 @@
         }) { valueOf(worker) }
     }
 
-    /** Stores the last processed end on [worker] after the progress of its job; [onStored] is called once both are stored. */
+    /**
+     * Stores the last processed end on [worker] after the progress of its job; [onStored] is called once both are stored. An end whose
+     * effect the store refuses, and those after it, stay in the worker's list for a later owner.
+     */
     fun storeEnd(
         worker: WorkerView,
         onStored: () -> Unit,
@@ -42,14 +45,14 @@
 
     private fun valueOf(worker: WorkerView): String? {
         if (worker !in workers) return null
-        worker.storingEnd = worker.processedEnd
+        worker.storingEnd = worker.storableEnd
         val row =
             WorkerLeaseRow(
                 worker.id,
                 worker.entry.address,
                 worker.entry.pool,
                 worker.bornWallMs,
-                worker.processedEnd,
+                worker.storingEnd,
                 worker.entry.instanceId,
             )
         return storedJson.encodeToString(WorkerLeaseRow.serializer(), row)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -3,6 +3,7 @@
  */
 package io.corianderrock.jobs.state
 
+import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.runtimes.JobRunTimes
 import io.corianderrock.jobs.runtimes.RunForecast
 import io.corianderrock.jobs.runtimes.StepRunTimes
@@ -230,6 +231,10 @@
     var finishedWallMs: Long = 0
     var isStored: Boolean = false
 
+    /** Rows of its progress whose last value the store has refused: the stored progress is older than that in memory. */
+    val refusedRows = HashSet<RowKey>()
+    val isProgressRefused: Boolean get() = refusedRows.isNotEmpty()
+
     val isLive: Boolean get() = isStored && !state.isFinal
     val isLongRunning: Boolean = submission.steps.any { it.isLongRunning }
     val tasks: Sequence<TaskRun> get() =
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -14,6 +14,12 @@
 /** Age up to which an unanswered order counts as still arriving: it may be carried out up to 12 s after it was sent. */
 internal const val LATE_ORDER_WINDOW_MS = 13_000L
 
+/** The end [number] in a worker's list, of a run of a task of [job]. */
+internal class OpenEnd(
+    val number: Long,
+    val job: JobRun,
+)
+
 internal class WorkerView(
     var entry: WorkerEntry,
     /** Starts that were sent here and may still arrive, also at a new incarnation that knows of no stop. */
@@ -66,6 +72,12 @@
     /** Number of the last end that was processed. Ends are numbered from 1 in each incarnation. */
     var processedEnd: Long = 0
 
+    /** Processed ends that are not known to be stored, with the jobs that they concern. */
+    val openEnds = ArrayDeque<OpenEnd>()
+
+    /** Number of the last processed end before the first whose effect on its job was refused by the store. */
+    val storableEnd: Long get() = openEnds.firstOrNull { it.job.isProgressRefused }?.let { it.number - 1 } ?: processedEnd
+
     /** Number of the last end that the lease row in the last transaction covers. */
     var storingEnd: Long = 0
 
@@ -179,6 +191,7 @@
         listsWithoutWorker = 0
         listedClockMs = 0
         processedEnd = 0
+        openEnds.clear()
         storingEnd = 0
         storedEnd = 0
         acknowledgedEnd = 0
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/GatedTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/GatedTables.kt
@@ -8,6 +8,7 @@
 import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
+import io.corianderrock.jobs.ports.StoreLimits
 import io.corianderrock.jobs.ports.StoreRefusal
 import io.corianderrock.jobs.ports.Table
 
@@ -17,6 +18,8 @@
     private val gate: StoreGate,
     private val callClass: StoreCallClass? = null,
 ) : JobTables {
+    override val limits: StoreLimits get() = tables.limits
+
     /** By a row that they create, the latest last: reports that a transaction without an answer was found carried out. */
     private val unanswered = LinkedHashMap<RowKey, (StoreCallEnd) -> Unit>()
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfScriptedWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfScriptedWorkers.kt
@@ -6,6 +6,7 @@
 import io.corianderrock.jobs.ownership.OwnerRow
 import io.corianderrock.jobs.ports.EndRow
 import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.JobTables
 import io.corianderrock.jobs.ports.RunningRow
 import io.corianderrock.jobs.ports.StartOrder
 import io.corianderrock.jobs.ports.StopOrder
@@ -26,10 +27,11 @@
 internal class OwnerOfScriptedWorkers(
     step: Step = Step(1, Demand(1_000, 100)),
     workerCount: Int = 1,
+    tablesOf: (SimTime) -> JobTables = { SlowTables(it, answerMs = 5) },
 ) : WorkerLink {
     val time = SimTime()
     val loop = SimLoop(time)
-    private val committer = Committer(loop, SlowTables(time, answerMs = 5), { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
+    private val committer = Committer(loop, tablesOf(time), { _, _ -> }, OwnerRow("e", "e", 1, 1), 1, { 0 }, {})
     val registry = JobRegistry(loop, committer) { _, _ -> }
     var mayOrder = true
     var fencedCount = 0
