Store progress that does not fit into a row as a bitmap, and the failed runs in rows of a bounded size

Cause: the row of a job's progress held the index of every done task of every occurrence; that of review/1 outgrew the 65,536 bytes of a row after some 550 occurrences.

Progress whose lists may not fit is folded: the done tasks as a bitmap by their position in the job, the failed runs of tasks that are not done in rows for a fixed number of tasks each (about 6,000 bytes), stored before the row that no longer has them. A final job is stored as its state alone, and its rows of failed runs are deleted. Lists are stored as before while they fit, so that an owner of the landing before reads them. Ends that were held back as the progress was refused are stored once it is accepted.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
@@ -53,6 +53,10 @@
     /** Bytes of one transaction that rows may take: the rest is for the names of fields and the owner row. */
     internal val batchBytes: Int get() = transactionBytes - TRANSACTION_RESERVE_BYTES
 
+    /** The most ASCII characters that a value may have: its key and names in the transaction have less than 2,000 bytes. */
+    internal val largestValueLength: Int
+        get() = minOf(rowBytes, batchBytes - ENTRY_RESERVE_BYTES) / BASE64_OUTPUT_BYTES * BASE64_INPUT_BYTES
+
     /** Bytes of [value] as the store counts them. */
     internal fun sizeOf(value: String): Int = (value.toByteArray().size + 2) / BASE64_INPUT_BYTES * BASE64_OUTPUT_BYTES
 
@@ -83,6 +87,8 @@
         /** The owner row has some 200 bytes; the rest allows for a store that counts a little more than is sent. */
         const val TRANSACTION_RESERVE_BYTES = 20_000
 
+        const val ENTRY_RESERVE_BYTES = 2_000
+
         /** Field names, table, part and version of an entry have some 110 bytes. */
         const val ENTRY_NAMES_BYTES = 160
         const val BASE64_INPUT_BYTES = 3
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -93,6 +93,9 @@
     /** Callback of [release]; not null once the ownership is to be released. */
     private var onReleased: (() -> Unit)? = null
 
+    /** The most ASCII characters that a value may have. */
+    val largestValueLength: Int get() = limits.largestValueLength
+
     /** True while the current transaction is failing or its answer is overdue. */
     val isStoreUnhealthy: Boolean get() = failures > 0 || isAnswerOverdue(SLOW_ANSWER_MS)
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -10,11 +10,13 @@
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
 import io.corianderrock.jobs.ports.decodeOrNull
+import io.corianderrock.jobs.state.GroupRuns
 import io.corianderrock.jobs.state.JobProgress
 import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.JobState
 import io.corianderrock.jobs.state.JobSubmission
 import io.corianderrock.jobs.state.TaskPhase
+import io.corianderrock.jobs.state.TaskPositions
 import io.corianderrock.jobs.state.TaskRun
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.json.Json
@@ -34,6 +36,9 @@
     /** Called when a job has become final, to stop its runs. Set by [WorkerDriver]. */
     var onFinal: (JobRun) -> Unit = {}
 
+    /** Called when the store has accepted the progress of a job that it had refused before. Set by [WorkerDriver]. */
+    var onProgressAccepted: (JobRun) -> Unit = {}
+
     /** Called for each accepted job that is not final, also when loaded from the store; feeds the demand forecast. */
     var onAccepted: (JobRun) -> Unit = {}
 
@@ -128,7 +133,7 @@
             log.write("job_cancelled", "job", job.id, "queue", job.queue.name, "state", job.state)
             finish(job, JobState.CANCELLED)
         }
-        storeProgress(job, onDropped, onStored)
+        storeProgress(job, onDropped = onDropped, onStored = onStored)
     }
 
     /** Records that a run of [task] succeeded and completes the job if this was its last task. */
@@ -151,12 +156,15 @@
         val job = task.stepRun.job
         job.markStarted()
         if (task.stepRun.step.isLongRunning) return
-        if (!task.failedRuns.add(runNumber)) return
-        if (task.failedRuns.size >= job.queue.maxAttempts && !job.state.isFinal) {
+        val isNew = job.addFailedRun(task, runNumber)
+        val hasFailed = task.failedRuns.size >= job.queue.maxAttempts && !job.state.isFinal
+        // The runs may be stored in another row than the state that follows from them, which a lost owner did not store.
+        if (!isNew && !hasFailed) return
+        if (hasFailed) {
             log.write("job_failed", "job", job.id, "queue", job.queue.name, "task", task.id, "runs", task.failedRuns.joinToString("+"))
             finish(job, JobState.FAILED)
         }
-        storeProgress(job)
+        storeProgress(job, task)
     }
 
     /**
@@ -168,19 +176,19 @@
         runNumber: Long,
     ) {
         val job = task.stepRun.job
-        if (job.state.isFinal || !task.crashedRuns.add(runNumber)) return
+        if (job.state.isFinal || !job.addCrashedRun(task, runNumber)) return
         if (task.crashedRuns.size >= MAX_CRASHES) {
             log.write("job_crashes_workers", "job", job.id, "task", task.id, "runs", task.crashedRuns.joinToString("+"))
             finish(job, JobState.FAILED)
         }
-        storeProgress(job)
+        storeProgress(job, task)
     }
 
     /** Clears the crashes counted for [task], which has run long enough not to be their cause. */
     fun clearCrashes(task: TaskRun) {
         if (task.crashedRuns.isEmpty()) return
         task.crashedRuns.clear()
-        storeProgress(task.stepRun.job)
+        storeProgress(task.stepRun.job, task)
     }
 
     /** Adds the occurrences of recurring jobs that are due by the wall clock. */
@@ -259,29 +267,93 @@
         )
     }
 
+    /** Stores the progress of [job], and in the folded form the failed runs of the group of [changedTask], whose runs have changed. */
     private fun storeProgress(
         job: JobRun,
+        changedTask: TaskRun? = null,
         onDropped: () -> Unit = {},
         onStored: () -> Unit = {},
     ) {
+        if (!job.isFolded && !job.state.isFinal && job.largestListLength > committer.largestValueLength) {
+            fold(job)
+        } else if (job.isFolded && changedTask != null) {
+            storeGroup(job, job.groupOf(changedTask))
+        }
         val key = RowKey(Table.PROGRESS, job.id)
-        val onRefused = { _: WriteRefusal ->
+        committer.put(key, onDropped = onDropped, onRefused = onProgressRefused(job, key, onDropped), onStored = {
+            onProgressStored(job, key)
+            if (job.storingState.isFinal) onFinalStateStored(job)
+            onStored()
+        }) { progressToStore(job) }
+    }
+
+    private fun progressToStore(job: JobRun): String {
+        job.storingState = job.state
+        return storedJson.encodeToString(JobProgress.serializer(), job.progress())
+    }
+
+    private fun onProgressRefused(
+        job: JobRun,
+        key: RowKey,
+        onDropped: () -> Unit = {},
+    ): (WriteRefusal) -> Unit =
+        {
             job.refusedRows.add(key)
             onDropped()
         }
-        committer.put(key, onDropped = onDropped, onRefused = onRefused, onStored = {
-            job.refusedRows.remove(key)
-            if (job.storingState.isFinal) {
-                job.visibleState = job.storingState
-                releaseTasksIfIdle(job)
+
+    private fun onProgressStored(
+        job: JobRun,
+        key: RowKey,
+    ) {
+        if (job.refusedRows.remove(key) && !job.isProgressRefused) onProgressAccepted(job)
+    }
+
+    /** From now on [job] is stored in the folded form. The row without the failed runs must not be stored before those that have them. */
+    private fun fold(job: JobRun) {
+        log.write("progress_folded", "job", job.id, "listLength", job.largestListLength)
+        job.isFolded = true
+        (job.groupsWithRuns() + job.storedGroups).forEach { storeGroup(job, it) }
+        val key = RowKey(Table.PROGRESS, job.id)
+        committer.putAfterPending(
+            key,
+            onRefused = onProgressRefused(job, key),
+            onStored = { onProgressStored(job, key) },
+        ) { progressToStore(job) }
+    }
+
+    private fun storeGroup(
+        job: JobRun,
+        group: Int,
+    ) {
+        job.storedGroups.add(group)
+        val key = TaskPositions.groupKey(job.id, group)
+        committer.put(key, onRefused = onProgressRefused(job, key), onStored = { onProgressStored(job, key) }) {
+            job.groupRuns(group)?.let { storedJson.encodeToString(GroupRuns.serializer(), it) }
+        }
+    }
+
+    /** Restores failed runs from [rows], the table of progress, once the jobs are loaded; deletes those of jobs that need them no more. */
+    fun loadGroups(rows: List<StoredRow>) {
+        for (row in rows) {
+            val (id, group) = TaskPositions.parseGroupKey(row.key) ?: continue
+            val job = jobs[id]
+            val runs = decodeStored(GroupRuns.serializer(), row.value)
+            if (job == null || job.state.isFinal) {
+                committer.put(row.key) { null }
+            } else if (runs != null) {
+                job.restore(group, runs, loop.nowMs)
             }
-            onStored()
-        }) {
-            job.storingState = job.state
-            storedJson.encodeToString(JobProgress.serializer(), job.progress())
         }
     }
 
+    private fun onFinalStateStored(job: JobRun) {
+        job.visibleState = job.storingState
+        releaseTasksIfIdle(job)
+        for (group in job.storedGroups) committer.put(TaskPositions.groupKey(job.id, group)) { null }
+        job.storedGroups.clear()
+    }
+
     /** Frees the task objects of a final job if none of its tasks is on a worker. */
     private fun releaseTasksIfIdle(job: JobRun) {
         if (job.tasks.all { it.phase == TaskPhase.DONE || it.phase == TaskPhase.WAITING }) job.occurrences.clear()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -290,6 +290,7 @@
             }
             registry.load(submission, progress[submission.id], isInherited = true)
         }
+        registry.loadGroups(rowsByTable.getValue(Table.PROGRESS))
         val leases = rowsByTable.getValue(Table.WORKER_LEASES).mapNotNull { decodeStored(WorkerLeaseRow.serializer(), it.value) }
         driver.inherit(leases, earlier.ordersEndMs(WORKER_ORDER_FRESHNESS_MS) + driver.worstCaseLeaseMs)
         val waves = rowsByTable.getValue(Table.WAVES)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -14,6 +14,7 @@
 import io.corianderrock.jobs.ports.WorkerLink
 import io.corianderrock.jobs.runtimes.EndedRun
 import io.corianderrock.jobs.runtimes.RunTimeModel
+import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
 import io.corianderrock.jobs.workers.WorkerAvoidance
@@ -76,6 +77,14 @@
 
     init {
         registry.onFinal = orders::stopRunsOf
+        registry.onProgressAccepted = ::storeHeldEnds
+    }
+
+    /** Ends that concern [job] were not stored while its progress was refused. */
+    private fun storeHeldEnds(job: JobRun) {
+        for (worker in table.all) {
+            if (worker.openEnds.any { it.job === job }) leaseRows.storeEnd(worker) { holds.onEndsStored(worker) }
+        }
     }
 
     val workers: Collection<WorkerView> get() = table.all
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobProgress.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobProgress.kt
@@ -1,6 +1,10 @@
 /*
  * The stored progress of a job: the part of its state that must survive the loss of every process. Running tasks are not
  * part of it; workers report these.
+ *
+ * A job whose done tasks and failed runs may not fit into one row as lists is stored in a folded form: its done tasks as a bitmap, whose
+ * size is bounded by the number of tasks that a job may have, and the failed runs of tasks that are not done in rows for a fixed number of
+ * tasks each. All other jobs are stored as lists, which owners of earlier versions read as well.
  */
 package io.corianderrock.jobs.state
 
@@ -36,10 +40,21 @@
     internal val isEmpty: Boolean get() = doneTaskIndices.isEmpty() && failedRuns.isEmpty() && crashedRuns.isEmpty()
 }
 
-/** The stored progress of a job. [finishedWallMs] is the wall time of its end, zero until [state] is final. */
+/**
+ * The stored progress of a job. [finishedWallMs] is the wall time of its end, zero until [state] is final. [doneBitmap] is set in the
+ * folded form, in which [steps] is empty: Base64 of the bits of the done tasks, by their position in the job.
+ */
 @Serializable
 public data class JobProgress(
     val state: JobState = JobState.QUEUED,
     val steps: List<StepProgress> = emptyList(),
     val finishedWallMs: Long = 0,
+    val doneBitmap: String? = null,
+)
+
+/** The failed runs, and those during which the worker crashed, of the tasks of one group, by the position of the task in the job. */
+@Serializable
+internal data class GroupRuns(
+    val failedRuns: Map<Int, List<Long>> = emptyMap(),
+    val crashedRuns: Map<Int, List<Long>> = emptyMap(),
 )
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -7,6 +7,7 @@
 import io.corianderrock.jobs.runtimes.JobRunTimes
 import io.corianderrock.jobs.runtimes.RunForecast
 import io.corianderrock.jobs.runtimes.StepRunTimes
+import java.util.BitSet
 
 /** The phase of a task. A run that is being stopped is never taken for running again, and a task that is done stays so. */
 internal enum class TaskPhase {
@@ -263,7 +264,74 @@
         if (visibleState == JobState.QUEUED) visibleState = JobState.ACTIVE
     }
 
+    /** True once the progress is stored in the folded form, as the lists may not fit into a row; it stays so. */
+    var isFolded: Boolean = false
+
+    /** The groups of which a row of failed runs may be stored. */
+    val storedGroups = sortedSetOf<Int>()
+    private val positions by lazy(LazyThreadSafetyMode.NONE) { TaskPositions(submission) }
+
+    /** Number of the failed and crashed runs that were counted so far. */
+    private var countedRuns = 0
+
+    /** The most characters that the progress has as lists. */
+    val largestListLength: Int
+        get() {
+            val lists = occurrences.values.sumOf { occurrence -> occurrence.steps.sumOf { listLength(it) } }
+            return PROGRESS_FRAME_LENGTH + lists + countedRuns * COUNTED_RUN_LENGTH
+        }
+
+    private fun listLength(run: StepRun): Int {
+        if (run.doneCount == 0) return 0
+        val indexLength = (run.step.count - 1).toString().length + 1
+        return STEP_FRAME_LENGTH + run.occurrence.toString().length + run.number.toString().length + run.doneCount * indexLength
+    }
+
+    /** Adds the failed run [runNumber] of [task]; false if it was counted before. */
+    fun addFailedRun(
+        task: TaskRun,
+        runNumber: Long,
+    ): Boolean = task.failedRuns.add(runNumber).also { if (it) countedRuns++ }
+
+    /** Adds the run [runNumber] of [task], during which its worker crashed; false if it was counted before. */
+    fun addCrashedRun(
+        task: TaskRun,
+        runNumber: Long,
+    ): Boolean = task.crashedRuns.add(runNumber).also { if (it) countedRuns++ }
+
+    fun groupOf(task: TaskRun): Int = positions.groupOf(task.id)
+
+    /** The groups with failed runs. */
+    fun groupsWithRuns(): Set<Int> = tasks.filter { it.hasRunsToStore }.mapTo(sortedSetOf()) { groupOf(it) }
+
+    /** The failed runs of the tasks of [group] that are not done; null if there are none, or if the job is final. */
+    fun groupRuns(group: Int): GroupRuns? {
+        if (state.isFinal) return null
+        val tasks = positions.range(group).mapNotNull { positions.at(it)?.let(::task) }.filter { it.hasRunsToStore }
+        if (tasks.isEmpty()) return null
+        return GroupRuns(
+            tasks.filter { it.failedRuns.isNotEmpty() }.associate { positions.of(it.id) to it.failedRuns.toList() },
+            tasks.filter { it.crashedRuns.isNotEmpty() }.associate { positions.of(it.id) to it.crashedRuns.toList() },
+        )
+    }
+
+    private val TaskRun.hasRunsToStore: Boolean get() = phase != TaskPhase.DONE && (failedRuns.isNotEmpty() || crashedRuns.isNotEmpty())
+
+    /** The progress to store. That of a final job is its state alone: none of its tasks starts again. */
     fun progress(): JobProgress =
+        when {
+            state.isFinal -> JobProgress(state, finishedWallMs = finishedWallMs)
+            isFolded -> JobProgress(state, doneBitmap = encodeBits(doneBits()))
+            else -> listedProgress()
+        }
+
+    private fun doneBits(): BitSet {
+        val bits = BitSet()
+        tasks.filter { it.phase == TaskPhase.DONE }.forEach { bits.set(positions.of(it.id)) }
+        return bits
+    }
+
+    private fun listedProgress(): JobProgress =
         JobProgress(
             state = state,
             steps =
@@ -286,26 +354,58 @@
         finishedWallMs = progress.finishedWallMs
         if (state.isFinal) return
         for (stored in progress.steps) restore(stored, nowMs)
+        progress.doneBitmap?.let { restoreBits(it, nowMs) }
         if (progress.steps.isNotEmpty()) markStarted()
     }
 
+    private fun restoreBits(
+        bitmap: String,
+        nowMs: Long,
+    ) {
+        isFolded = true
+        for (position in checkNotNull(decodeBits(bitmap)) { "job $id: the bitmap of its done tasks is not Base64" }.stream()) {
+            val task = taskAt(position, nowMs) ?: continue
+            task.stepRun.markDone(task)
+        }
+    }
+
+    /** Restores the failed runs of [group], which were stored in a row of their own. */
+    fun restore(
+        group: Int,
+        runs: GroupRuns,
+        nowMs: Long,
+    ) {
+        storedGroups.add(group)
+        for ((position, numbers) in runs.failedRuns) taskAt(position, nowMs)?.let { task -> numbers.forEach { addFailedRun(task, it) } }
+        for ((position, numbers) in runs.crashedRuns) taskAt(position, nowMs)?.let { task -> numbers.forEach { addCrashedRun(task, it) } }
+    }
+
+    private fun taskAt(
+        position: Int,
+        nowMs: Long,
+    ): TaskRun? {
+        val id = positions.at(position) ?: return null
+        return addOccurrence(id.occurrence, nowMs).steps[id.step].tasks[id.index]
+    }
+
     private fun restore(
         stored: StepProgress,
         nowMs: Long,
     ) {
         val run = addOccurrence(stored.occurrence, nowMs).steps.getOrNull(stored.step) ?: return
         for (index in stored.doneTaskIndices) run.tasks.getOrNull(index)?.let(run::markDone)
-        for ((index, runNumbers) in stored.failedRuns) {
-            run.tasks
-                .getOrNull(index)
-                ?.failedRuns
-                ?.addAll(runNumbers)
-        }
-        for ((index, runNumbers) in stored.crashedRuns) {
-            run.tasks
-                .getOrNull(index)
-                ?.crashedRuns
-                ?.addAll(runNumbers)
-        }
+        for ((index, numbers) in stored.failedRuns) run.tasks.getOrNull(index)?.let { task -> numbers.forEach { addFailedRun(task, it) } }
+        for ((index, numbers) in stored.crashedRuns) run.tasks.getOrNull(index)?.let { task -> numbers.forEach { addCrashedRun(task, it) } }
+    }
+
+    private companion object {
+        /** The names, state and time of the end in a row of progress have some 90 characters. */
+        const val PROGRESS_FRAME_LENGTH = 200
+
+        /** Names and punctuation of a step with done tasks have 34 characters. */
+        const val STEP_FRAME_LENGTH = 36
+
+        /** A run number of up to 19 digits, with names, index and punctuation, where the step has no done tasks. */
+        const val COUNTED_RUN_LENGTH = 120
     }
 }
