--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -140,8 +140,7 @@
     }
 
     /** Writes of refused batches and of the batch in flight, which have a value already. */
-    private fun sentWrites(): List<Write> =
-        inFlight?.writes.orEmpty() + suspect?.writes.orEmpty() + remainders.flatMap { it.writes }
+    private fun sentWrites(): List<Write> = inFlight?.writes.orEmpty() + suspect?.writes.orEmpty() + remainders.flatMap { it.writes }
 
     /**
      * Like [put], but commits in the same transaction as the writes pending now, or in a later one. If one of these is refused,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -99,7 +99,14 @@
             onAccepted(job)
         }
         val key = RowKey(Table.JOBS, submission.id)
-        committer.put(key, mustBeAbsent = true, onDropped, withdraw, refuse, onStored) { storedJson.encodeToString(JobSubmission.serializer(), submission) }
+        committer.put(
+            key,
+            mustBeAbsent = true,
+            onDropped = onDropped,
+            onWithdrawn = withdraw,
+            onRefused = refuse,
+            onStored = onStored,
+        ) { storedJson.encodeToString(JobSubmission.serializer(), submission) }
     }
 
     private fun registerStored(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -10,8 +10,8 @@
 import io.corianderrock.jobs.ports.RunningRow
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.runtimes.EndedRun
-import io.corianderrock.jobs.state.TaskId
 import io.corianderrock.jobs.state.OpenEnd
+import io.corianderrock.jobs.state.TaskId
 import io.corianderrock.jobs.state.TaskPhase
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/FoldedProgressTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/FoldedProgressTest.kt
@@ -85,11 +85,18 @@
     }
 
     val lastBytes: Int get() = (store.rows.getValue(RowKey(Table.PROGRESS, "job")).length + 2) / 3 * 4
-    val largestGroupLength: Int get() = store.rows.filterKeys { it.key.contains("/runs/") }.values.maxOf { it.length }
+    val largestGroupLength: Int get() =
+        store.rows
+            .filterKeys { it.key.contains("/runs/") }
+            .values
+            .maxOf { it.length }
 
     /** The largest value sent for a row of progress, as the store counts it. */
     val largestBytes: Int
-        get() = store.sent.maxOf { change -> change.puts.filterKeys { it.table == Table.PROGRESS }.values.maxOfOrNull { (it.length + 2) / 3 * 4 } ?: 0 }
+        get() {
+            val values = store.sent.flatMap { it.puts.entries }.filter { it.key.table == Table.PROGRESS }
+            return values.maxOf { (it.value.length + 2) / 3 * 4 }
+        }
 }
 
 internal class FoldedProgressTest :
@@ -98,7 +105,12 @@
             for ((name, submission) in mapOf("900 occurrences" to RECURRING, "one step" to WIDE, "20,000 occurrences" to LONG)) {
                 it("of a job of $name is never refused as its tasks end one by one") {
                     val owner = StoringOwner(submission)
-                    owner.change(owner.job.tasks.toList().dropLast(1).asSequence()) { owner.registry.taskDone(it) }
+                    owner.change(
+                        owner.job.tasks
+                            .toList()
+                            .dropLast(1)
+                            .asSequence(),
+                    ) { owner.registry.taskDone(it) }
                     owner.refusals.shouldBeEmpty()
                     (owner.largestBytes <= StoreLimits().rowBytes) shouldBe true
                     // The bitmap of 20,000 tasks has 4,496 bytes.
@@ -146,7 +158,10 @@
                 owner.change(owner.job.tasks) { owner.registry.taskFailed(it, 7) }
                 val task = owner.job.tasks.first()
                 val key = TaskPositions.groupKey("job", 0)
-                owner.store.rows[key] = owner.store.rows.getValue(key).replace("\"0\":[7]", "\"0\":[7,8]")
+                owner.store.rows[key] =
+                    owner.store.rows
+                        .getValue(key)
+                        .replace("\"0\":[7]", "\"0\":[7,8]")
                 val next = StoringOwner(submission, owner.store)
                 next.job.state.isFinal shouldBe false
                 next.registry.taskFailed(checkNotNull(next.job.task(task.id)), 8)
@@ -170,11 +185,19 @@
             it("is stored as its state alone, and its rows of failed runs are deleted") {
                 val owner = StoringOwner(WIDE)
                 owner.change(owner.job.tasks) { owner.registry.taskFailed(it, 7) }
-                (owner.store.rows.keys.count { it.key.contains("/runs/") } > 100) shouldBe true
+                (
+                    owner.store.rows.keys
+                        .count { it.key.contains("/runs/") } > 100
+                ) shouldBe true
                 owner.registry.cancel(owner.job) {}
                 owner.change(emptySequence()) {}
-                owner.store.rows.keys.filter { it.table == Table.PROGRESS } shouldBe listOf(RowKey(Table.PROGRESS, "job"))
-                (owner.store.rows.getValue(RowKey(Table.PROGRESS, "job")).length < 100) shouldBe true
+                owner.store.rows.keys
+                    .filter { it.table == Table.PROGRESS } shouldBe listOf(RowKey(Table.PROGRESS, "job"))
+                (
+                    owner.store.rows
+                        .getValue(RowKey(Table.PROGRESS, "job"))
+                        .length < 100
+                ) shouldBe true
             }
         }
     })
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/RefusedWriteTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/RefusedWriteTest.kt
@@ -93,7 +93,10 @@
         }
     }
 
-    fun storedJobs(): Set<String> = store.rows.keys.filter { it.table == Table.PROGRESS }.mapTo(HashSet()) { it.key }
+    fun storedJobs(): Set<String> =
+        store.rows.keys
+            .filter { it.table == Table.PROGRESS }
+            .mapTo(HashSet()) { it.key }
 }
 
 internal class RefusedWriteTest :
