--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -256,7 +256,7 @@
     private fun takeBatch(): Batch {
         val values = LinkedHashMap<RowKey, String?>()
         val writes = takeWrites(values)
-        // The release is the last write: it waits for what does not fit into one transaction no longer than for one that is refused.
+        // What does not fit beside the release is dropped, see [release].
         val next = if (onReleased != null) owner.released().copy(earlierOrdersWindowMs = earlierOrdersWindowMs()) else nextOwnerRow()
         return Batch(writes, next, values, loop.readClocks())
     }
