--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -10,11 +10,13 @@
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
 import io.corianderrock.jobs.ports.decodeOrNull
+import io.corianderrock.jobs.state.GroupRuns
 import io.corianderrock.jobs.state.JobProgress
 import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.JobState
 import io.corianderrock.jobs.state.JobSubmission
 import io.corianderrock.jobs.state.TaskPhase
+import io.corianderrock.jobs.state.TaskPositions
 import io.corianderrock.jobs.state.TaskRun
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.json.Json
@@ -34,6 +36,9 @@
     /** Called when a job has become final, to stop its runs. Set by [WorkerDriver]. */
     var onFinal: (JobRun) -> Unit = {}
 
+    /** Called when the store has accepted the progress of a job that it had refused before. Set by [WorkerDriver]. */
+    var onProgressAccepted: (JobRun) -> Unit = {}
+
     /** Called for each accepted job that is not final, also when loaded from the store; feeds the demand forecast. */
     var onAccepted: (JobRun) -> Unit = {}
 
@@ -65,12 +70,14 @@
 
     /**
      * Stores [submission]. [onAccepted] is called once it is stored, also if it was stored before; [onDropped] if the
-     * ownership ends before that is known; [onWithdrawn] if the store is lost and it is certain that nothing was stored.
+     * ownership ends before that is known; [onWithdrawn] if the store is lost and it is certain that nothing was stored; [onRefused] if
+     * the store does not accept the job, of which nothing is kept then.
      */
     fun submit(
         submission: JobSubmission,
         onDropped: () -> Unit,
         onWithdrawn: () -> Unit,
+        onRefused: (WriteRefusal) -> Unit,
         onAccepted: (JobRun) -> Unit,
     ) {
         val registered = jobs[submission.id]
@@ -83,11 +90,23 @@
             if (!job.isStored) jobs.remove(job.id, job)
             if (job.isStored) onAccepted(job) else onWithdrawn()
         }
-        val key = RowKey(Table.JOBS, submission.id)
-        committer.put(key, mustBeAbsent = true, onDropped = onDropped, onWithdrawn = withdraw, onStored = { existing ->
+        val refuse = { refusal: WriteRefusal ->
+            if (!job.isStored) jobs.remove(job.id, job)
+            if (job.isStored) onAccepted(job) else onRefused(refusal)
+        }
+        val onStored = { existing: StoredRow? ->
             if (!job.isStored) registerStored(job, existing)
             onAccepted(job)
-        }) { storedJson.encodeToString(JobSubmission.serializer(), submission) }
+        }
+        val key = RowKey(Table.JOBS, submission.id)
+        committer.put(
+            key,
+            mustBeAbsent = true,
+            onDropped = onDropped,
+            onWithdrawn = withdraw,
+            onRefused = refuse,
+            onStored = onStored,
+        ) { storedJson.encodeToString(JobSubmission.serializer(), submission) }
     }
 
     private fun registerStored(
@@ -121,7 +140,7 @@
             log.write("job_cancelled", "job", job.id, "queue", job.queue.name, "state", job.state)
             finish(job, JobState.CANCELLED)
         }
-        storeProgress(job, onDropped, onStored)
+        storeProgress(job, onDropped = onDropped, onStored = onStored)
     }
 
     /** Records that a run of [task] succeeded and completes the job if this was its last task. */
@@ -144,12 +163,15 @@
         val job = task.stepRun.job
         job.markStarted()
         if (task.stepRun.step.isLongRunning) return
-        if (!task.failedRuns.add(runNumber)) return
-        if (task.failedRuns.size >= job.queue.maxAttempts && !job.state.isFinal) {
+        val isNew = job.addFailedRun(task, runNumber)
+        val hasFailed = task.failedRuns.size >= job.queue.maxAttempts && !job.state.isFinal
+        // The runs may be stored in another row than the state that follows from them, which a lost owner did not store.
+        if (!isNew && !hasFailed) return
+        if (hasFailed) {
             log.write("job_failed", "job", job.id, "queue", job.queue.name, "task", task.id, "runs", task.failedRuns.joinToString("+"))
             finish(job, JobState.FAILED)
         }
-        storeProgress(job)
+        storeProgress(job, task)
     }
 
     /**
@@ -163,7 +185,7 @@
         lostAtMs: Long,
     ) {
         val job = task.stepRun.job
-        if (job.state.isFinal || !task.crashedRuns.add(runNumber)) return
+        if (job.state.isFinal || !job.addCrashedRun(task, runNumber)) return
         task.lastCrashAtMs = lostAtMs
         if (job.isLongRunning) {
             if (task.crashedRuns.size > MAX_KEPT_CRASHES) task.crashedRuns.remove(task.crashedRuns.first())
@@ -171,7 +193,7 @@
             log.write("job_crashes_workers", "job", job.id, "task", task.id, "runs", task.crashedRuns.joinToString("+"))
             finish(job, JobState.FAILED)
         }
-        storeProgress(job)
+        storeProgress(job, task)
     }
 
     /** Takes back the crash that was counted for the run [runNumber] of [task]. */
@@ -180,14 +202,14 @@
         runNumber: Long,
     ) {
         val job = task.stepRun.job
-        if (!job.state.isFinal && task.crashedRuns.remove(runNumber)) storeProgress(job)
+        if (!job.state.isFinal && task.crashedRuns.remove(runNumber)) storeProgress(job, task)
     }
 
     /** Clears the crashes counted for [task], which has run long enough not to be their cause. */
     fun clearCrashes(task: TaskRun) {
         if (task.crashedRuns.isEmpty()) return
         task.crashedRuns.clear()
-        storeProgress(task.stepRun.job)
+        storeProgress(task.stepRun.job, task)
     }
 
     /** Adds the occurrences of recurring jobs that are due by the wall clock. */
@@ -266,21 +288,101 @@
         )
     }
 
+    /** Stores the progress of [job], and in the folded form the failed runs of the group of [changedTask], whose runs have changed. */
     private fun storeProgress(
         job: JobRun,
+        changedTask: TaskRun? = null,
         onDropped: () -> Unit = {},
         onStored: () -> Unit = {},
     ) {
-        committer.put(RowKey(Table.PROGRESS, job.id), onDropped = onDropped, onStored = {
-            if (job.storingState.isFinal) {
-                job.visibleState = job.storingState
-                releaseTasksIfIdle(job)
-            }
+        if (!job.isFolded && !job.state.isFinal && !fitsAsLists(job)) {
+            fold(job)
+        } else if (job.isFolded && changedTask != null) {
+            storeGroup(job, job.groupOf(changedTask))
+        }
+        val key = RowKey(Table.PROGRESS, job.id)
+        committer.put(key, onDropped = onDropped, onRefused = onProgressRefused(job, key, onDropped), onStored = {
+            onProgressStored(job, key)
+            if (job.storingState.isFinal) onFinalStateStored(job)
             onStored()
-        }) {
-            job.storingState = job.state
-            storedJson.encodeToString(JobProgress.serializer(), job.progress())
+        }) { progressToStore(job) }
+    }
+
+    /** The lists are encoded only when they may have outgrown a row since the last time: what they grow by is at most what the bound grows by. */
+    private fun fitsAsLists(job: JobRun): Boolean {
+        val limit = committer.largestValueLength
+        val bound = job.largestListLength
+        if (bound <= maxOf(limit, job.listsFitUpToBound)) return true
+        val length = storedJson.encodeToString(JobProgress.serializer(), job.listedProgress()).length
+        job.listsFitUpToBound = bound + limit - length
+        return length <= limit
+    }
+
+    private fun progressToStore(job: JobRun): String {
+        job.storingState = job.state
+        return storedJson.encodeToString(JobProgress.serializer(), job.progress())
+    }
+
+    private fun onProgressRefused(
+        job: JobRun,
+        key: RowKey,
+        onDropped: () -> Unit = {},
+    ): (WriteRefusal) -> Unit =
+        {
+            job.refusedRows.add(key)
+            onDropped()
         }
+
+    private fun onProgressStored(
+        job: JobRun,
+        key: RowKey,
+    ) {
+        if (job.refusedRows.remove(key) && !job.isProgressRefused) onProgressAccepted(job)
+    }
+
+    /** From now on [job] is stored in the folded form. The row without the failed runs must not be stored before those that have them. */
+    private fun fold(job: JobRun) {
+        log.write("progress_folded", "job", job.id, "listLength", job.largestListLength)
+        job.isFolded = true
+        (job.groupsWithRuns() + job.storedGroups).forEach { storeGroup(job, it) }
+        val key = RowKey(Table.PROGRESS, job.id)
+        committer.putAfterPending(
+            key,
+            onRefused = onProgressRefused(job, key),
+            onStored = { onProgressStored(job, key) },
+        ) { progressToStore(job) }
+    }
+
+    private fun storeGroup(
+        job: JobRun,
+        group: Int,
+    ) {
+        job.storedGroups.add(group)
+        val key = TaskPositions.groupKey(job.id, group)
+        committer.put(key, onRefused = onProgressRefused(job, key), onStored = { onProgressStored(job, key) }) {
+            job.groupRuns(group)?.let { storedJson.encodeToString(GroupRuns.serializer(), it) }
+        }
+    }
+
+    /** Restores failed runs from [rows], the table of progress, once the jobs are loaded; deletes those of jobs that need them no more. */
+    fun loadGroups(rows: List<StoredRow>) {
+        for (row in rows) {
+            val (id, group) = TaskPositions.parseGroupKey(row.key) ?: continue
+            val job = jobs[id]
+            val runs = decodeStored(GroupRuns.serializer(), row.value)
+            if (job == null || job.state.isFinal) {
+                committer.put(row.key) { null }
+            } else if (runs != null) {
+                job.restore(group, runs, loop.nowMs)
+            }
+        }
+    }
+
+    private fun onFinalStateStored(job: JobRun) {
+        job.visibleState = job.storingState
+        releaseTasksIfIdle(job)
+        for (group in job.storedGroups) committer.put(TaskPositions.groupKey(job.id, group)) { null }
+        job.storedGroups.clear()
     }
 
     /** Frees the task objects of a final job if none of its tasks is on a worker. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -178,15 +178,24 @@
             return
         }
         val isKnown = registry.find(submission.id) != null
-        val refusal = if (isKnown) null else admissionPolicies.firstNotNullOfOrNull { it.refusalOf(submission) }
+        val refusal = if (isKnown) null else refusalOf(submission)
         if (refusal != null) {
             refuseIfAbsent(submission.id, refusal, onResult)
             return
         }
         val onWithdrawn = { onResult(SubmitResult.Unavailable) }
-        registry.submit(submission, { onResult(SubmitResult.Unknown) }, onWithdrawn) { onResult(SubmitResult.Accepted) }
+        registry.submit(
+            submission,
+            onDropped = { onResult(SubmitResult.Unknown) },
+            onWithdrawn = onWithdrawn,
+            onRefused = { onResult(SubmitResult.Rejected("the store does not accept the job: ${it.reason}", UNSTORABLE_RETRY_MS)) },
+        ) { onResult(SubmitResult.Accepted) }
     }
 
+    private fun refusalOf(submission: JobSubmission): Refusal? =
+        unstorableReason(submission, tables.limits)?.let { Refusal(it, UNSTORABLE_RETRY_MS) }
+            ?: admissionPolicies.firstNotNullOfOrNull { it.refusalOf(submission) }
+
     /** Another entry may have stored the job since the inbox was last read, so that a refusal would not be true. */
     private fun refuseIfAbsent(
         id: String,
@@ -285,6 +294,7 @@
             }
             registry.load(submission, progress[submission.id], isInherited = true)
         }
+        registry.loadGroups(rowsByTable.getValue(Table.PROGRESS))
         val leases = rowsByTable.getValue(Table.WORKER_LEASES).mapNotNull { decodeStored(WorkerLeaseRow.serializer(), it.value) }
         driver.inherit(leases, earlier.ordersEndMs(WORKER_ORDER_FRESHNESS_MS) + driver.worstCaseLeaseMs)
         val waves = rowsByTable.getValue(Table.WAVES)
@@ -364,6 +374,9 @@
         /** Greatest age of the last confirmed write at which orders to instances are sent; the next owner waits as long. */
         const val INSTANCE_ORDER_FRESHNESS_MS = 1_500L
 
+        /** Retry delay for a job that the store does not accept: sent again as it is, it is refused again. */
+        const val UNSTORABLE_RETRY_MS = 60_000L
+
         /** Margin added to the time between instance orders of two owners: covers an order's timeout and network delays. */
         const val TAKEOVER_MARGIN_MS = 1_100L
 
