--- a/jobs/src/test/kotlin/io/corianderrock/jobs/FoldedProgressTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/FoldedProgressTest.kt
@@ -143,7 +143,9 @@
                 val tasks = owner.job.tasks.toList()
                 for (part in tasks.shuffled(random).chunked(500)) {
                     owner.change(part.asSequence()) { owner.registry.taskFailed(it, random.nextLong(1, Long.MAX_VALUE)) }
-                    owner.change(part.take(250).asSequence()) { owner.registry.taskCrashed(it, random.nextLong(1, Long.MAX_VALUE), lostAtMs = 0) }
+                    owner.change(
+                        part.take(250).asSequence(),
+                    ) { owner.registry.taskCrashed(it, random.nextLong(1, Long.MAX_VALUE), lostAtMs = 0) }
                     owner.change(part.take(100).asSequence()) { owner.registry.clearCrashes(it) }
                     owner.change(part.takeLast(100).asSequence()) { owner.registry.taskDone(it) }
                     StoringOwner(submission, owner.store).state() shouldBe owner.state()
