Add histories of cancellations beside changes of the fleet

Cause: histories met cancellations beside cuts, kills and late orders only, and while an entry was down nothing was checked. Change: LASTING_CANCELS (a third of the jobs long-running) and FleetChanges: workers that drain in series or at short notice, starts and stops that are carried out late, with leases that count from arrival, orders to instances without an answer and answers to orders already done, owners removed for good beside store outages, workers without a row, changes of the configuration.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/EarlyCancels.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/EarlyCancels.kt
@@ -11,6 +11,8 @@
 internal class EarlyCancels(
     private val world: JobWorld,
     seed: Int,
+    /** The events of which each cancellation follows one. */
+    private val triggers: Set<EventKind> = TRIGGERS,
 ) {
     private class Plan(
         val trigger: EventKind,
@@ -29,7 +31,7 @@
         }
 
     private fun plan(jobId: String) {
-        if (random.nextDouble() < CANCELLED_SHARE) plans[jobId] = Plan(TRIGGERS.random(random), random.nextInt(1, MAX_EVENTS + 1))
+        if (random.nextDouble() < CANCELLED_SHARE) plans[jobId] = Plan(triggers.random(random), random.nextInt(1, MAX_EVENTS + 1))
     }
 
     private fun onEvent(
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
@@ -21,6 +21,13 @@
     val atMs: Long,
 )
 
+/** How often histories meet late starts, so that one that meets none is not taken for a proof. */
+internal class LateStartCounts(
+    var all: Int = 0,
+    var ofCancelledJobs: Int = 0,
+    var ofRemovedSenders: Int = 0,
+)
+
 internal class InvariantChecker(
     private val time: SimTime,
     private val events: WorldEvents = WorldEvents(),
@@ -63,6 +70,9 @@
     /** Number of counts of waiting jobs that were received while jobs had waited for long. */
     var waitingCountChecks = 0
         private set
+
+    /** Numbers of starts that were carried out late, of those of cancelled jobs, and of those whose sender had been removed. */
+    val lateStarts = LateStartCounts()
     private val reportedUnasked = HashSet<Pair<TaskId, Long>>()
     val violations = ArrayList<String>()
     var isLateDelivery = false
@@ -178,6 +188,16 @@
         }
     }
 
+    /** Called when a worker has begun [task] late. */
+    fun onLateStart(
+        task: TaskId,
+        isSenderRemoved: Boolean,
+    ) {
+        lateStarts.all++
+        if (jobs[task.jobId]?.cancelledAtMs != null) lateStarts.ofCancelledJobs++
+        if (isSenderRemoved) lateStarts.ofRemovedSenders++
+    }
+
     /** Called before [worker] crashes, with its runs still on it. */
     fun onWorkerCrashed(worker: SimWorker) = worker.runningTasks.forEach { crashes.merge(it, 1, Int::plus) }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -58,6 +58,10 @@
     /** True from the start of a graceful shutdown to the next boot. */
     var isStopping = false
         private set
+
+    /** True if the entry is not started again. */
+    var isRemoved = false
+        private set
     var processorMilli = 1_500
     val isDisrupted: Boolean
         get() =
@@ -201,6 +205,12 @@
         world.time.after(1_500) { kill() }
     }
 
+    /** Ends the entry for good, by a shutdown or a kill. */
+    fun remove(isGraceful: Boolean) {
+        isRemoved = true
+        if (isGraceful) shutDown() else kill()
+    }
+
     fun ask(
         request: JobRequest,
         onAnswer: (CallerAnswer) -> Unit,
@@ -230,8 +240,14 @@
 
     /** As [SHORT_JOBS], but the tasks of some jobs run eight times as long, so that one that is not stopped is seen to run on. */
     EARLY_CANCELS,
+
+    /** As [EARLY_CANCELS], but a third of the jobs is long-running, so that their tasks end by a cancellation only. */
+    LASTING_CANCELS,
 }
 
+/** The workloads of which the tasks of some jobs run eight times as long as most. */
+private val WITH_LONG_TASKS = setOf(Workload.EARLY_CANCELS, Workload.LASTING_CANCELS)
+
 internal class JobWorld(
     seed: Int,
     val tampering: OrderTampering = object : OrderTampering {},
@@ -254,6 +270,11 @@
     val network: NetworkDelays = SHORT_DELAYS,
     /** True if workers take some of the time that they have to stop a run. */
     private val stopsTakeTime: Boolean = false,
+    /**
+     * True if the platform answers an order that is already carried out as if it were carried out now, and refuses orders to instances
+     * whose worker is leaving, as the protocol says.
+     */
+    private val answersDoneOrders: Boolean = false,
     entryCount: Int = 3,
 ) {
     val random = Random(seed)
@@ -272,6 +293,15 @@
     var failingEvent: String? = null
     var lateDeliveryRatio = 0.0
 
+    /**
+     * Share of the starts alone that workers carry out late, each with a lease that counts from its arrival: the most that any worker grants.
+     * Unlike [lateDeliveryRatio] this is no disruption, as the rule on cancelled jobs holds beside it.
+     */
+    var lateStartRatio = 0.0
+
+    /** Share of the orders to instances that get no answer: carried out at once, late or not at all. */
+    var lateInstanceOrderRatio = 0.0
+
     /** Time up to which orders that were delayed by a fault may still arrive. */
     var lateDeliveriesOverAtMs = 0L
     private var crashesOverAtMs = 0L
@@ -281,6 +311,9 @@
 
     /** Instances whose worker was lost for good; true for those that the platform does not list any more. */
     private val lostInstances = HashMap<String, Boolean>()
+
+    /** Instances that have had their upkeep in the wave. */
+    private val maintained = HashSet<String>()
     private val submissions = ArrayList<JobSubmission>()
     private var workerCount = 0
     val jobIds: List<String> get() = submissions.map { it.id }
@@ -325,12 +358,18 @@
             )
 
     /** Puts [next] in force. */
-    fun configure(next: Map<String, ClientAccount>?) {
+    fun configure(
+        next: Map<String, ClientAccount>?,
+        nextPools: List<Pool> = pools,
+    ) {
         events.publish(EventKind.CONFIGURED)
-        val version = JobsConfiguration(configurations.size + 1L, emptyList(), pools.associateBy { it.name }, next)
+        val version = JobsConfiguration(configurations.size + 1L, emptyList(), nextPools.associateBy { it.name }, next)
         configurations.add(time.nowMs to version)
     }
 
+    /** Puts a version in force in which workers of some pools are said to check what is started there, as routes and services change. */
+    fun reconfigure(draws: Random) = configure(accounts, pools.map { if (it.isStandby) it else it.copy(checksAdmission = draws.nextBoolean()) })
+
     /** The caps of [account] in all versions that may be in force. */
     private fun capsOf(account: String): List<Demand> =
         configurations
@@ -467,7 +506,9 @@
         val contact = checker.contact
         val losesMessages = lateDeliveryRatio > 0
         if (!store.isSound) contact.onDisrupted(Contact.STORE)
-        entries.filter { it.isDisrupted || it.isStopping || losesMessages }.forEach { contact.onDisrupted(it.name) }
+        // An entry that has been removed is no machine any more once it has ended.
+        val present = entries.filter { !it.isRemoved || it.isUp }
+        present.filter { it.isDisrupted || it.isStopping || losesMessages }.forEach { contact.onDisrupted(it.name) }
         workers.values.filter { !it.isUp || !it.isReachable || losesMessages }.forEach { contact.onDisrupted(it.entry.id) }
     }
 
@@ -479,7 +520,7 @@
             lateDeliveryRatio > 0 ||
             time.nowMs < lateDeliveriesOverAtMs ||
             workers.values.any { it.isUp && (!it.isReachable || it.isDraining) } ||
-            entries.any { it.isDisrupted }
+            entries.any { it.isDisrupted && !it.isRemoved }
 
     fun instancesFor(entry: SimEntry): InstanceService =
         object : InstanceService {
@@ -516,11 +557,38 @@
                     entry.loop.after(700) { onAnswer(InstanceOrderAnswer.Unanswered("answer lost")) }
                     return
                 }
-                val answer = execute(instanceId, state, pool, durationMs)
+                if (lateInstanceOrderRatio > 0 && random.nextDouble() < lateInstanceOrderRatio) {
+                    val delayMs = if (random.nextBoolean()) random.nextLong(0, 100) else random.nextLong(2_000, MAX_LATE_MS)
+                    val isCarriedOut = random.nextInt(5) > 0
+                    if (isCarriedOut) time.after(delayMs) { executeOrTellDone(instanceId, state, pool, durationMs, isLate = true) }
+                    entry.loop.after(700) { onAnswer(InstanceOrderAnswer.Unanswered("answer lost")) }
+                    return
+                }
+                val answer = executeOrTellDone(instanceId, state, pool, durationMs)
                 entry.loop.after(3) { onAnswer(answer) }
             }
         }
 
+    private fun executeOrTellDone(
+        instanceId: String,
+        state: InstanceState,
+        pool: String?,
+        durationMs: Long,
+        isLate: Boolean = false,
+    ): InstanceOrderAnswer {
+        val instance = instances.getValue(instanceId)
+        val isDone = if (pool == null) instanceId in maintained else instance.pool == pool
+        val answer =
+            when {
+                answersDoneOrders && isDone -> InstanceOrderAnswer.Accepted
+                answersDoneOrders && instance.workerId?.let(workers::get)?.isDraining == true -> InstanceOrderAnswer.Refused("busy")
+                else -> execute(instanceId, state, pool, durationMs)
+            }
+        if (answer is InstanceOrderAnswer.Accepted && pool == null) maintained.add(instanceId)
+        trace("world", "instance_order", arrayOf<Any?>(instanceId, state, pool, if (isDone) "done" else "new", answer, if (isLate) "late" else ""))
+        return answer
+    }
+
     private fun execute(
         instanceId: String,
         state: InstanceState,
@@ -565,7 +633,13 @@
     private fun newSubmission(): JobSubmission {
         val pool = if (random.nextBoolean()) "a" else "b"
         val queue = Queue("queue-$pool", pool, maxAttempts = 3, stretchFactor = 2.0, targetLatencyMs = 600)
-        val isLongRunningJob = random.nextInt(if (workload == Workload.LONG_RUNNING_JOBS) 6 else 12) == 0
+        val longRunningOneIn =
+            when (workload) {
+                Workload.LONG_RUNNING_JOBS -> 6
+                Workload.LASTING_CANCELS -> 3
+                else -> 12
+            }
+        val isLongRunningJob = random.nextInt(longRunningOneIn) == 0
         val steps =
             if (isLongRunningJob && workload == Workload.LONG_RUNNING_JOBS) {
                 listOf(longRunningStep())
@@ -592,7 +666,7 @@
         val spec =
             when {
                 random.nextInt(25) == 0 -> "poison"
-                workload == Workload.EARLY_CANCELS && !isLongRunningJob && random.nextInt(3) == 0 -> LONG_SPEC
+                workload in WITH_LONG_TASKS && !isLongRunningJob && random.nextInt(3) == 0 -> LONG_SPEC
                 else -> "work"
             }
         return JobSubmission("job${submissions.size}", queue, spec, if (spec == LONG_SPEC) steps.take(1) else steps, account = account)
@@ -778,7 +852,7 @@
         if (!entry.isUp) return
         events.publish(EventKind.ENTRY_RESTARTED)
         if (random.nextInt(3) == 0) entry.shutDown() else entry.kill()
-        time.after(maxOf(1_600, downMs)) { if (!entry.isUp) entry.boot() }
+        time.after(maxOf(1_600, downMs)) { if (!entry.isUp && !entry.isRemoved) entry.boot() }
     }
 
     /** Cuts [entry] off from the store, from its peers and from the workers, while its callers still reach it. */
@@ -830,19 +904,21 @@
         time.after(durationMs) { if (instances.getValue(instanceId).workerId == worker.entry.id) startWorker(instanceId) }
     }
 
-    /** Announces that [worker] leaves, which it does [leavesAfterMs] after the time that it owes; another one joins on its instance. */
+    /** Announces that [worker] leaves, which it does [leavesAfterMs] after [noticeMs], the time that it owes; another one joins on its instance. */
     fun drain(
         worker: SimWorker,
         leavesAfterMs: Long,
+        noticeMs: Long = DRAIN_MS,
     ) {
         if (worker.isDraining) return
         val instanceId = checkNotNull(worker.entry.instanceId)
         events.publish(EventKind.WORKER_DRAINED, worker = worker)
         trace("world", "worker_drains", arrayOf<Any?>(worker.entry.id, leavesAfterMs))
         worker.isDraining = true
+        worker.leavesInMs = noticeMs
         for (entry in entries) entry.loop.after(2) { worker.drainToldAtMs = worker.drainToldAtMs ?: time.nowMs }
         listWorker(worker)
-        time.after(DRAIN_MS + leavesAfterMs) {
+        time.after(noticeMs + leavesAfterMs) {
             if (worker.isUp) {
                 worker.kill()
                 crashesOverAtMs = maxOf(crashesOverAtMs, time.nowMs + LEFT_FOR_MS)
@@ -852,6 +928,26 @@
         }
     }
 
+    /** Removes the registry's row of [worker], which runs on, for [durationMs]. */
+    fun hide(
+        worker: SimWorker,
+        durationMs: Long,
+    ) {
+        unlistWorker(worker)
+        time.after(durationMs) { if (worker.isUp && workers[worker.entry.id] === worker) listWorker(worker) }
+    }
+
+    /** Ends [entry] for good. */
+    fun remove(
+        entry: SimEntry,
+        isGraceful: Boolean,
+    ) {
+        events.publish(EventKind.ENTRY_REMOVED)
+        trace("world", "entry_removed", arrayOf<Any?>(entry.name, if (isGraceful) "SIGTERM" else "kill"))
+        checker.contact.onDisrupted(entry.name)
+        entry.remove(isGraceful)
+    }
+
     /** Delivers a share of the orders late for [durationMs]. */
     fun delayOrders(durationMs: Long) {
         events.publish(EventKind.ORDERS_LATE)
@@ -904,10 +1000,12 @@
         store.isDown = false
         store.lostAnswerRatio = 0.0
         lateDeliveryRatio = 0.0
+        lateStartRatio = 0.0
+        lateInstanceOrderRatio = 0.0
         workers.values.forEach { it.isReachable = true }
         for (entry in entries) {
             entry.setIsolated(false)
-            if (!entry.isUp) entry.boot()
+            if (!entry.isUp && !entry.isRemoved) entry.boot()
         }
     }
 
@@ -928,6 +1026,9 @@
         const val RECOVERY_MS = 45_000L
         const val TICK_MS = 10L
 
+        /** Longest delay of an order that is carried out late. */
+        const val MAX_LATE_MS = 12_000L
+
         /** Longest time of a stop, less the tick at which it ends. */
         const val MAX_STOP_MS = 190L
         const val DRAIN_MS = 2_000L
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -54,18 +54,24 @@
     private var expiresAtClockMs = 0L
     var isUp = true
     var isReachable = true
+
+    /** Times up to which stops of a task that are sent here are carried out late. */
+    val lateStopsUntilMs = HashMap<TaskId, Long>()
     var isDraining = false
 
     /** When the first entry was told that the worker drains. */
     var drainToldAtMs: Long? = null
 
+    /** The least time until the worker leaves, told when it begins to drain. */
+    var leavesInMs: Long? = null
+
     /** The worker's row in discovery. */
-    val listing: WorkerEntry get() = entry.copy(isDraining = isDraining)
+    val listing: WorkerEntry get() = entry.copy(isDraining = isDraining, leavesInMs = leavesInMs)
     val runs: Collection<Run> get() = running.values
     val runningTasks: Set<TaskId> get() = running.keys
     val free: Demand get() = running.values.fold(entry.capacity) { free, run -> free - run.demand }
 
-    private val clockMs: Long get() = ((time.nowMs - bootedAtMs) * clockRate).toLong()
+    val clockMs: Long get() = ((time.nowMs - bootedAtMs) * clockRate).toLong()
 
     fun tick() {
         if (!isUp) return
@@ -194,17 +200,53 @@
         onAnswer: (WorkerAnswer) -> Unit,
     ) {
         val sent = world.tampering.start(order)
+        val worker = world.worker(entry.id)
+        if (world.lateStartRatio > 0 && worker != null && canReach(worker) && random.nextDouble() < world.lateStartRatio) {
+            startLate(worker, sent, onAnswer)
+            return
+        }
         send(entry, { world.start(it, sent) }, onAnswer = { answer ->
             world.events.publish(EventKind.START_ANSWERED, order.task.jobId, world.worker(entry.id))
             onAnswer(answer)
         })
     }
 
+    /** Has [worker] carry out [order] late, with the lease that the order grants counted from its arrival. */
+    private fun startLate(
+        worker: SimWorker,
+        order: StartOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        val leaseMs = order.expiresAtWorkerMs - worker.clockMs
+        val delayMs = random.nextLong(2_000, 12_000)
+        world.lateDeliveriesOverAtMs = maxOf(world.lateDeliveriesOverAtMs, world.time.nowMs + delayMs)
+        if (random.nextBoolean()) worker.lateStopsUntilMs[order.task] = world.time.nowMs + random.nextLong(0, MAX_LATE_STOPS_MS)
+        world.events.publish(EventKind.START_DELAYED, order.task.jobId, worker)
+        world.trace("world", "start_delayed", arrayOf<Any?>(worker.entry.id, order.task, order.runNumber, delayMs))
+        world.time.after(delayMs) {
+            val renewed = order.copy(expiresAtWorkerMs = worker.clockMs + leaseMs)
+            if (worker.isUp) world.checker.duringLateDelivery { world.start(worker, renewed) }
+            if (worker.runs.any { it.isLate && it.task == order.task }) world.checker.onLateStart(order.task, isSenderRemoved = entry.isRemoved)
+        }
+        entry.loop.after(TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("answer lost", mayBeCarriedOut = true)) }
+    }
+
     override fun stop(
         entry: WorkerEntry,
         order: StopOrder,
         onAnswer: (WorkerAnswer) -> Unit,
-    ) = send(entry, { it.stop(order) }, onAnswer)
+    ) {
+        val lateUntilMs = world.worker(entry.id)?.lateStopsUntilMs?.get(order.task) ?: 0
+        if (world.time.nowMs < lateUntilMs) {
+            world.time.after(random.nextLong(2_000, 12_000)) {
+                val worker = world.worker(entry.id)
+                if (worker != null && worker.isUp) world.checker.duringLateDelivery { worker.stop(order) }
+            }
+            this.entry.loop.after(TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("answer lost", mayBeCarriedOut = true)) }
+            return
+        }
+        send(entry, { it.stop(order) }, onAnswer)
+    }
 
     override fun hold(
         entry: WorkerEntry,
@@ -283,6 +325,9 @@
 
     private companion object {
         const val TIMEOUT_MS = 700L
+
+        /** Longest time for which the stops that follow a late start are late as well: over before its run has to be stopped. */
+        const val MAX_LATE_STOPS_MS = 3_500L
         const val POLL_MS = 20L
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldEvents.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldEvents.kt
@@ -25,6 +25,7 @@
     START_ANSWERED,
     RUN_STOPPED,
     ENTRY_RESTARTED,
+    ENTRY_REMOVED,
     ENTRY_FROZEN,
     ENTRY_ISOLATED,
     WORKER_CUT_OFF,
@@ -33,6 +34,9 @@
     WORKER_DRAINED,
     WORKER_JOINED,
     ORDERS_LATE,
+
+    /** A start is sent that its worker will carry out late. */
+    START_DELAYED,
     STORE_DISRUPTED,
     CONFIGURED,
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
@@ -1,7 +1,7 @@
 /*
  * Runs the simulation by hand: `WorldMainKt FIRST LAST [WORKLOAD [LEASE_MS [POOL_DECISIONS]]]` prints the violations of a range of
  * seeds, and the decisions as well if the range has a single seed. WORKLOAD is one of [Workload], where EARLY_CANCELS includes the
- * cancellations of [EarlyCancels] and messages that overtake each other, COINCIDENCES for [Coincidences] beside these, with COINCIDENCES_SAME_IDS for workers that restart under their id, or LATE_ORDERS for the faults of
+ * cancellations of [EarlyCancels] and messages that overtake each other, COINCIDENCES for [Coincidences] beside these, with COINCIDENCES_SAME_IDS for workers that restart under their id, FLEET_CHANGES for [FleetChanges], or LATE_ORDERS for the faults of
  * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids. POOL_DECISIONS true switches on the optional decisions on pools.
  */
 package io.corianderrock.jobs.world
@@ -20,6 +20,7 @@
 
 private const val COINCIDENCES = "COINCIDENCES"
 private const val COINCIDENCES_SAME_IDS = "COINCIDENCES_SAME_IDS"
+private const val FLEET_CHANGES = "FLEET_CHANGES"
 private const val LATE_ORDERS = "LATE_ORDERS"
 private const val LATE_ORDERS_NEW_IDS = "LATE_ORDERS_NEW_IDS"
 
@@ -38,6 +39,8 @@
             earlyCancelWorld(seed, settings, traces)
         } else if (workload == COINCIDENCES || workload == COINCIDENCES_SAME_IDS) {
             coincidenceWorld(seed, keepsIds = workload == COINCIDENCES_SAME_IDS, settings, traces)
+        } else if (workload == FLEET_CHANGES) {
+            fleetChangeWorld(seed, settings, traces)
         } else if (workload == LATE_ORDERS || workload == LATE_ORDERS_NEW_IDS) {
             lateOrderWorld(seed, keepsIds = workload == LATE_ORDERS, longestLeaseMs, settings, traces)
         } else {
@@ -53,6 +56,7 @@
     val startNs = System.nanoTime()
     val pairCounts = HashMap<Pair<EventKind, EventKind>, Int>()
     var waitingCountChecks = 0
+    val lateStarts = LateStartCounts()
     val found = TreeMap<Int, List<String>>()
     for (seed in first..last) {
         val world = world(seed)
@@ -61,6 +65,9 @@
         if (checker.violations.isNotEmpty()) found[seed] = checker.violations
         pairs.addTo(pairCounts)
         waitingCountChecks += checker.waitingCountChecks
+        lateStarts.all += checker.lateStarts.all
+        lateStarts.ofCancelledJobs += checker.lateStarts.ofCancelledJobs
+        lateStarts.ofRemovedSenders += checker.lateStarts.ofRemovedSenders
     }
     found.forEach { (seed, violations) -> violations.forEach { println("seed $seed: $it") } }
     println(
@@ -69,6 +76,9 @@
         }} violations, ${(System.nanoTime() - startNs) / 1_000_000} ms",
     )
     println("$waitingCountChecks counts of waiting jobs checked")
+    println(
+        "${lateStarts.all} late starts, ${lateStarts.ofCancelledJobs} of cancelled jobs, ${lateStarts.ofRemovedSenders} of removed senders",
+    )
     printPairs(pairCounts)
 }
 
