Decide by a list whether an accepted order has ended a worker

Cause: the platform accepts an order again that was carried out before. The owner took that for the end of the present worker, forgot it and its runs, started them elsewhere and sent no stops for cancelled jobs. Instances in standby were ordered without asking for runs. Change: the worker stays known and cordoned until a later list shows whether it has ended; instances in standby have to be empty. Tests: three cases in OrderedInstanceTest, which failed before; cancellations near repeated orders in FleetChanges.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -142,7 +142,8 @@
         standby: String,
     ): Int {
         val idle = idleInstances(states)
-        val inStandby = byId.values.filter { it.pool == standby && isMovable(it) }
+        // An order without an answer may have moved an instance out of standby since it was listed there, and its worker may have runs.
+        val inStandby = byId.values.filter { it.pool == standby && isMovable(it) && isConfirmedEmpty(it) }
         // Idle instances of other pools come first: they are already paid for and save the move through standby.
         val spare = ArrayDeque(idle + inStandby)
         val shortageCount = states.sumOf { it.missing } - spare.size
@@ -279,7 +280,7 @@
         send(view, order, onDone) { onAnswer -> service.maintain(view.instance.id, waveNumber, token, onAnswer) }
     }
 
-    /** An order, which ends the instance's worker when accepted; [applyTo] returns the state of the instance after that. */
+    /** An order, which ends the instance's worker when it is carried out; [applyTo] returns the state of the instance after that. */
     private class Order(
         val kind: String,
         val moveTo: String? = null,
@@ -305,7 +306,7 @@
         val onAnswer: (InstanceOrderAnswer) -> Unit = { answer ->
             orders.onAnswered(view.instance.id)
             onOrderAnswered(view, answer, order.kind) {
-                worker?.let { driver.onWorkerTerminated(it.id) }
+                view.endingWorkerId = worker?.id
                 view.joinedAtMs = loop.nowMs
                 view.instance = order.applyTo(view.instance)
                 view.cordonReason = null
@@ -347,7 +348,10 @@
             }
         }
         // The instance may have another worker than when the order was sent, which may not have answered yet.
-        for (listed in driver.workers) if (listed.entry.instanceId == view.instance.id) listed.isCordoned = view.cordonReason != null
+        for (listed in driver.workers) {
+            if (listed.entry.instanceId != view.instance.id) continue
+            listed.isCordoned = view.cordonReason != null || listed.id == view.endingWorkerId
+        }
     }
 
     private fun capacityOf(pool: String): Demand =
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceListing.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceListing.kt
@@ -58,6 +58,7 @@
             val view = views.getOrPut(instance.id) { InstanceView(instance) }
             if (view.isOrdered || view.changedAtMs >= sentAtMs) continue
             if (view.isOutcomeOpen) settleOutcome(view, instance)
+            view.endingWorkerId?.let { settleEnd(view, instance, it) }
             if (view.instance.state != instance.state || view.instance.workerId != instance.workerId) logListed(view.instance, instance)
             if (view.instance.state != InstanceState.UP && instance.state == InstanceState.UP) view.joinedAtMs = loop.nowMs
             view.instance = instance
@@ -81,6 +82,26 @@
         if (isMoved && view.cordonReason == CordonReason.SURPLUS) view.cordonReason = null
     }
 
+    /**
+     * Removes the worker [workerId], on which an accepted order found the instance, if [listed] shows that it has ended. If it shows the
+     * worker still, the order was carried out before that joined: it runs on, and may be used.
+     */
+    private fun settleEnd(
+        view: InstanceView,
+        listed: Instance,
+        workerId: String,
+    ) {
+        val isUp = listed.state == InstanceState.UP
+        if (listed.state == InstanceState.UNKNOWN || isUp && listed.workerId == null) return
+        view.endingWorkerId = null
+        if (isUp && listed.workerId == workerId) {
+            log.write("order_was_done", "instance", listed.id, "worker", workerId)
+            driver.find(workerId)?.isCordoned = view.cordonReason != null
+        } else {
+            driver.onWorkerTerminated(workerId)
+        }
+    }
+
     private fun logListed(
         before: Instance,
         listed: Instance,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceView.kt
@@ -22,6 +22,12 @@
 
     /** The pool to which the unanswered order moves the instance. */
     var movingTo: String? = null
+
+    /**
+     * The worker on which an accepted order found the instance, until a list tells whether it has ended: an order that was carried out
+     * before is accepted once more and ends nothing.
+     */
+    var endingWorkerId: String? = null
     var retryAtMs: Long = 0
     var cordonReason: CordonReason? = null
     var joinedAtMs: Long = 0
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -131,7 +131,7 @@
     /** True while some worker that may have runs does not answer, so that a list of instances may tell that it has ended. */
     val hasSilentWorkers: Boolean get() = register.hasSilentWorkers
 
-    /** Called when the worker's instance was moved or maintained on this owner's order, which ends all its runs. */
+    /** Called when a list shows that this owner's order to the worker's instance has ended the worker and all its runs. */
     fun onWorkerTerminated(workerId: String): Unit = register.onTerminated(workerId)
 
     /** Queues a start of [task] on [worker]. The caller has checked that it may run there. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -221,7 +221,7 @@
         if (isCrash) crashes.onEnded(worker, interrupted)
     }
 
-    /** Called when the worker's instance was moved or maintained on this owner's order, which ends all its runs. */
+    /** Called when a list shows that this owner's order to the worker's instance has ended the worker and all its runs. */
     fun onTerminated(workerId: String) {
         workers.find(workerId)?.let(::remove)
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
@@ -65,6 +65,51 @@
                 fleet.sent.shouldBeEmpty()
             }
         }
+        describe("an order that is accepted as it was carried out before the present worker joined") {
+            // Guards against a worker that its owner forgets while it runs tasks, which are then started elsewhere (TWICE) or not stopped (UNASKED).
+            it("leaves the worker and its runs, which are stopped with their job (UNASKED)") {
+                val fleet = OrderedFleet()
+                fleet.owner.startTask()
+                fleet.owner.pass(SETTLE_MS)
+                fleet.maintain()
+                fleet.owner.pass(ANSWERED_MS)
+                fleet.answers shouldContainExactly listOf(InstanceOrderAnswer.Accepted)
+                fleet.owner.cancelJob()
+                fleet.owner.pass(SETTLE_MS)
+                fleet.owner.stoppedRuns shouldContainExactly
+                    listOf(
+                        fleet.owner.starts
+                            .single()
+                            .runNumber,
+                    )
+            }
+
+            // Guards against a sound worker that gets no tasks until its row in the registry changes (LOST).
+            it("leaves the worker to be used once a list shows it on the instance still (LOST)") {
+                val fleet = OrderedFleet()
+                fleet.maintain()
+                fleet.owner.pass(ANSWERED_MS)
+                fleet.worker.isCordoned.shouldBeTrue()
+                fleet.controller.tick()
+                fleet.owner.pass(SETTLE_MS)
+                fleet.worker.isCordoned.shouldBeFalse()
+            }
+        }
+        describe("an order that has ended the worker of its instance") {
+            // Guards against tasks that are placed on a worker that has ended (LOST).
+            it("removes the worker once a list shows that, and lets it have no tasks before (LOST)") {
+                val fleet = OrderedFleet()
+                fleet.maintain()
+                fleet.owner.pass(ANSWERED_MS)
+                fleet.worker.isCordoned.shouldBeTrue()
+                fleet.listed = fleet.listed.copy(state = InstanceState.MAINTENANCE, workerId = null)
+                fleet.controller.tick()
+                fleet.owner.pass(SETTLE_MS)
+                fleet.owner.driver
+                    .find(OwnerOfOneWorker.WORKER)
+                    .shouldBeNull()
+            }
+        }
         describe("a worker that is listed on an instance while an order to that is open") {
             // Guards against tasks that are placed on a worker which its instance's order is about to end (AVAIL).
             it("is cordoned before a task can be placed there, until the order is answered (AVAIL)") {
@@ -176,6 +221,7 @@
             mayOrder = { true },
         )
     val view get() = checkNotNull(controller.find(INSTANCE))
+    val worker get() = checkNotNull(owner.driver.find(OwnerOfOneWorker.WORKER))
 
     init {
         controller.tick()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/FleetChanges.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/FleetChanges.kt
@@ -32,6 +32,7 @@
         }
         world.events.listen { event ->
             if (event.kind == EventKind.JOB_ACCEPTED && event.jobId != null) cancelLater(event.jobId)
+            if (event.kind == EventKind.ORDER_WAS_DONE) event.worker?.let(::cancelJobsOn)
             if (isOwnerDue && event.kind == EventKind.START_DELAYED) removeOwner()
         }
     }
@@ -40,6 +41,12 @@
         if (random.nextInt(3) == 0) time.after(random.nextLong(0, MAX_RUN_MS)) { world.cancel(id, CANCEL_ATTEMPTS) }
     }
 
+    /** Cancels some of the jobs on [worker], whose instance was ordered once more what it has had. */
+    private fun cancelJobsOn(worker: SimWorker) {
+        val ids = worker.runningTasks.map { it.jobId }.distinct()
+        for (id in ids) if (random.nextBoolean()) time.after(random.nextLong(0, 200)) { world.cancel(id, CANCEL_ATTEMPTS) }
+    }
+
     private fun change() {
         when (random.nextInt(10)) {
             0, 1, 2 -> sound().take(random.nextInt(1, 4)).forEach(::drainLater)
@@ -61,7 +68,12 @@
         val outageMs = random.nextLong(200, 2_500)
         world.takeStoreDown(outageMs)
         val hidden = sound().take(random.nextInt(1, 4))
-        hidden.forEach { world.hide(it, outageMs + if (random.nextInt(3) == 0) random.nextLong(2_000, MAX_HIDDEN_MS) else random.nextLong(0, 2_000)) }
+        hidden.forEach {
+            world.hide(
+                it,
+                outageMs + if (random.nextInt(3) == 0) random.nextLong(2_000, MAX_HIDDEN_MS) else random.nextLong(0, 2_000),
+            )
+        }
     }
 
     private fun removeOwner() {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -368,7 +368,8 @@
     }
 
     /** Puts a version in force in which workers of some pools are said to check what is started there, as routes and services change. */
-    fun reconfigure(draws: Random) = configure(accounts, pools.map { if (it.isStandby) it else it.copy(checksAdmission = draws.nextBoolean()) })
+    fun reconfigure(draws: Random) =
+        configure(accounts, pools.map { if (it.isStandby) it else it.copy(checksAdmission = draws.nextBoolean()) })
 
     /** The caps of [account] in all versions that may be in force. */
     private fun capsOf(account: String): List<Demand> =
@@ -585,7 +586,12 @@
                 else -> execute(instanceId, state, pool, durationMs)
             }
         if (answer is InstanceOrderAnswer.Accepted && pool == null) maintained.add(instanceId)
-        trace("world", "instance_order", arrayOf<Any?>(instanceId, state, pool, if (isDone) "done" else "new", answer, if (isLate) "late" else ""))
+        if (isDone && !isLate) events.publish(EventKind.ORDER_WAS_DONE, worker = instance.workerId?.let(workers::get))
+        trace(
+            "world",
+            "instance_order",
+            arrayOf<Any?>(instanceId, state, pool, if (isDone) "done" else "new", answer, if (isLate) "late" else ""),
+        )
         return answer
     }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -226,7 +226,12 @@
         world.time.after(delayMs) {
             val renewed = order.copy(expiresAtWorkerMs = worker.clockMs + leaseMs)
             if (worker.isUp) world.checker.duringLateDelivery { world.start(worker, renewed) }
-            if (worker.runs.any { it.isLate && it.task == order.task }) world.checker.onLateStart(order.task, isSenderRemoved = entry.isRemoved)
+            if (worker.runs.any { it.isLate && it.task == order.task }) {
+                world.checker.onLateStart(
+                    order.task,
+                    isSenderRemoved = entry.isRemoved,
+                )
+            }
         }
         entry.loop.after(TIMEOUT_MS) { onAnswer(WorkerAnswer.Unanswered("answer lost", mayBeCarriedOut = true)) }
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldEvents.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldEvents.kt
@@ -35,6 +35,9 @@
     WORKER_JOINED,
     ORDERS_LATE,
 
+    /** An order to an instance is answered as done that was carried out before the present worker joined. */
+    ORDER_WAS_DONE,
+
     /** A start is sent that its worker will carry out late. */
     START_DELAYED,
     STORE_DISRUPTED,
