Stop runs of ended jobs although other listed jobs have to be looked up

A list that shows a run of a job that this owner does not know is applied once that job was read from the store.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -56,6 +56,8 @@
             return
         }
         worker.deferredLists = lists
+        // Their stops do not depend on what the jobs are that have to be looked up.
+        lists.running.filter { isOfEndedJob(it) && it.task !in worker.runs }.forEach { stopUnknownRun(worker, it) }
         jobs.find(unknown) {
             // Before tasks of a job that was found can be placed.
             if (worker.deferredLists === lists) applyLists(worker, order, sentAtMs, lists, isSameIncarnation)
@@ -160,12 +162,23 @@
             adopt(worker, task, row)
         } else if (current != null) {
             stopListedRun(worker, current, row)
-        } else if (worker.orphanedRuns.put(row.task, row.runNumber) != row.runNumber) {
-            log.write("run_unknown", "task", row.task, "run", row.runNumber, "worker", worker.id)
-            orders.sendStop(worker, row.task, row.runNumber)
+        } else {
+            stopUnknownRun(worker, row)
         }
     }
 
+    private fun isOfEndedJob(row: RunningRow): Boolean = registry.find(row.task.jobId)?.let { it.isStored && !it.isLive } == true
+
+    /** Stops the run in [row], which belongs to no task that [worker] is known to have, unless that was ordered before. */
+    private fun stopUnknownRun(
+        worker: WorkerView,
+        row: RunningRow,
+    ) {
+        if (worker.orphanedRuns.put(row.task, row.runNumber) == row.runNumber) return
+        log.write("run_unknown", "task", row.task, "run", row.runNumber, "worker", worker.id)
+        orders.sendStop(worker, row.task, row.runNumber)
+    }
+
     private fun confirmRunning(
         worker: WorkerView,
         task: TaskRun,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
@@ -17,6 +17,7 @@
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.ports.WorkerLink
 import io.corianderrock.jobs.runs.Committer
+import io.corianderrock.jobs.runs.JobFinder
 import io.corianderrock.jobs.runs.JobRegistry
 import io.corianderrock.jobs.runs.WorkerDriver
 import io.corianderrock.jobs.state.Demand
@@ -34,6 +35,7 @@
     /** Time after which a hold of the worker fails while it is down. */
     private val failedHoldMs: Long = 1,
     steps: List<Step> = listOf(Step(1, Demand(1_000, 100))),
+    finder: JobFinder = JobFinder { _, onResult -> onResult(true) },
 ) : WorkerLink {
     val time = SimTime()
     private val loop = SimLoop(time)
@@ -63,6 +65,7 @@
             onChange = {},
             onFenced = {},
             onRunEnd = {},
+            finder = finder,
         )
     private val startedAtMs = time.nowMs
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/StoppedRunsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/StoppedRunsTest.kt
@@ -81,6 +81,17 @@
                 owner.stoppedRuns.shouldBeEmpty()
             }
         }
+        describe("a run of a cancelled job, listed beside one of a job that this owner has to look up") {
+            // Guards against a stop that waits for the read of another job (UNASKED).
+            it("is stopped while the other job cannot be read (UNASKED)") {
+                val owner = OwnerOfOneWorker(finder = { _, onResult -> onResult(false) })
+                owner.cancelJob()
+                owner.runningRows = listOf(row(owner.task.id, EARLIER_OWNERS_RUN), row(TaskId("other", 0, 0, 0), EARLIER_OWNERS_RUN))
+                owner.startAgain()
+                owner.passTicking(STOP_MS)
+                owner.answeredStops shouldContain EARLIER_OWNERS_RUN
+            }
+        }
         describe("two runs of one task of a cancelled job on one worker") {
             // Guards against a stop that is not sent because another run of the task was stopped there (UNASKED).
             it("are both stopped if the second begins after the first was stopped (UNASKED)") {
