--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/FoldedProgress.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/FoldedProgress.kt
@@ -45,7 +45,7 @@
         private const val RUN_BYTES = 20
         private const val POSITION_BYTES = 30
 
-        /** Most runs during which a worker may crash before the job fails. */
+        /** Crashed runs of a task that fails its job by them. One of a job that lasts keeps more, for which this leaves no room. */
         private const val MAX_CRASHED_RUNS = 3
 
         private fun bytesPerTask(maxAttempts: Int): Int =
