Repeat unanswered starts on the same worker, and give each incarnation of a worker a fence of its own

Cause: a start without an answer was stopped and its task started elsewhere, while orders name the id of a worker only. An incarnation that has seen no fence begins the lost start up to 12 s later. Fences were those of the owner's epoch, so that late starts, leases and acknowledgements of the last incarnation act on the next one also once that is known.

Change: StartSender sends the start again under its run number until it is answered or listed. Each incarnation that is seen gets a higher fence; the answer to a hold under it is the barrier after which it rejects all earlier orders, and a list under a lower fence is not applied. A silent worker keeps the tasks whose start may still arrive (UnsettledStarts, WorkerRegister.lateRunEndsAtMs).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/accounts/AccountUsage.kt
@@ -209,7 +209,7 @@
         for (task in worker.orphanedRuns.keys) addById(charge, task)
         if (worker.consecutiveLostHolds == 0) return charge
         // A worker that is silent may have restarted, and carries out late starts without a record of their stops.
-        val lateTasks = worker.unsettledStarts.lastRuns(loop.nowMs).keys
+        val lateTasks = worker.unsettledStarts.tasks(loop.nowMs)
         for (task in lateTasks) if (task !in worker.runs && task !in worker.orphanedRuns) addById(charge, task)
         return charge
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/CrashTracker.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/CrashTracker.kt
@@ -76,13 +76,15 @@
         if (worker.drainingSinceMs == null) record(worker.id, worker, lapsed?.runs.orEmpty() + runs)
     }
 
-    /** Called when the lease of the silent [worker] has expired with [runs] on it, which have been released. */
+    /** Called when the lease of the silent [worker] has expired with [runs] on it, which have been released; others may follow. */
     fun onLeaseExpired(
         worker: WorkerView,
         runs: List<InterruptedRun>,
     ) {
         val instanceId = worker.entry.instanceId ?: return
-        if (worker.drainingSinceMs == null) lapsedByInstance[instanceId] = LapsedWorker(worker.id, worker.bornWallMs, runs)
+        if (worker.drainingSinceMs != null) return
+        val earlier = lapsedByInstance[instanceId]?.takeIf { it.id == worker.id && it.bornWallMs == worker.bornWallMs }
+        lapsedByInstance[instanceId] = LapsedWorker(worker.id, worker.bornWallMs, earlier?.runs.orEmpty() + runs)
     }
 
     /** Called when discovery lists [worker], which was not registered. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -49,6 +49,11 @@
         val bornBeforeMs = worker.bornWallMs
         register.onAnsweredBy(worker, lists.bornWallMs)
         crashes.onAnswered(worker)
+        if (order.fence < worker.fence) {
+            // An incarnation that was not known: until it answers its own fence, starts that were sent to the last one may begin there.
+            holds.ensureInFlight(worker)
+            return
+        }
         val isSameIncarnation = bornBeforeMs == worker.bornWallMs
         val unknown = jobs.unknownIn(worker, lists)
         if (unknown.isEmpty()) {
@@ -77,7 +82,10 @@
             .sortedBy { it.number }
             .forEach { onRunEnded(worker, it, RunClock(worker.listedClockMs, lists.workerClockMs, loop.nowMs - sentAtMs)) }
         worker.listedClockMs = lists.workerClockMs
-        if (!worker.isReconciled) register.releaseOrStopEarlierRuns(worker, lists)
+        if (!worker.isReconciled) {
+            worker.unsettledStarts.onFenceAnswered()
+            register.releaseOrStopEarlierRuns(worker, lists)
+        }
         lists.running.forEach { onRunningRow(worker, it) }
         completeStops(worker, sentAtMs, lists)
         // What the last incarnation has acknowledged says nothing of this one's ends.
@@ -193,7 +201,7 @@
 
     /**
      * True if the run of [task] in [row], which [worker] lists, is the only one, whatever its number: the task has none, or its last
-     * one was on an earlier incarnation of this worker and no start for it is on its way. Members of a gang run under one number.
+     * one was on an earlier incarnation of this worker and its start can no longer begin. Members of a gang run under one number.
      */
     private fun canAdopt(
         worker: WorkerView,
@@ -205,7 +213,7 @@
             TaskPhase.RUNNING ->
                 task.worker === worker &&
                     !task.stepRun.step.isGang &&
-                    task.id !in worker.unsettledStarts.lastRuns(loop.nowMs)
+                    !worker.unsettledStarts.mayBegin(task.id, task.runNumber, loop.nowMs)
             else -> false
         }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -1,10 +1,9 @@
 /*
- * Start and stop orders for runs, and their answers. A start without an answer may have been carried out or may still be: its
- * run is stopped, and its task keeps its place on the worker until the worker no longer lists it.
+ * Start and stop orders for runs. A start without an answer is sent again to the same worker by [StartSender]. If no answer comes in
+ * time, its run is stopped, and its task keeps its place on the worker until the worker no longer lists it.
  */
 package io.corianderrock.jobs.runs
 
-import io.corianderrock.jobs.ports.StartOrder
 import io.corianderrock.jobs.ports.StartRefusal
 import io.corianderrock.jobs.ports.StopOrder
 import io.corianderrock.jobs.ports.WorkerAnswer
@@ -27,6 +26,14 @@
 ) {
     private val loop = context.loop
     private val log = context.log
+    private val sender =
+        StartSender(
+            context = context,
+            holds = holds,
+            isStillAllowed = ::isStartStillAllowed,
+            onSlotFree = ::sendQueuedStarts,
+            onOutcome = ::onStartOutcome,
+        )
 
     /** Queues a start of [task] on [worker], sent once the lease row is stored. The caller has checked that it may run there. */
     fun start(
@@ -56,20 +63,7 @@
             stopGangOf(task)
             return
         }
-        val order = startOrder(worker, task)
-        val sentAtMs = loop.nowMs
-        worker.recordLeaseSent(order.expiresAtWorkerMs, sentAtMs)
-        worker.ordersInFlight++
-        worker.unsettledStarts.onSent(task.id, order.runNumber, sentAtMs)
-        context.link.start(worker.entry, order) { answer ->
-            worker.ordersInFlight--
-            if (!answer.mayArriveLate) {
-                worker.recordLeaseAnswered(sentAtMs)
-                worker.unsettledStarts.onSettled(task.id, order.runNumber)
-            }
-            onStartAnswer(worker, task, order.runNumber, answer)
-            sendQueuedStarts(worker)
-        }
+        sender.send(worker, task)
         holds.ensureInFlight(worker)
     }
 
@@ -84,47 +78,31 @@
             worker.drainingSinceMs == null &&
             task.stepRun.mayStartOn(worker, loop.nowMs)
 
-    private fun startOrder(
-        worker: WorkerView,
-        task: TaskRun,
-    ): StartOrder =
-        StartOrder(
-            task = task.id,
-            runNumber = task.runNumber,
-            spec = task.stepRun.job.submission.spec,
-            expiresAtWorkerMs = holds.nextLeaseEndMs(worker),
-            fence = context.epoch,
-            checkpoint = task.checkpoint,
-            ticket = task.stepRun.ticket(worker, loop.nowMs),
-        )
-
-    private fun onStartAnswer(
+    private fun onStartOutcome(
         worker: WorkerView,
         task: TaskRun,
-        runNumber: Long,
-        answer: WorkerAnswer,
-    ) {
-        if (task.worker !== worker || task.runNumber != runNumber) return
-        // A list has shown the run, so that only an answer with the time of its start tells anything new.
-        if (task.phase == TaskPhase.RUNNING && answer !is WorkerAnswer.Done) return
-        when (answer) {
-            is WorkerAnswer.Done -> onStarted(worker, task, answer.workerClockMs)
-            is WorkerAnswer.Refused -> onStartRefused(worker, task, answer)
-            is WorkerAnswer.Unanswered -> onStartUnanswered(worker, task, answer)
-            is WorkerAnswer.Listed ->
-                error("worker ${worker.id} answered a start order with run lists, expected Done, Refused or Unanswered")
-        }
+        outcome: StartOutcome,
+    ) = when (outcome) {
+        is StartOutcome.Begun -> onStarted(worker, task, outcome)
+        is StartOutcome.Refused -> onStartRefused(worker, task, outcome.answer)
+        is StartOutcome.NotReached -> onWorkerNotReached(worker, task)
+        is StartOutcome.Open -> onStartOpen(worker, task, outcome.refusal)
+        is StartOutcome.FirstCopyLost ->
+            // A worker that leaves holds unanswered too is not judged by its runs, but lost.
+            if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker) else Unit
     }
 
     private fun onStarted(
         worker: WorkerView,
         task: TaskRun,
-        workerClockMs: Long,
+        begun: StartOutcome.Begun,
     ) {
-        task.startedClockMs = workerClockMs
+        task.startedClockMs = begun.workerClockMs
+        // The run may have begun by an earlier copy.
+        if (!begun.isFirstCopy) task.isWholeRun = false
         if (task.stepRun.needsAdvice) task.stepRun.advice.onTicketAccepted(worker)
         if (task.phase != TaskPhase.STARTING) return
-        worker.recordClock(workerClockMs, loop.nowMs)
+        worker.recordClock(begun.workerClockMs, loop.nowMs)
         transitions.onBegun(task, worker, StartEvidence.ANSWER)
     }
 
@@ -134,38 +112,47 @@
         answer: WorkerAnswer.Refused,
     ) {
         log.write("start_refused", "task", task.id, "run", task.runNumber, "worker", worker.id, "reason", answer.refusal)
+        recordRefusal(worker, task, answer)
+        worker.releaseRun(task, loop.nowMs)
+        stopGangOf(task)
+        context.onChange(worker.entry.pool)
+    }
+
+    private fun recordRefusal(
+        worker: WorkerView,
+        task: TaskRun,
+        answer: WorkerAnswer.Refused,
+    ) {
         val avoidMs =
             when (answer.refusal) {
                 StartRefusal.NO_CAPACITY -> AVOID_FULL_MS
-                StartRefusal.UNHEALTHY -> AVOID_UNHEALTHY_MS
+                StartRefusal.UNHEALTHY, StartRefusal.OTHER_INCARNATION -> AVOID_UNHEALTHY_MS
                 else -> 0L
             }
         worker.avoidUntilMs = maxOf(worker.avoidUntilMs, loop.nowMs + avoidMs)
         // A worker that was idle for long refuses an order as expired by an estimate that has fallen behind its clock.
         answer.workerClockMs?.let { worker.recordClock(it, loop.nowMs) }
-        if (answer.refusal == StartRefusal.FENCE) context.onFenced()
         if (answer.refusal == StartRefusal.TICKET) task.stepRun.onTicketRefused(worker, loop.nowMs)
+    }
+
+    private fun onWorkerNotReached(
+        worker: WorkerView,
+        task: TaskRun,
+    ) {
+        worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
         worker.releaseRun(task, loop.nowMs)
         stopGangOf(task)
-        if (answer.refusal == StartRefusal.OTHER_INCARNATION) worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
         context.onChange(worker.entry.pool)
     }
 
-    private fun onStartUnanswered(
+    /** Some copy of the start may still be carried out, and no other is sent. */
+    private fun onStartOpen(
         worker: WorkerView,
         task: TaskRun,
-        answer: WorkerAnswer.Unanswered,
+        refusal: WorkerAnswer.Refused?,
     ) {
-        log.write("start_unanswered", "task", task.id, "run", task.runNumber, "worker", worker.id, "reason", answer.reason)
-        if (!answer.mayBeCarriedOut) {
-            worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
-            worker.releaseRun(task, loop.nowMs)
-            stopGangOf(task)
-            context.onChange(worker.entry.pool)
-            return
-        }
-        // A worker that leaves holds unanswered too is not judged by its runs, but lost.
-        if (worker.consecutiveLostHolds == 0) failures.onStartUnanswered(worker)
+        log.write("start_given_up", "task", task.id, "run", task.runNumber, "worker", worker.id, "refusal", refusal?.refusal)
+        if (refusal != null) recordRefusal(worker, task, refusal)
         if (task.phase == TaskPhase.STARTING) stop(task)
         stopGangOf(task)
     }
@@ -217,23 +204,24 @@
         runNumber: Long,
     ) {
         val incarnation = worker.incarnation
+        val fence = worker.fence
         if (!context.mayOrder()) {
             loop.after(STOP_RETRY_MS) { retryStop(worker, incarnation, task, runNumber) }
             return
         }
         var isLatest = true
-        context.link.stop(worker.entry, StopOrder(task, runNumber, context.epoch)) { answer ->
+        context.link.stop(worker.entry, StopOrder(task, runNumber, fence)) { answer ->
             val wasLatest = isLatest
             isLatest = false
-            // The next incarnation has no record of this stop, and was sent one of its own for each start that may reach it.
+            // The next incarnation has no record of this stop, and rejects the start by its fence.
             if (worker.incarnation != incarnation) return@stop
             if (answer is WorkerAnswer.Done) {
                 log.write("run_stopped", "task", task, "run", runNumber, "worker", worker.id)
                 worker.answeredStops[task] = AnsweredStop(runNumber, loop.nowMs)
-                worker.unsettledStarts.onStopAnswered(task, runNumber)
+                worker.unsettledStarts.onRejected(task, runNumber)
                 holds.requestLists(worker)
             } else {
-                if (answer is WorkerAnswer.Refused && answer.refusal == StartRefusal.FENCE) context.onFenced()
+                if (answer is WorkerAnswer.Refused && answer.refusal == StartRefusal.FENCE) context.onFenceRejected(worker, fence)
                 log.write("stop_unanswered", "task", task, "run", runNumber, "worker", worker.id, "answer", answer)
                 if (wasLatest) loop.after(STOP_RETRY_MS) { retryStop(worker, incarnation, task, runNumber) }
             }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -15,6 +15,7 @@
 import io.corianderrock.jobs.runtimes.EndedRun
 import io.corianderrock.jobs.runtimes.RunTimeModel
 import io.corianderrock.jobs.state.JobRun
+import io.corianderrock.jobs.state.MIN_WORKER_CLOCK_RATE
 import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
 import io.corianderrock.jobs.workers.WorkerAvoidance
@@ -48,7 +49,7 @@
     finder: JobFinder = JobFinder { _, onResult -> onResult(true) },
 ) {
     private val context = WorkerOrderContext(loop, link, log, epoch, mayOrder, mayStart, onChange, onFenced)
-    private val table = WorkerTable()
+    private val table = WorkerTable((longestLeaseMs / MIN_WORKER_CLOCK_RATE).toLong())
     private val inheritedLeases = InheritedWorkerLeases(log)
     private val crashes = CrashTracker(loop, registry, log)
     private val leaseRows = WorkerLeaseRows(table, committer)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -89,7 +89,7 @@
         val hasRuns = worker.runs.isNotEmpty() && isAnswering && context.mayOrder()
         val expiresAtMs = if (hasRuns) nextLeaseEndMs(worker) else null
         val isWaiting = isAnswering && worker.runs.isNotEmpty() && worker.answeredStops.isEmpty()
-        return HoldOrder(expiresAtMs, context.epoch, endToAcknowledge(worker), if (isWaiting) waitMs(worker) else 0)
+        return HoldOrder(expiresAtMs, worker.fence, endToAcknowledge(worker), if (isWaiting) waitMs(worker) else 0)
     }
 
     /**
@@ -114,7 +114,7 @@
                 onRegained(worker, order, answer)
                 onLists(worker, order, sentAtMs, answer)
             }
-            is WorkerAnswer.Refused -> onRefused(worker, answer)
+            is WorkerAnswer.Refused -> onRefused(worker, order, answer)
             is WorkerAnswer.Unanswered -> onUnanswered(worker, answer)
             is WorkerAnswer.Done -> error("worker ${worker.id} answered a hold order with Done, expected Listed, Refused or Unanswered")
         }
@@ -136,9 +136,10 @@
 
     private fun onRefused(
         worker: WorkerView,
+        order: HoldOrder,
         answer: WorkerAnswer.Refused,
     ) {
-        if (answer.refusal == StartRefusal.FENCE) context.onFenced()
+        if (answer.refusal == StartRefusal.FENCE) context.onFenceRejected(worker, order.fence)
         worker.consecutiveLostHolds++
         if (answer.refusal == StartRefusal.OTHER_INCARNATION) {
             // Another worker answers at this address, so this one has ended.
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -10,7 +10,9 @@
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.state.Demand
+import io.corianderrock.jobs.state.LATE_ORDER_WINDOW_MS
 import io.corianderrock.jobs.state.TaskPhase
+import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
 
 /** Adds, replaces and removes [workers]. All methods run on the event loop. */
@@ -75,9 +77,8 @@
     }
 
     private fun newWorker(entry: WorkerEntry): WorkerView {
-        val worker = workers.add(entry)
+        val worker = workers.add(entry, context.nextFence())
         worker.registeredAtMs = loop.nowMs
-        stopLateStarts(worker)
         return worker
     }
 
@@ -175,14 +176,37 @@
             val instanceId = worker.entry.instanceId ?: continue
             val isEvidence = isSilentSince(worker, requestedAtMs) && !mayRunOn(byInstanceId[instanceId], worker)
             worker.listsWithoutWorker = if (isEvidence) worker.listsWithoutWorker + 1 else 0
-            if (worker.listsWithoutWorker < LISTS_TO_END_WORKER || !mayHaveRuns(worker)) continue
-            val state = byInstanceId[instanceId]?.state
-            log.write("worker_over", "worker", worker.id, "instance", instanceId, "instanceState", state, "runs", worker.runs.size)
-            // A worker whose instance is being moved or maintained was ended by an order.
-            onEnded(worker, isCrash = state != InstanceState.MOVING && state != InstanceState.MAINTENANCE)
+            if (worker.isDownByLists && mayHaveRuns(worker)) onDownByLists(worker, byInstanceId[instanceId])
         }
     }
 
+    /** Frees the runs of the silent [worker] that have ended by lists of instances, the last of which shows [instance], null for none. */
+    private fun onDownByLists(
+        worker: WorkerView,
+        instance: Instance?,
+    ) {
+        // A worker whose instance is removed or has another one does not start again.
+        val hasLeft = instance == null || instance.state == InstanceState.UP
+        val ended = if (hasLeft) worker.runs.values.toList() else runsWithoutLateStart(worker)
+        if (ended.isEmpty() && worker.runs.isNotEmpty()) return
+        log.write(
+            "worker_over",
+            "worker",
+            worker.id,
+            "instance",
+            worker.entry.instanceId,
+            "instanceState",
+            instance?.state,
+            "runs",
+            ended.size,
+            "mayBeStartedLate",
+            worker.runs.size - ended.size,
+        )
+        // A worker whose instance is being moved or maintained was ended by an order.
+        val isCrash = instance?.state != InstanceState.MOVING && instance?.state != InstanceState.MAINTENANCE
+        onEnded(worker, ended, isCrash)
+    }
+
     /** True while some worker that may have runs does not answer, so that a list of instances may tell that it has ended. */
     val hasSilentWorkers: Boolean get() = workers.all.any { it.consecutiveLostHolds > 0 && mayHaveRuns(it) }
 
@@ -204,23 +228,58 @@
             else -> false
         }
 
-    /** Frees the runs of [worker], which has ended; if that [isCrash], it counts under them. */
+    /** Frees the runs [ended] of [worker], which has ended; if that [isCrash], it counts under them. */
     private fun onEnded(
         worker: WorkerView,
+        ended: List<TaskRun>,
         isCrash: Boolean,
     ) {
-        val interrupted = crashes.interruptedRunsOf(worker)
-        if (worker.unsettledStarts.isEmpty(loop.nowMs)) {
+        val interrupted = crashes.interruptedRunsOf(worker).filter { it.task in ended }
+        if (worker.unsettledStarts.isEmpty(loop.nowMs) && ended.size == worker.runs.size) {
             remove(worker)
         } else {
-            // Kept registered: a recent start may still reach a new incarnation with the same id, which then has to stop it.
-            worker.releaseRuns(loop.nowMs)
+            // Kept registered: a recent start may still reach a new incarnation with the same id.
+            release(worker, ended)
             markReconciled(worker.id)
-            context.onChange(worker.entry.pool)
         }
         if (isCrash) crashes.onEnded(worker, interrupted)
     }
 
+    /** Frees the places of [ended]; what stays on the silent [worker] is not known to be at work. */
+    private fun release(
+        worker: WorkerView,
+        ended: List<TaskRun>,
+    ) {
+        ended.forEach { worker.releaseRun(it, loop.nowMs) }
+        worker.runs.values.forEach { it.isAtWork = false }
+        context.onChange(worker.entry.pool)
+    }
+
+    /**
+     * The runs of the silent [worker], whose lease is over, that no late start can begin again. Orders name its id only: an incarnation
+     * that nobody has reached would carry out a start to the last one, as it knows neither fence nor lease.
+     */
+    private fun runsWithoutLateStart(worker: WorkerView): List<TaskRun> =
+        worker.runs.values.filter { loop.nowMs >= lateRunEndsAtMs(worker, it) }
+
+    /** Loop time from which no incarnation of the silent [worker] can run [task] by a start that was carried out late. */
+    private fun lateRunEndsAtMs(
+        worker: WorkerView,
+        task: TaskRun,
+    ): Long {
+        val sentAtMs = worker.unsettledStarts.lastSentAtMs(task.id, loop.nowMs) ?: return loop.nowMs
+        return when {
+            !worker.isDownByLists -> {
+                val longestMs = holds.worstCaseLeaseMs
+                maxOf(sentAtMs + LATE_ORDER_WINDOW_MS + longestMs, worker.lateLeaseEndsAtMs(loop.nowMs, longestMs))
+            }
+            task.stepRun.step.isLongRunning -> sentAtMs + LONG_RUNNING_LATE_START_MS
+            else -> sentAtMs + LATE_ORDER_WINDOW_MS
+        }
+    }
+
+    private val WorkerView.isDownByLists: Boolean get() = listsWithoutWorker >= LISTS_TO_END_WORKER
+
     /** Called when a list shows that this owner's order to the worker's instance has ended the worker and all its runs. */
     fun onTerminated(workerId: String) {
         workers.find(workerId)?.let(::remove)
@@ -242,19 +301,19 @@
         context.onChange(worker.entry.pool)
     }
 
-    /** Frees the runs of [worker] if it is silent and its lease has expired; removes it if it is not listed either. */
+    /** Frees the runs of [worker] if it is silent, its lease has expired and no late start can begin them; removes it if it is not listed. */
     fun endIfLeaseExpired(worker: WorkerView) {
         val isSilent = worker.consecutiveLostHolds > 0 || !worker.isListed
         if (!isSilent || loop.nowMs <= worker.leaseEndsAtMs) return
-        if (worker.runs.isNotEmpty()) {
-            log.write("lease_over", "worker", worker.id, "runs", worker.runs.size)
-            val interrupted = crashes.interruptedRunsOf(worker)
-            worker.releaseRuns(loop.nowMs)
+        val ended = runsWithoutLateStart(worker)
+        if (ended.isNotEmpty()) {
+            log.write("lease_over", "worker", worker.id, "runs", ended.size, "mayBeStartedLate", worker.runs.size - ended.size)
+            val interrupted = crashes.interruptedRunsOf(worker).filter { it.task in ended }
+            release(worker, ended)
             crashes.onLeaseExpired(worker, interrupted)
-            context.onChange(worker.entry.pool)
         }
-        // A recent start may still reach a new incarnation with the same id, which then has to stop it.
-        if (!worker.isListed && worker.unsettledStarts.isEmpty(loop.nowMs)) remove(worker)
+        // A recent start may still reach a new incarnation with the same id.
+        if (!worker.isListed && worker.runs.isEmpty() && worker.unsettledStarts.isEmpty(loop.nowMs)) remove(worker)
     }
 
     /** Called when the first lists that [worker] has sent in its incarnation are applied. */
@@ -303,47 +362,42 @@
         bornWallMs: Long,
     ) {
         val interrupted = crashes.interruptedRunsOf(worker)
-        val lateStarts = worker.unsettledStarts.lastRuns(loop.nowMs)
-        log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", lateStarts.size)
-        worker.beginIncarnation(bornWallMs, loop.nowMs)
+        val unanswered = worker.unsettledStarts.tasks(loop.nowMs).size
+        worker.beginIncarnation(bornWallMs, loop.nowMs, context.nextFence())
+        log.write("worker_reborn", "worker", worker.id, "runs", worker.runs.size, "unanswered", unanswered, "fence", worker.fence)
         worker.assumeLateLeases(loop.nowMs, holds.worstCaseLeaseMs)
         worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, inheritedLeases.lateOrdersDeadlineMs)
         worker.runs.values.forEach { it.isAtWork = false }
-        stopLateStarts(worker)
         crashes.onEnded(worker, interrupted)
     }
 
-    /** Stops the starts that may still reach the new incarnation of [worker], which has no record of the fence or of stopped runs. */
-    private fun stopLateStarts(worker: WorkerView) {
-        for ((taskId, runNumber) in worker.unsettledStarts.lastRuns(loop.nowMs)) {
-            val task = worker.runs[taskId]
-            if (task == null) worker.orphanedRuns[taskId] = runNumber
-            if (task?.runNumber == runNumber) orders.stop(task) else orders.sendStop(worker, taskId, runNumber)
-        }
-    }
-
     /**
-     * Frees the runs of the last incarnation of [worker] that are not among [lists], the first ones that the next incarnation sends.
-     * Until then a start by this or an earlier owner that was carried out late may run the same tasks there. Those of them that are
-     * to be stopped are stopped once more, as the next incarnation has no record of it.
+     * Frees the runs of the last incarnation of [worker] that are not among [lists], the first ones that the next incarnation sends
+     * under its fence. Until then a start that was carried out late may run the same tasks there, from then on it begins none. The
+     * listed runs that are to be stopped are stopped once more, as the next incarnation has no record of it.
      */
     fun releaseOrStopEarlierRuns(
         worker: WorkerView,
         lists: WorkerAnswer.Listed,
     ) {
         val running = lists.running.mapTo(HashSet()) { it.task }
-        val lateStarts = worker.unsettledStarts.lastRuns(loop.nowMs)
         worker.runs.values
-            .filter { it.id !in running && it !in worker.startQueue && lateStarts[it.id] != it.runNumber }
+            .filter { it.id !in running && it !in worker.startQueue }
             .toList()
             .forEach { worker.releaseRun(it, loop.nowMs) }
         worker.runs.values
-            .filter { it.phase == TaskPhase.STOPPING && lateStarts[it.id] != it.runNumber }
+            .filter { it.phase == TaskPhase.STOPPING }
             .forEach { orders.sendStop(worker, it.id, it.runNumber) }
     }
 
     private companion object {
         /** Lists of instances in a row that prove the end of a silent worker: one alone may have been made before it started. */
         const val LISTS_TO_END_WORKER = 2
+
+        /**
+         * How long a long-running task waits for the return of an instance that is down: within 7 s after the last disruption it has to be
+         * at work again.
+         */
+        const val LONG_RUNNING_LATE_START_MS = 6_000L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
@@ -8,7 +8,9 @@
 import io.corianderrock.jobs.state.WorkerView
 
 /** Workers by id and by instance. */
-internal class WorkerTable {
+internal class WorkerTable(
+    private val longestLeaseMs: Long,
+) {
     private val byId = LinkedHashMap<String, WorkerView>()
 
     /** Workers in discovery, by the id of their instance. */
@@ -27,10 +29,13 @@
     operator fun contains(worker: WorkerView): Boolean = byId[worker.id] === worker
 
     /** Adds the worker of [entry], which is not known, with the starts that may still arrive there; none of them counts as stopped. */
-    fun add(entry: WorkerEntry): WorkerView {
-        val starts = unsettledStartsOfRemoved.remove(entry.id) ?: UnsettledStarts()
+    fun add(
+        entry: WorkerEntry,
+        fence: Long,
+    ): WorkerView {
+        val starts = unsettledStartsOfRemoved.remove(entry.id) ?: UnsettledStarts(longestLeaseMs)
         starts.beginIncarnation()
-        val worker = WorkerView(entry, starts)
+        val worker = WorkerView(entry, fence, starts)
         byId[worker.id] = worker
         return worker
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -22,10 +22,14 @@
 
 internal class WorkerView(
     var entry: WorkerEntry,
+    /** Fence of all orders to the present incarnation. Raised with each new one, which then rejects orders to the last one. */
+    fence: Long = 0,
     /** Starts that were sent here and may still arrive, also at a new incarnation that knows of no stop. */
     val unsettledStarts: UnsettledStarts = UnsettledStarts(),
 ) {
     val id: String get() = entry.id
+    var fence: Long = fence
+        private set
 
     /** The label of the worker's rack, which follows that of its kind; null if it names none. */
     val rack: String? get() = entry.labels.getOrNull(1)
@@ -34,7 +38,7 @@
     var isListed: Boolean = true
     var drainingSinceMs: Long? = null
 
-    /** True once the worker has reported under the fence of this owner, so that the runs on it are known. */
+    /** True once the present incarnation has reported under [fence], so that its runs are known and earlier orders begin no more. */
     var isReconciled: Boolean = false
 
     /** Counts the incarnations of the worker that this owner has seen, so that an answer can be matched to the one it is from. */
@@ -179,12 +183,17 @@
         startQueue.clear()
     }
 
-    /** Discards what was known of the last incarnation, except for its runs and the starts that may still arrive. */
+    /**
+     * Discards what was known of the last incarnation, except for its runs and the starts that may still arrive. Orders to the new one
+     * have [fence].
+     */
     fun beginIncarnation(
         bornWallMs: Long,
         nowMs: Long,
+        fence: Long,
     ) {
         incarnation++
+        this.fence = fence
         orphanedRuns.clear()
         answeredStops.clear()
         deferredLists = null
@@ -223,7 +232,6 @@
         expiresAtWorkerMs: Long,
         nowMs: Long,
     ) {
-        possibleLateLeases.removeAll { nowMs - it >= LATE_ORDER_WINDOW_MS }
         possibleLateLeases.add(nowMs)
         val upperBoundMs = clockReadAtMs + ((expiresAtWorkerMs - clockMs) / MIN_WORKER_CLOCK_RATE).toLong() + 1
         leaseEndsAtMs = maxOf(leaseEndsAtMs, upperBoundMs)
@@ -242,9 +250,16 @@
         nowMs: Long,
         longestLeaseMs: Long,
     ) {
-        possibleLateLeases.removeAll { nowMs - it >= LATE_ORDER_WINDOW_MS }
-        val lastSentAtMs = possibleLateLeases.maxOrNull() ?: return
-        leaseEndsAtMs = maxOf(leaseEndsAtMs, lastSentAtMs + LATE_ORDER_WINDOW_MS + longestLeaseMs)
+        leaseEndsAtMs = maxOf(leaseEndsAtMs, lateLeaseEndsAtMs(nowMs, longestLeaseMs))
+    }
+
+    /** Loop time up to which an incarnation that was not reached may have a lease by an order that arrives late; 0 if there is none. */
+    fun lateLeaseEndsAtMs(
+        nowMs: Long,
+        longestLeaseMs: Long,
+    ): Long {
+        possibleLateLeases.removeAll { nowMs - it >= LATE_ORDER_WINDOW_MS + longestLeaseMs }
+        return possibleLateLeases.maxOrNull()?.let { it + LATE_ORDER_WINDOW_MS + longestLeaseMs } ?: 0
     }
 }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/UnevenWorkersTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/UnevenWorkersTest.kt
@@ -227,7 +227,7 @@
             it("has no record of the last one") {
                 val pool = UnevenPool(1, failureRatioOf = { if (it == 0) 1.0 else 0.0 }).play(6_000)
                 pool.avoidedAtMs.keys shouldContain 0
-                pool.workers[0].beginIncarnation(bornWallMs = 1, nowMs = 1)
+                pool.workers[0].beginIncarnation(bornWallMs = 1, nowMs = 1, fence = 1)
                 pool.workers[0].record.probationEndsAtMs shouldBeLessThan 1L
             }
         }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/placement/PlacementPool.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/placement/PlacementPool.kt
@@ -124,7 +124,7 @@
     /** Begins another incarnation of the worker [id], which runs nothing. */
     fun restart(id: String) {
         val worker = workers.first { it.id == id }
-        worker.beginIncarnation(bornWallMs = time.nowMs, time.nowMs)
+        worker.beginIncarnation(bornWallMs = time.nowMs, time.nowMs, fence = 1)
         worker.isReconciled = true
     }
 
