Send overdue holds again beside the first

A lost answer to a hold took a responsive worker out of use for 0.7 s beyond the wait of the hold. A copy without a wait and without an acknowledgement follows after 250 ms, twice at most.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StartSender.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StartSender.kt
@@ -182,7 +182,7 @@
             attempt.isCurrent &&
             attempt.isSameIncarnation &&
             attempt.task.phase == TaskPhase.STARTING &&
-            attempt.worker.consecutiveLostHolds == 0 &&
+            attempt.worker.consecutiveLostHolds <= WorkerView.LOST_HOLDS_OF_RESPONSIVE &&
             loop.nowMs - attempt.firstSentAtMs < REPEATED_FOR_MS &&
             isStillAllowed(attempt.worker, attempt.task)
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -67,20 +67,51 @@
         if (!worker.isHoldInFlight) scheduleAt(worker, loop.nowMs)
     }
 
+    /** A hold with its copies. The first that is answered counts; it has no answer once none of them has one. */
+    private class Series(
+        val holdNumber: Long,
+    ) {
+        var copyCount = 0
+        var inFlightCount = 0
+    }
+
     private fun send(worker: WorkerView) {
         if (context.isOver || worker !in workers) return
         worker.isHoldInFlight = true
-        val holdNumber = ++worker.holdNumber
-        val order = orderFor(worker)
+        sendCopy(worker, Series(++worker.holdNumber), orderFor(worker))
+    }
+
+    private fun sendCopy(
+        worker: WorkerView,
+        series: Series,
+        order: HoldOrder,
+    ) {
         worker.isHoldWaiting = order.waitMs > 0
         val sentAtMs = loop.nowMs
+        series.copyCount++
+        series.inFlightCount++
         order.expiresAtWorkerMs?.let { worker.recordLeaseSent(it, sentAtMs) }
         context.link.hold(worker.entry, order) { answer ->
             if (order.expiresAtWorkerMs != null && !answer.mayArriveLate) worker.recordLeaseAnswered(sentAtMs)
-            if (worker !in workers || worker.holdNumber != holdNumber) return@hold
+            series.inFlightCount--
+            if (worker !in workers || worker.holdNumber != series.holdNumber) return@hold
+            if (answer is WorkerAnswer.Unanswered && series.inFlightCount > 0) return@hold
+            worker.holdNumber++
             worker.isHoldInFlight = false
             onAnswer(worker, order, sentAtMs, answer)
         }
+        loop.after(order.waitMs + COPY_OVERDUE_MS) { repeatIfOverdue(worker, series) }
+    }
+
+    /** A lost answer would keep a responsive worker from new tasks until its timeout, so that the hold is sent again beside the first. */
+    private fun repeatIfOverdue(
+        worker: WorkerView,
+        series: Series,
+    ) {
+        val isOpen = worker.isHoldInFlight && worker.holdNumber == series.holdNumber && worker in workers && !context.isOver
+        if (!isOpen || series.copyCount >= MAX_COPIES || worker.consecutiveLostHolds > 0) return
+        // Neither a wait, which may hide that the worker answers, nor an acknowledgement, which the next incarnation might take.
+        sendCopy(worker, series, orderFor(worker).copy(acknowledgedEnd = 0, waitMs = 0))
     }
 
     private fun orderFor(worker: WorkerView): HoldOrder {
@@ -230,8 +261,14 @@
         /** How long a worker that runs only long-running tasks may delay its answer; renews their lease five times before it ends. */
         const val LONG_RUNNING_HOLD_WAIT_MS = 1_100
 
+        /** A hold that a responsive worker has not answered by then, after its wait, is sent again. */
+        const val COPY_OVERDUE_MS = 250L
+
+        /** Holds of a series: a third one is answered or lost as the first one times out. */
+        const val MAX_COPIES = 3
+
         /** One answer may be lost on its way from a sound worker; a worker that leaves two holds in a row unanswered gets no new work. */
-        const val LOST_HOLDS_BEFORE_AVOIDING = 2
+        const val LOST_HOLDS_BEFORE_AVOIDING = WorkerView.LOST_HOLDS_OF_RESPONSIVE + 1
 
         /** Pause between two holds, which batches ended runs: a tenth of a short task's run time. */
         const val HOLD_PAUSE_MS = 80L
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -261,6 +261,11 @@
         possibleLateLeases.removeAll { nowMs - it >= LATE_ORDER_WINDOW_MS + longestLeaseMs }
         return possibleLateLeases.maxOrNull()?.let { it + LATE_ORDER_WINDOW_MS + longestLeaseMs } ?: 0
     }
+
+    companion object {
+        /** Holds without an answer in a row that a worker may leave and still count as responsive: one answer may be lost on its way. */
+        const val LOST_HOLDS_OF_RESPONSIVE = 1
+    }
 }
 
 /** A stop of the run [runNumber], and of earlier ones of its task, that the worker has answered at loop time [atMs]. */
