--- a/jobs/src/test/kotlin/io/corianderrock/jobs/RepeatedStartTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/RepeatedStartTest.kt
@@ -38,7 +38,7 @@
                 owner.driver.start(owner.tasks[0], owner.worker())
                 owner.pass(500)
                 owner.tasks[0].phase shouldBe TaskPhase.RUNNING
-                owner.starts.map { it.runNumber }.distinct().size shouldBe 1
+                owner.starts.mapTo(HashSet()) { it.runNumber }.size shouldBe 1
                 owner.stops.shouldBeEmpty()
             }
 
