Take a 421 answer for the end of a worker only at an address where it has answered

Any program can write a row under the id of a worker, and a whole one may name the address of another worker. That one answers 421, as the order names another id, and the runs of the sound worker were freed at once. The last row by which a worker has answered is kept now: its lists and the row name the same start. The row that is stored for later owners is made from it.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -168,7 +168,10 @@
         lists: WorkerAnswer.Listed,
     ): Unit = runLists.onListed(worker, order, sentAtMs, lists)
 
-    private fun onOtherWorker(worker: WorkerView): Unit = register.removeEnded(worker)
+    private fun onOtherWorker(
+        worker: WorkerView,
+        sentTo: WorkerEntry,
+    ): Unit = register.onOtherWorker(worker, sentTo)
 
     /** Ends all contact with workers, since the term has ended: nothing is sent any more. */
     fun close() {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -6,6 +6,7 @@
 import io.corianderrock.jobs.ports.HoldOrder
 import io.corianderrock.jobs.ports.StartRefusal
 import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.ports.WorkerEntry
 import io.corianderrock.jobs.state.MIN_WORKER_CLOCK_RATE
 import io.corianderrock.jobs.state.WorkerView
 
@@ -16,8 +17,8 @@
     longestLeaseMs: Long,
     /** Called with the lists that a worker has sent in answer to an order, and with the loop time at which that was sent. */
     private val onLists: (WorkerView, HoldOrder, Long, WorkerAnswer.Listed) -> Unit,
-    /** Called when another worker answers at a worker's address. */
-    private val onOtherWorker: (WorkerView) -> Unit,
+    /** Called when another worker answers at the address in the row to which the hold was sent. */
+    private val onOtherWorker: (WorkerView, WorkerEntry) -> Unit,
     /** Called when the first hold of a worker that answered before is not answered. */
     private val onContactLost: (WorkerView) -> Unit,
 ) {
@@ -74,12 +75,13 @@
         val order = orderFor(worker)
         worker.isHoldWaiting = order.waitMs > 0
         val sentAtMs = loop.nowMs
+        val sentTo = worker.entry
         order.expiresAtWorkerMs?.let { worker.recordLeaseSent(it, sentAtMs) }
-        context.link.hold(worker.entry, order) { answer ->
+        context.link.hold(sentTo, order) { answer ->
             if (order.expiresAtWorkerMs != null && !answer.mayArriveLate) worker.recordLeaseAnswered(sentAtMs)
             if (worker !in workers || worker.holdNumber != holdNumber) return@hold
             worker.isHoldInFlight = false
-            onAnswer(worker, order, sentAtMs, answer)
+            onAnswer(worker, order, sentTo, sentAtMs, answer)
         }
     }
 
@@ -106,15 +108,17 @@
     private fun onAnswer(
         worker: WorkerView,
         order: HoldOrder,
+        sentTo: WorkerEntry,
         sentAtMs: Long,
         answer: WorkerAnswer,
     ) {
         when (answer) {
             is WorkerAnswer.Listed -> {
+                if (answer.bornWallMs != 0L && answer.bornWallMs == sentTo.bornWallMs) worker.answeredEntry = sentTo
                 onRegained(worker, order, answer)
                 onLists(worker, order, sentAtMs, answer)
             }
-            is WorkerAnswer.Refused -> onRefused(worker, order, answer)
+            is WorkerAnswer.Refused -> onRefused(worker, order, sentTo, answer)
             is WorkerAnswer.Unanswered -> onUnanswered(worker, answer)
             is WorkerAnswer.Done -> error("worker ${worker.id} answered a hold order with Done, expected Listed, Refused or Unanswered")
         }
@@ -137,14 +141,13 @@
     private fun onRefused(
         worker: WorkerView,
         order: HoldOrder,
+        sentTo: WorkerEntry,
         answer: WorkerAnswer.Refused,
     ) {
         if (answer.refusal == StartRefusal.FENCE) context.onFenceRejected(worker, order.fence)
         worker.consecutiveLostHolds++
         if (answer.refusal == StartRefusal.OTHER_INCARNATION) {
-            // Another worker answers at this address, so this one has ended.
-            log.write("worker_over", "worker", worker.id, "address", worker.entry.address, "runs", worker.runs.size)
-            onOtherWorker(worker)
+            onOtherWorker(worker, sentTo)
             return
         }
         if (worker.consecutiveLostHolds == 1) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerLeaseRows.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerLeaseRows.kt
@@ -46,15 +46,8 @@
     private fun valueOf(worker: WorkerView): String? {
         if (worker !in workers) return null
         worker.storingEnd = worker.storableEnd
-        val row =
-            WorkerLeaseRow(
-                worker.id,
-                worker.entry.address,
-                worker.entry.pool,
-                worker.bornWallMs,
-                worker.storingEnd,
-                worker.entry.instanceId,
-            )
+        val entry = worker.answeredEntry ?: worker.entry
+        val row = WorkerLeaseRow(worker.id, entry.address, entry.pool, worker.bornWallMs, worker.storingEnd, entry.instanceId)
         return storedJson.encodeToString(WorkerLeaseRow.serializer(), row)
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -51,6 +51,9 @@
             val worker = workers.find(lease.workerId) ?: continue
             worker.isLeaseRowStored = true
             worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, deadlineMs)
+            if (worker.answeredEntry == null) {
+                worker.answeredEntry = worker.entry.copy(address = lease.address, instanceId = lease.instanceId ?: worker.entry.instanceId)
+            }
             assumeLateStartsOfEarlierOwners(worker, worker.entry.bornWallMs)
         }
         for (lease in leases) if (workers.find(lease.workerId) == null) addUnlisted(lease)
@@ -73,6 +76,7 @@
         val worker = newWorker(entry)
         worker.isListed = false
         worker.isLeaseRowStored = true
+        worker.answeredEntry = entry
         worker.leaseEndsAtMs = inheritedLeases.deadlineMs
     }
 
@@ -280,6 +284,23 @@
 
     private val WorkerView.isDownByLists: Boolean get() = listsWithoutWorker >= LISTS_TO_END_WORKER
 
+    /**
+     * Called when another worker has answered at the address in the row [sentTo] of [worker]. A worker keeps its address, so that it has
+     * ended if it was there; the row of another writer may name the address of another worker.
+     */
+    fun onOtherWorker(
+        worker: WorkerView,
+        sentTo: WorkerEntry,
+    ) {
+        val wasThere = worker.answeredEntry.let { it == null || it.address == sentTo.address }
+        if (wasThere) {
+            log.write("worker_over", "worker", worker.id, "address", sentTo.address, "runs", worker.runs.size)
+            removeEnded(worker)
+        } else if (worker.consecutiveLostHolds == 1) {
+            log.write("worker_not_at_address", "worker", worker.id, "address", sentTo.address, "runs", worker.runs.size)
+        }
+    }
+
     /** Called when a list shows that this owner's order to the worker's instance has ended the worker and all its runs. */
     fun onTerminated(workerId: String) {
         workers.find(workerId)?.let(::remove)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -48,6 +48,15 @@
     /** Start of the incarnation that last reported, by wall time; zero when not known. */
     var bornWallMs: Long = 0
 
+    /**
+     * The last row by which the worker has answered, as its lists and the row named the same start; that of the earlier owner until then,
+     * null if there is none. Any program can write a row under the worker's id, with another address or instance.
+     */
+    var answeredEntry: WorkerEntry? = null
+
+    /** The instance on which the worker runs. */
+    val instanceId: String? get() = (answeredEntry ?: entry).instanceId
+
     /** Reading of the worker's clock, received at loop time [clockReadAtMs]. */
     var clockMs: Long = 0
     var clockReadAtMs: Long = 0
--- /dev/null
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
@@ -0,0 +1,71 @@
+/*
+ * What an owner takes for the end of a worker or of its runs, beside the lists of the worker. Guards against runs that count as ended
+ * while they go on, so that their tasks are started elsewhere (TWICE).
+ */
+package io.corianderrock.jobs
+
+import io.corianderrock.jobs.ports.RunningRow
+import io.corianderrock.jobs.ports.StartRefusal
+import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.ports.WorkerEntry
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+
+internal class InferredEndTest :
+    DescribeSpec({
+        describe("a 421 answer") {
+            // Guards against a row of another writer under the id of a worker, whose address belongs to another one (TWICE).
+            it("does not end a worker that has not answered at that address (TWICE)") {
+                val owner = ownerOfRun()
+                owner.onHold = { entry, _ -> if (entry.id == "w0" && entry.address == "w1") OTHER_WORKER else null }
+                owner.driver.onListed(owner.foreignRow(address = "w1"))
+                owner.passTicking(SILENT_MS)
+                owner.tasks[0].worker?.id shouldBe "w0"
+            }
+
+            // Guards against an answer from the address of a row that the worker's own has replaced since (TWICE).
+            it("does not end a worker whose own row is back before it (TWICE)") {
+                val owner = ownerOfRun()
+                owner.onHold = { entry, _ -> if (entry.address == "w1") ANSWERED_MS to OTHER_WORKER.second else null }
+                owner.driver.onListed(owner.foreignRow(address = "w1"))
+                owner.pass(ANSWERED_MS / 2)
+                owner.driver.onListed(owner.entry(0).copy(bornWallMs = owner.time.nowMs))
+                owner.passTicking(SILENT_MS)
+                owner.tasks[0].worker?.id shouldBe "w0"
+            }
+
+            // Guards against tasks that wait for the lease of a worker whose address has another one (LOST).
+            it("ends the worker that has answered at that address (LOST)") {
+                val owner = ownerOfRun()
+                owner.onHold = { entry, _ -> if (entry.id == "w0") OTHER_WORKER else null }
+                owner.passTicking(SILENT_MS)
+                owner.tasks[0].worker.shouldBeNull()
+            }
+        }
+    })
+
+/** In this time a start and a first hold are answered. */
+private const val ANSWERED_MS = 200L
+
+/** Longer than a hold takes, and shorter than a lease. */
+private const val SILENT_MS = 1_000L
+
+private val OTHER_WORKER = 1L to WorkerAnswer.Refused(StartRefusal.OTHER_INCARNATION, workerClockMs = null)
+
+/** An owner of two workers, the first of which has a run that it lists. */
+private fun ownerOfRun(): OwnerOfScriptedWorkers {
+    val owner = OwnerOfScriptedWorkers(workerCount = 2)
+    owner.driver.start(owner.tasks[0], owner.worker())
+    owner.pass(ANSWERED_MS)
+    owner.running["w0"] = listOf(RunningRow(owner.tasks[0].id, owner.tasks[0].runNumber, checkpoint = "", percent = 100))
+    owner.passTicking(SILENT_MS)
+    owner.tasks[0].worker?.id shouldBe "w0"
+    return owner
+}
+
+/** A whole row by another writer under the id of the first worker. */
+private fun OwnerOfScriptedWorkers.foreignRow(
+    address: String,
+    instanceId: String = "i0",
+): WorkerEntry = entry(0).copy(address = address, instanceId = instanceId, bornWallMs = time.nowMs)
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfScriptedWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfScriptedWorkers.kt
@@ -62,17 +62,24 @@
     var onStart: (WorkerEntry, StartOrder) -> Pair<Long, WorkerAnswer> = { _, _ -> 1L to done() }
     var onStop: (WorkerEntry, StopOrder) -> Pair<Long, WorkerAnswer> = { _, _ -> 1L to done() }
 
+    /** The answer to a hold and its delay; null for the lists of the worker. */
+    var onHold: (WorkerEntry, HoldOrder) -> Pair<Long, WorkerAnswer>? = { _, _ -> null }
+
     /** Time of the answer to a hold; what is listed is read when the hold arrives, 1 ms after it was sent, or when its wait is over. */
     var holdMs = 1L
 
     init {
         for (index in 0 until workerCount) {
-            driver.onListed(WorkerEntry("w$index", "w$index", "pool", "dc", "i$index", CAPACITY, emptyList(), false, null, bornWallMs))
+            driver.onListed(entry(index))
         }
         driver.open()
         pass(50)
     }
 
+    /** The row of the worker [index], by itself. */
+    fun entry(index: Int = 0) =
+        WorkerEntry("w$index", "w$index", "pool", "dc", "i$index", CAPACITY, emptyList(), false, null, bornWallMs)
+
     fun cancelJob() = registry.cancel(job) {}
 
     fun worker(index: Int = 0) = checkNotNull(driver.find("w$index"))
@@ -98,7 +105,7 @@
         }
     }
 
-    private fun clockMs() = time.nowMs - startedAtMs
+    fun clockMs() = time.nowMs - startedAtMs
 
     override fun start(
         entry: WorkerEntry,
@@ -126,6 +133,10 @@
         onAnswer: (WorkerAnswer) -> Unit,
     ) {
         holds.add(order)
+        onHold(entry, order)?.let { (afterMs, answer) ->
+            loop.after(afterMs) { onAnswer(answer) }
+            return
+        }
         val answerMs = holdMs
         loop.after(maxOf(order.waitMs.toLong(), 1)) {
             val lists = WorkerAnswer.Listed(clockMs(), bornWallMs, running[entry.id].orEmpty(), ended)
