Judge a worker by lists of the instance on which it has answered

Two lists that show another worker on the instance of a silent worker end it. The instance was taken from the newest row under its id: one of another writer made the worker silent by its address and ended it by the instance that it named.

InferredEndTest before the change, "do not end a worker by an instance on which it has not answered (TWICE)": Expected "w0" but actual was null.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -160,7 +160,7 @@
         instanceId: String,
         workerId: String?,
     ) {
-        val replaced = workers.all.filter { it.entry.instanceId == instanceId && it.id != workerId && !it.isReconciled && !it.isListed }
+        val replaced = workers.all.filter { it.instanceId == instanceId && it.id != workerId && !it.isReconciled && !it.isListed }
         for (worker in replaced) {
             log.write("worker_over", "worker", worker.id, "instance", instanceId, "currentWorker", workerId)
             removeEnded(worker)
@@ -177,7 +177,7 @@
     ) {
         val byInstanceId = instances.associateBy { it.id }
         for (worker in workers.all.toList()) {
-            val instanceId = worker.entry.instanceId ?: continue
+            val instanceId = worker.instanceId ?: continue
             val isEvidence = isSilentSince(worker, requestedAtMs) && !mayRunOn(byInstanceId[instanceId], worker)
             worker.listsWithoutWorker = if (isEvidence) worker.listsWithoutWorker + 1 else 0
             if (worker.isDownByLists && mayHaveRuns(worker)) onDownByLists(worker, byInstanceId[instanceId])
@@ -198,7 +198,7 @@
             "worker",
             worker.id,
             "instance",
-            worker.entry.instanceId,
+            worker.instanceId,
             "instanceState",
             instance?.state,
             "runs",
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
@@ -4,10 +4,13 @@
  */
 package io.corianderrock.jobs
 
+import io.corianderrock.jobs.ports.Instance
+import io.corianderrock.jobs.ports.InstanceState
 import io.corianderrock.jobs.ports.RunningRow
 import io.corianderrock.jobs.ports.StartRefusal
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.state.Demand
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
@@ -43,6 +46,16 @@
                 owner.tasks[0].worker.shouldBeNull()
             }
         }
+        describe("two lists of instances") {
+            // Guards against a row of another writer under the id of a worker that names the instance of another one (TWICE).
+            it("do not end a worker by an instance on which it has not answered (TWICE)") {
+                val owner = ownerOfRun()
+                owner.onHold = { entry, _ -> if (entry.address == NOWHERE) NOT_REACHED else null }
+                owner.driver.onListed(owner.foreignRow(address = NOWHERE, instanceId = "i1"))
+                owner.listTwice(listOf(instance(0), instance(1)))
+                owner.tasks[0].worker?.id shouldBe "w0"
+            }
+        }
     })
 
 /** In this time a start and a first hold are answered. */
@@ -51,6 +64,9 @@
 /** Longer than a hold takes, and shorter than a lease. */
 private const val SILENT_MS = 1_000L
 
+/** An address at which nothing answers. */
+private const val NOWHERE = "nowhere"
+private val NOT_REACHED = 1L to WorkerAnswer.Unanswered("connection refused", mayBeCarriedOut = false)
 private val OTHER_WORKER = 1L to WorkerAnswer.Refused(StartRefusal.OTHER_INCARNATION, workerClockMs = null)
 
 /** An owner of two workers, the first of which has a run that it lists. */
@@ -69,3 +85,14 @@
     address: String,
     instanceId: String = "i0",
 ): WorkerEntry = entry(0).copy(address = address, instanceId = instanceId, bornWallMs = time.nowMs)
+
+private fun OwnerOfScriptedWorkers.listTwice(instances: List<Instance>) =
+    repeat(2) {
+        passTicking(ANSWERED_MS)
+        val requestedAtMs = time.nowMs
+        passTicking(ANSWERED_MS)
+        driver.onInstancesListed(instances, requestedAtMs)
+    }
+
+private fun instance(index: Int) =
+    Instance("i$index", "pool", InstanceState.UP, "dc", emptyList(), Demand(8_000, 32_000), workerId = "w$index")
