Let a worker take the place of another one only by a row of its own

A worker that answered its first hold took the place of earlier workers of the instance in its row. A row of another writer under the id of a sound worker, with a later start, made that worker answer for an instance on which it is not. The answer has to name the start that the row names. The worker of an instance, for moves and waves, is chosen in the same way.

InferredEndTest before the change, "does not end a worker that answers (TWICE)": Expected "w0" but actual was null. The other worker of OwnerOfOneWorker answers with its own start now, as the test of a later worker in WorkerDriverTest would fail otherwise; it answered with that of the first one.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -130,12 +130,13 @@
 
     /**
      * Removes older workers of the instance of [worker], which has answered: each boot has a worker of its own, so their runs have
-     * ended. A row alone proves nothing, as any program can write it; one without a start does not tell that it is the newer one.
+     * ended. A row alone proves nothing, as any program can write it: the answer has to name the same start. One without a start does
+     * not tell that it is the newer one.
      */
     private fun removeEarlierWorkers(worker: WorkerView) {
-        val entry = worker.entry
+        val entry = worker.answeredEntry ?: return
         val instanceId = entry.instanceId ?: return
-        for (other in workers.all.filter { it.id != entry.id && it.entry.instanceId == instanceId }) {
+        for (other in workers.all.filter { it.id != entry.id && it.instanceId == instanceId }) {
             if (other.entry.bornWallMs > entry.bornWallMs) continue
             log.write("worker_replaced", "worker", other.id, "replacedBy", entry.id, "instance", instanceId)
             removeEnded(other)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
@@ -53,7 +53,7 @@
 
     /**
      * Records that discovery lists [worker] on its instance, unless one is listed there that was started later, or that has answered
-     * while [worker] has not.
+     * by its row while [worker] has not.
      */
     fun linkInstance(worker: WorkerView) {
         val instanceId = worker.entry.instanceId ?: return
@@ -66,6 +66,6 @@
     }
 
     private companion object {
-        val CURRENT_LAST: Comparator<WorkerView> = compareBy({ it.isReconciled }, { it.entry.bornWallMs })
+        val CURRENT_LAST: Comparator<WorkerView> = compareBy({ it.isReconciled && it.isEntryAnswered }, { it.entry.bornWallMs })
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
@@ -56,6 +56,15 @@
                 owner.tasks[0].worker?.id shouldBe "w0"
             }
         }
+        describe("a later row that names the instance of a worker") {
+            // Guards against a row of another writer under the id of a sound worker that names the instance of another one (TWICE).
+            it("does not end a worker that answers (TWICE)") {
+                val owner = ownerOfRun()
+                owner.driver.onListed(owner.entry(1).copy(instanceId = "i0", bornWallMs = owner.time.nowMs))
+                owner.passTicking(SILENT_MS)
+                owner.tasks[0].worker?.id shouldBe "w0"
+            }
+        }
     })
 
 /** In this time a start and a first hold are answered. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
@@ -227,7 +227,7 @@
         loop.after(delayMs) {
             onAnswer(
                 if (isUp) {
-                    WorkerAnswer.Listed(clockMs(), bornWallMs, runningRows, endedRows)
+                    WorkerAnswer.Listed(clockMs(), if (entry.id == OTHER) entry.bornWallMs else bornWallMs, runningRows, endedRows)
                 } else {
                     WorkerAnswer.Unanswered("connection refused", mayBeCarriedOut = false)
                 },
