Let lists of instances say nothing of a worker that has answered a start since

A list may be of any moment between its request and its answer. Only answers to holds counted as a sign of life, so that lists of the time before a restart ended a worker that had begun a run since.

InferredEndTest before the change, "do not end a worker that has begun a run since they were requested (TWICE)": Expected "w0" but actual was null.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -220,7 +220,7 @@
     private fun isSilentSince(
         worker: WorkerView,
         timeMs: Long,
-    ): Boolean = worker.consecutiveLostHolds > 0 && worker.lastReportedAtMs < timeMs && worker.registeredAtMs < timeMs
+    ): Boolean = worker.consecutiveLostHolds > 0 && worker.lastAnsweredAtMs < timeMs && worker.registeredAtMs < timeMs
 
     /** False if [instance], null if not listed, shows that [worker] no longer runs on it. */
     private fun mayRunOn(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -115,6 +115,9 @@
     /** Loop time at which the worker last reported its running and ended runs. */
     var lastReportedAtMs: Long = 0
 
+    /** Loop time at which the worker last reported its clock in an answer to any order. */
+    val lastAnsweredAtMs: Long get() = maxOf(lastReportedAtMs, clockReadAtMs)
+
     /** Loop time since which this incarnation is registered. */
     var registeredAtMs: Long = 0
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
@@ -55,6 +55,18 @@
                 owner.listTwice(listOf(instance(0), instance(1)))
                 owner.tasks[0].worker?.id shouldBe "w0"
             }
+
+            // Guards against a list whose answer is slow and that tells of the incarnation before the one that has begun a run (TWICE).
+            it("do not end a worker that has begun a run since they were requested (TWICE)") {
+                val owner = OwnerOfScriptedWorkers()
+                val listed = listOf(instance(0).copy(state = InstanceState.DOWN, workerId = null))
+                owner.onHold = { _, _ -> NOT_REACHED }
+                val requestedAtMs = owner.time.nowMs
+                owner.driver.start(owner.tasks[0], owner.worker())
+                owner.pass(ANSWERED_MS)
+                repeat(2) { owner.driver.onInstancesListed(listed, requestedAtMs) }
+                owner.tasks[0].worker?.id shouldBe "w0"
+            }
         }
         describe("a later row that names the instance of a worker") {
             // Guards against a row of another writer under the id of a sound worker that names the instance of another one (TWICE).
