Conclude nothing from an instance that is listed as up without a worker

Each unlisted worker of the instance that had not answered was removed then, with the runs that it may have by earlier owners.

InferredEndTest before the change, "does not end an inherited worker (TWICE)": false should equal true.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -154,13 +154,14 @@
     }
 
     /**
-     * Removes the unlisted workers of the instance [instanceId] that have not answered: the platform reports [workerId],
-     * or no worker if null, as the current one, so the runs of earlier workers have ended.
+     * Removes the unlisted workers of the instance [instanceId] that have not answered: the platform reports [workerId] as the current
+     * one, so the runs of earlier workers have ended. Nothing follows if it reports none.
      */
     fun onInstanceListed(
         instanceId: String,
         workerId: String?,
     ) {
+        if (workerId == null) return
         val replaced = workers.all.filter { it.instanceId == instanceId && it.id != workerId && !it.isReconciled && !it.isListed }
         for (worker in replaced) {
             log.write("worker_over", "worker", worker.id, "instance", instanceId, "currentWorker", workerId)
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
@@ -10,8 +10,10 @@
 import io.corianderrock.jobs.ports.StartRefusal
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.ports.WorkerEntry
+import io.corianderrock.jobs.runs.WorkerLeaseRow
 import io.corianderrock.jobs.state.Demand
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.booleans.shouldBeTrue
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 
@@ -68,6 +70,17 @@
                 owner.tasks[0].worker?.id shouldBe "w0"
             }
         }
+        describe("an instance that is listed as up without the id of a worker") {
+            // Guards against an inherited worker whose runs count as ended by a field that the list lacks (TWICE).
+            it("does not end an inherited worker (TWICE)") {
+                val owner = OwnerOfScriptedWorkers()
+                owner.onHold = { _, _ -> NOT_REACHED }
+                val lease = WorkerLeaseRow("w9", "w9", "pool", bornWallMs = 5, storedEnd = 0, instanceId = "i9")
+                owner.driver.inherit(listOf(lease), owner.time.nowMs + LONGEST_LEASE_MS)
+                owner.driver.onInstanceListed("i9", workerId = null)
+                owner.driver.isReconciling("pool").shouldBeTrue()
+            }
+        }
         describe("a later row that names the instance of a worker") {
             // Guards against a row of another writer under the id of a sound worker that names the instance of another one (TWICE).
             it("does not end a worker that answers (TWICE)") {
@@ -79,6 +92,8 @@
         }
     })
 
+private const val LONGEST_LEASE_MS = 6_000L
+
 /** In this time a start and a first hold are answered. */
 private const val ANSWERED_MS = 200L
 
