Assume the longest lease for the runs of an incarnation that answers first

The clock of a new incarnation begins anew. An order with a time on the clock of the last one, carried out before the owner sees the restart, grants it the longest lease, while the owner reckoned with the one that it had sent: its runs counted as ended before that when the worker fell silent after its first answer.

InferredEndTest before the change, "may be the longest one when the worker answers first (TWICE)": Expected "w0" but actual was null.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -352,19 +352,24 @@
     }
 
     /**
-     * Records that [worker] has answered its last hold in the incarnation [bornWallMs]. Only the current incarnation answers, so
-     * that one with an earlier start by the time of day is a later one whose clock was set back.
+     * Records that [worker] has answered its last hold with [lists]. Only the current incarnation answers, so that one with an earlier
+     * start by the time of day is a later one whose clock was set back.
      */
     fun onAnsweredBy(
         worker: WorkerView,
-        bornWallMs: Long,
+        lists: WorkerAnswer.Listed,
     ) {
+        val bornWallMs = lists.bornWallMs
         if (!worker.isReconciled) {
             crashes.onAppeared(worker)
             removeEarlierWorkers(worker)
         }
         if (worker.bornWallMs != 0L && bornWallMs != 0L && bornWallMs != worker.bornWallMs) onNewIncarnation(worker, bornWallMs)
         if (worker.bornWallMs == 0L) recordIncarnation(worker, bornWallMs)
+        if (!worker.isReconciled && (lists.running.isNotEmpty() || worker.runs.isNotEmpty())) {
+            // Its clock began anew: an order with a time on the clock of the last incarnation has granted the longest lease.
+            worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, loop.nowMs + holds.worstCaseLeaseMs)
+        }
     }
 
     private fun recordIncarnation(
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
@@ -81,6 +81,22 @@
                 owner.driver.isReconciling("pool").shouldBeTrue()
             }
         }
+        describe("the lease of a worker that has started again") {
+            // Guards against a run that a late start has begun under the longest lease, as its clock began anew (TWICE).
+            it("may be the longest one when the worker answers first (TWICE)") {
+                val owner = ownerOfRun()
+                val bornWallMs = owner.time.nowMs
+                val startedAtMs = owner.time.nowMs
+                var answers = 2
+                owner.onHold = { _, _ ->
+                    val lists = WorkerAnswer.Listed(owner.time.nowMs - startedAtMs, bornWallMs, owner.running["w0"].orEmpty(), emptyList())
+                    if (answers-- > 0) 1L to lists else NOT_REACHED
+                }
+                owner.passUntil { answers <= 0 }
+                owner.passTicking(LONGEST_LEASE_MS)
+                owner.tasks[0].worker?.id shouldBe "w0"
+            }
+        }
         describe("a later row that names the instance of a worker") {
             // Guards against a row of another writer under the id of a sound worker that names the instance of another one (TWICE).
             it("does not end a worker that answers (TWICE)") {
