Take a row for outdated only by a start that the worker has answered

A row of another writer with a later start made each row of the worker itself count as outdated. Its owner called the address of the other row until it changed, and the worker's runs lapsed.

InferredEndTest before the change, "gives way to the row of the worker, whose run goes on (LOST)": false should equal true.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -86,11 +86,14 @@
         return worker
     }
 
-    /** Called when discovery adds or changes [entry]. A row that its worker wrote before it restarted may reach the store late. */
+    /**
+     * Called when discovery adds or changes [entry]. A row that its worker wrote before it restarted may reach the store late. The later
+     * start is known by an answer: a row of another writer may name any start, and the worker's own would count as outdated for good.
+     */
     fun onListed(entry: WorkerEntry) {
         val registered = workers.find(entry.id)
-        if (registered != null && entry.bornWallMs != 0L && entry.bornWallMs < registered.bornWallMs) {
-            log.write("worker_row_outdated", "worker", entry.id, "born", entry.bornWallMs, "knownBorn", registered.bornWallMs)
+        if (registered != null && entry.bornWallMs != 0L && entry.bornWallMs < registered.answeredBornWallMs) {
+            log.write("worker_row_outdated", "worker", entry.id, "born", entry.bornWallMs, "knownBorn", registered.answeredBornWallMs)
             return
         }
         val worker = registered ?: newWorker(entry)
@@ -360,6 +363,7 @@
         lists: WorkerAnswer.Listed,
     ) {
         val bornWallMs = lists.bornWallMs
+        worker.answeredBornWallMs = bornWallMs
         if (!worker.isReconciled) {
             crashes.onAppeared(worker)
             removeEarlierWorkers(worker)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -45,9 +45,12 @@
     var incarnation: Long = 0
         private set
 
-    /** Start of the incarnation that last reported, by wall time; zero when not known. */
+    /** Start of the present incarnation by wall time, as an answer or a row names it; zero when not known. */
     var bornWallMs: Long = 0
 
+    /** Start of the incarnation that last answered, by wall time; zero when not known. */
+    var answeredBornWallMs: Long = 0
+
     /**
      * The last row by which the worker has answered, as its lists and the row named the same start; that of the earlier owner until then,
      * null if there is none. Any program can write a row under the worker's id, with another address or instance.
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
@@ -106,6 +106,19 @@
                 owner.tasks[0].worker?.id shouldBe "w0"
             }
         }
+        describe("a row with a later start by another writer") {
+            // Guards against a sound worker whose own rows count as outdated until the owner changes, so that its runs lapse (LOST).
+            it("gives way to the row of the worker, whose run goes on (LOST)") {
+                val owner = ownerOfRun()
+                owner.onHold = { entry, _ -> if (entry.address == NOWHERE) NOT_REACHED else null }
+                owner.driver.onListed(owner.foreignRow(address = NOWHERE))
+                owner.passTicking(SILENT_MS)
+                owner.driver.onListed(owner.entry(0))
+                owner.passTicking(2 * LONGEST_LEASE_MS)
+                owner.tasks[0].worker?.id shouldBe "w0"
+                owner.worker().isReconciled.shouldBeTrue()
+            }
+        }
     })
 
 private const val LONGEST_LEASE_MS = 6_000L
