--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -51,6 +51,9 @@
             val worker = workers.find(lease.workerId) ?: continue
             worker.isLeaseRowStored = true
             worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, deadlineMs)
+            if (worker.answeredEntry == null) {
+                worker.answeredEntry = worker.entry.copy(address = lease.address, instanceId = lease.instanceId ?: worker.entry.instanceId)
+            }
             assumeLateStartsOfEarlierOwners(worker, worker.entry.bornWallMs)
         }
         for (lease in leases) if (workers.find(lease.workerId) == null) addUnlisted(lease)
@@ -73,6 +76,7 @@
         val worker = newWorker(entry)
         worker.isListed = false
         worker.isLeaseRowStored = true
+        worker.answeredEntry = entry
         worker.leaseEndsAtMs = inheritedLeases.deadlineMs
     }
 
@@ -82,11 +86,14 @@
         return worker
     }
 
-    /** Called when discovery adds or changes [entry]. A row that its worker wrote before it restarted may reach the store late. */
+    /**
+     * Called when discovery adds or changes [entry]. A row that its worker wrote before it restarted may reach the store late. The later
+     * start is known by an answer: a row of another writer may name any start, and the worker's own would count as outdated for good.
+     */
     fun onListed(entry: WorkerEntry) {
         val registered = workers.find(entry.id)
-        if (registered != null && entry.bornWallMs != 0L && entry.bornWallMs < registered.bornWallMs) {
-            log.write("worker_row_outdated", "worker", entry.id, "born", entry.bornWallMs, "knownBorn", registered.bornWallMs)
+        if (registered != null && entry.bornWallMs != 0L && entry.bornWallMs < registered.answeredBornWallMs) {
+            log.write("worker_row_outdated", "worker", entry.id, "born", entry.bornWallMs, "knownBorn", registered.answeredBornWallMs)
             return
         }
         val worker = registered ?: newWorker(entry)
@@ -126,12 +133,13 @@
 
     /**
      * Removes older workers of the instance of [worker], which has answered: each boot has a worker of its own, so their runs have
-     * ended. A row alone proves nothing, as any program can write it; one without a start does not tell that it is the newer one.
+     * ended. A row alone proves nothing, as any program can write it: the answer has to name the same start. One without a start does
+     * not tell that it is the newer one.
      */
     private fun removeEarlierWorkers(worker: WorkerView) {
-        val entry = worker.entry
+        val entry = worker.answeredEntry ?: return
         val instanceId = entry.instanceId ?: return
-        for (other in workers.all.filter { it.id != entry.id && it.entry.instanceId == instanceId }) {
+        for (other in workers.all.filter { it.id != entry.id && it.instanceId == instanceId }) {
             if (other.entry.bornWallMs > entry.bornWallMs) continue
             log.write("worker_replaced", "worker", other.id, "replacedBy", entry.id, "instance", instanceId)
             removeEnded(other)
@@ -149,14 +157,15 @@
     }
 
     /**
-     * Removes the unlisted workers of the instance [instanceId] that have not answered: the platform reports [workerId],
-     * or no worker if null, as the current one, so the runs of earlier workers have ended.
+     * Removes the unlisted workers of the instance [instanceId] that have not answered: the platform reports [workerId] as the current
+     * one, so the runs of earlier workers have ended. Nothing follows if it reports none.
      */
     fun onInstanceListed(
         instanceId: String,
         workerId: String?,
     ) {
-        val replaced = workers.all.filter { it.entry.instanceId == instanceId && it.id != workerId && !it.isReconciled && !it.isListed }
+        if (workerId == null) return
+        val replaced = workers.all.filter { it.instanceId == instanceId && it.id != workerId && !it.isReconciled && !it.isListed }
         for (worker in replaced) {
             log.write("worker_over", "worker", worker.id, "instance", instanceId, "currentWorker", workerId)
             removeEnded(worker)
@@ -173,7 +182,7 @@
     ) {
         val byInstanceId = instances.associateBy { it.id }
         for (worker in workers.all.toList()) {
-            val instanceId = worker.entry.instanceId ?: continue
+            val instanceId = worker.instanceId ?: continue
             val isEvidence = isSilentSince(worker, requestedAtMs) && !mayRunOn(byInstanceId[instanceId], worker)
             worker.listsWithoutWorker = if (isEvidence) worker.listsWithoutWorker + 1 else 0
             if (worker.isDownByLists && mayHaveRuns(worker)) onDownByLists(worker, byInstanceId[instanceId])
@@ -194,7 +203,7 @@
             "worker",
             worker.id,
             "instance",
-            worker.entry.instanceId,
+            worker.instanceId,
             "instanceState",
             instance?.state,
             "runs",
@@ -215,7 +224,7 @@
     private fun isSilentSince(
         worker: WorkerView,
         timeMs: Long,
-    ): Boolean = worker.consecutiveLostHolds > 0 && worker.lastReportedAtMs < timeMs && worker.registeredAtMs < timeMs
+    ): Boolean = worker.consecutiveLostHolds > 0 && worker.lastAnsweredAtMs < timeMs && worker.registeredAtMs < timeMs
 
     /** False if [instance], null if not listed, shows that [worker] no longer runs on it. */
     private fun mayRunOn(
@@ -280,6 +289,23 @@
 
     private val WorkerView.isDownByLists: Boolean get() = listsWithoutWorker >= LISTS_TO_END_WORKER
 
+    /**
+     * Called when another worker has answered at the address in the row [sentTo] of [worker]. A worker keeps its address, so that it has
+     * ended if it was there; the row of another writer may name the address of another worker.
+     */
+    fun onOtherWorker(
+        worker: WorkerView,
+        sentTo: WorkerEntry,
+    ) {
+        val wasThere = worker.answeredEntry.let { it == null || it.address == sentTo.address }
+        if (wasThere) {
+            log.write("worker_over", "worker", worker.id, "address", sentTo.address, "runs", worker.runs.size)
+            removeEnded(worker)
+        } else if (worker.consecutiveLostHolds == 1) {
+            log.write("worker_not_at_address", "worker", worker.id, "address", sentTo.address, "runs", worker.runs.size)
+        }
+    }
+
     /** Called when a list shows that this owner's order to the worker's instance has ended the worker and all its runs. */
     fun onTerminated(workerId: String) {
         workers.find(workerId)?.let(::remove)
@@ -329,19 +355,25 @@
     }
 
     /**
-     * Records that [worker] has answered its last hold in the incarnation [bornWallMs]. Only the current incarnation answers, so
-     * that one with an earlier start by the time of day is a later one whose clock was set back.
+     * Records that [worker] has answered its last hold with [lists]. Only the current incarnation answers, so that one with an earlier
+     * start by the time of day is a later one whose clock was set back.
      */
     fun onAnsweredBy(
         worker: WorkerView,
-        bornWallMs: Long,
+        lists: WorkerAnswer.Listed,
     ) {
+        val bornWallMs = lists.bornWallMs
+        worker.answeredBornWallMs = bornWallMs
         if (!worker.isReconciled) {
             crashes.onAppeared(worker)
             removeEarlierWorkers(worker)
         }
         if (worker.bornWallMs != 0L && bornWallMs != 0L && bornWallMs != worker.bornWallMs) onNewIncarnation(worker, bornWallMs)
         if (worker.bornWallMs == 0L) recordIncarnation(worker, bornWallMs)
+        if (!worker.isReconciled && (lists.running.isNotEmpty() || worker.runs.isNotEmpty())) {
+            // Its clock began anew: an order with a time on the clock of the last incarnation has granted the longest lease.
+            worker.leaseEndsAtMs = maxOf(worker.leaseEndsAtMs, loop.nowMs + holds.worstCaseLeaseMs)
+        }
     }
 
     private fun recordIncarnation(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -45,9 +45,24 @@
     var incarnation: Long = 0
         private set
 
-    /** Start of the incarnation that last reported, by wall time; zero when not known. */
+    /** Start of the present incarnation by wall time, as an answer or a row names it; zero when not known. */
     var bornWallMs: Long = 0
 
+    /** Start of the incarnation that last answered, by wall time; zero when not known. */
+    var answeredBornWallMs: Long = 0
+
+    /**
+     * The last row by which the worker has answered, as its lists and the row named the same start; that of the earlier owner until then,
+     * null if there is none. Any program can write a row under the worker's id, with another address or instance.
+     */
+    var answeredEntry: WorkerEntry? = null
+
+    /** False if the worker has answered by a row with another address or instance than the present one. */
+    val isEntryAnswered: Boolean get() = answeredEntry.let { it == null || it.address == entry.address && it.instanceId == entry.instanceId }
+
+    /** The instance on which the worker runs. */
+    val instanceId: String? get() = (answeredEntry ?: entry).instanceId
+
     /** Reading of the worker's clock, received at loop time [clockReadAtMs]. */
     var clockMs: Long = 0
     var clockReadAtMs: Long = 0
@@ -103,6 +118,9 @@
     /** Loop time at which the worker last reported its running and ended runs. */
     var lastReportedAtMs: Long = 0
 
+    /** Loop time at which the worker last reported its clock in an answer to any order. */
+    val lastAnsweredAtMs: Long get() = maxOf(lastReportedAtMs, clockReadAtMs)
+
     /** Loop time since which this incarnation is registered. */
     var registeredAtMs: Long = 0
 
