Follow all runs of a task in the check of TWICE; add histories of silent connections

The check held one worker a task. TwiceCheck follows all runs and reports each part of the rule by itself: (a) two runs at once; (b) a start after an end that counts, now also if the end is acknowledged only afterwards; (c) a start by an entry in touch over a second after that or after the job was shown as complete, which as a bound on time does not hold for orders carried out late.

- "An end is taken note of when ackSeq reaches it, unless the worker's lease lapsed between the two": such ends do not count.
A lapse without a run counts as well.
- Starts after an acknowledged end that (c) does not hold for stay reported, as (b): BUDGET gives its bound of a second to speculative steps only.
They are counted by reason.

SILENT_FAULTS: connections between an entry and a worker that go silent, lists of instances that come 0.1 to 3 s late or not at all, crashed instances shown as down until they start again under their id or another one. Draws of its own; other kinds keep their histories. WorldMainKt prints violations by kind.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldEvents.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldEvents.kt
@@ -35,6 +35,9 @@
     WORKER_JOINED,
     ORDERS_LATE,
 
+    /** A connection between an entry and a worker goes silent. */
+    CONNECTION_SILENT,
+
     /** An order to an instance is answered as done that was carried out before the present worker joined. */
     ORDER_WAS_DONE,
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
@@ -2,7 +2,7 @@
  * Runs the simulation by hand: `WorldMainKt FIRST LAST [WORKLOAD [LEASE_MS [POOL_DECISIONS]]]` prints the violations of a range of
  * seeds, and the decisions as well if the range has a single seed. WORKLOAD is one of [Workload], where EARLY_CANCELS includes the
  * cancellations of [EarlyCancels] and messages that overtake each other, COINCIDENCES for [Coincidences] beside these, with COINCIDENCES_SAME_IDS for workers that restart under their id, FLEET_CHANGES for [FleetChanges], or LATE_ORDERS for the faults of
- * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids. POOL_DECISIONS true switches on the optional decisions on pools.
+ * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids, and SILENT_FAULTS for those of [SilentFaults]. POOL_DECISIONS true switches on the optional decisions on pools.
  */
 package io.corianderrock.jobs.world
 
@@ -23,6 +23,10 @@
 private const val FLEET_CHANGES = "FLEET_CHANGES"
 private const val LATE_ORDERS = "LATE_ORDERS"
 private const val LATE_ORDERS_NEW_IDS = "LATE_ORDERS_NEW_IDS"
+private const val SILENT_FAULTS = "SILENT_FAULTS"
+
+/** The code of a violation with the part of its rule, if it tells one. */
+private val KIND = Regex("^\\d+: (\\w+(?: \\(\\w+\\))?)")
 
 internal fun main(args: Array<String>) {
     val first = args[0].toInt()
@@ -43,6 +47,8 @@
             fleetChangeWorld(seed, settings, traces)
         } else if (workload == LATE_ORDERS || workload == LATE_ORDERS_NEW_IDS) {
             lateOrderWorld(seed, keepsIds = workload == LATE_ORDERS, longestLeaseMs, settings, traces)
+        } else if (workload == SILENT_FAULTS) {
+            silentFaultWorld(seed, longestLeaseMs, settings, traces)
         } else {
             JobWorld(seed, workload = Workload.valueOf(workload), longestLeaseMs = longestLeaseMs, settings = settings, traces = traces)
         }
@@ -57,6 +63,7 @@
     val pairCounts = HashMap<Pair<EventKind, EventKind>, Int>()
     var waitingCountChecks = 0
     val lateStarts = LateStartCounts()
+    val startsAfterDone = StartsAfterDone()
     val found = TreeMap<Int, List<String>>()
     for (seed in first..last) {
         val world = world(seed)
@@ -65,6 +72,7 @@
         if (checker.violations.isNotEmpty()) found[seed] = checker.violations
         pairs.addTo(pairCounts)
         waitingCountChecks += checker.waitingCountChecks
+        startsAfterDone.add(checker.startsAfterDone)
         lateStarts.all += checker.lateStarts.all
         lateStarts.ofCancelledJobs += checker.lateStarts.ofCancelledJobs
         lateStarts.ofRemovedSenders += checker.lateStarts.ofRemovedSenders
@@ -79,9 +87,34 @@
     println(
         "${lateStarts.all} late starts, ${lateStarts.ofCancelledJobs} of cancelled jobs, ${lateStarts.ofRemovedSenders} of removed senders",
     )
+    printStartsAfterDone(startsAfterDone)
+    printKinds(found.values)
     printPairs(pairCounts)
 }
 
+private fun printStartsAfterDone(counts: StartsAfterDone) {
+    println(
+        "starts after an acknowledged end that (c) does not hold for: ${counts.lateAfterAcknowledgement} carried out late, " +
+            "${counts.soonAfterAcknowledgement} within a second, ${counts.outOfTouchAfterAcknowledgement} by an entry out of touch; " +
+            "${counts.exemptAfterComplete} after a job was shown as complete; ${counts.endsAcknowledgedAfterLapse} ends acknowledged after a lapse",
+    )
+}
+
+/** Prints the number of violations and of histories by the code of the rule and its part, those of orders carried out late apart. */
+private fun printKinds(histories: Collection<List<String>>) {
+    val byKind = TreeMap<String, Pair<Int, Int>>()
+    for (violations in histories) {
+        val kinds = violations.groupingBy { kindOf(it) }.eachCount()
+        kinds.forEach { (kind, count) -> byKind.merge(kind, count to 1) { a, b -> a.first + b.first to a.second + b.second } }
+    }
+    byKind.forEach { (kind, counts) -> println("$kind: ${counts.first} violations in ${counts.second} histories") }
+}
+
+private fun kindOf(violation: String): String {
+    val code = KIND.find(violation)?.groupValues?.get(1) ?: "OTHER"
+    return if ("carried out late" in violation) "$code, late" else code
+}
+
 private fun printPairs(counts: Map<Pair<EventKind, EventKind>, Int>) {
     val possible = EventKind.entries.size * EventKind.entries.size
     val often = counts.values.count { it >= OFTEN }
