Run best-effort tasks beside tasks that serve, paced by the reported tails

Cause: WorkerChoice refused a worker for a best-effort task while any task with a response time target ran there, and the reverse, at any load.

Change: a worker is shared when a task would wait otherwise.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -71,6 +71,13 @@
         explainer.explainWaiting(ready, capacity.workers)
     }
 
+    /** True if [task], which runs, could be started on another worker now. */
+    fun hasOtherPlace(task: TaskRun): Boolean {
+        val worker = task.worker ?: return false
+        val others = driver.workers.filter { it !== worker && it.entry.pool == worker.entry.pool && isUsable(it) }
+        return choice.cheapestWorker(task, others.map(::WorkerCapacity)) != null
+    }
+
     private fun readySteps(pool: String): List<Candidate> {
         val ready = ArrayList<Candidate>()
         val isReconciling = driver.isReconciling(pool)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/PoolCapacity.kt
@@ -33,7 +33,7 @@
     var room: WorkerRoom? = null
 
     /** Assigned tasks are among the worker's runs at once, so these need no update during the pass. */
-    val hasServingTask: Boolean get() = worker.runs.values.any { it.stepRun.step.responseTargetMs != null }
+    val hasServingTask: Boolean get() = worker.runs.values.any { it.stepRun.step.isServing }
     val hasBestEffortTask: Boolean get() = worker.runs.values.any { it.stepRun.step.isBestEffort }
 }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WorkerChoice.kt
@@ -4,6 +4,8 @@
 package io.corianderrock.jobs.placement
 
 import io.corianderrock.jobs.ports.EventLoop
+import io.corianderrock.jobs.sharing.NoSharing
+import io.corianderrock.jobs.sharing.SharingPolicy
 import io.corianderrock.jobs.state.Step
 import io.corianderrock.jobs.state.StepRun
 import io.corianderrock.jobs.state.SuspectBackoff
@@ -16,6 +18,8 @@
     private val runTimes: RunTimeEstimator,
     /** True to prefer workers with a long-running task, so that the others empty and their instances can be returned. */
     private val packsLongRunningTasks: Boolean = false,
+    /** Decides where best-effort tasks run beside tasks with a response time target. */
+    private val sharing: SharingPolicy = NoSharing,
 ) {
     fun isFailing(worker: WorkerView): Boolean = worker.record.isAvoided(loop.nowMs)
 
@@ -106,12 +110,17 @@
         // One more crash of either would fail the jobs of both. Long-running tasks are to run at all times.
         if (task.isCrashSuspect && capacity.hasCrashSuspect && !step.isLongRunning) return false
         if (step.requiredLabel != null && step.requiredLabel !in capacity.worker.entry.labels) return false
-        // A best-effort task would slow down a task with a response time target on the same worker.
-        if (step.isBestEffort && capacity.hasServingTask || step.responseTargetMs != null && capacity.hasBestEffortTask) return false
+        // A best-effort task slows down a task with a response time target on the same worker.
+        if (wouldShare(step, capacity) && !sharing.mayStartBeside(capacity.worker, step)) return false
         val max = step.maxPerWorker ?: return true
         return task.stepRun.taskCountOn(capacity.worker) + plannedCount < max
     }
 
+    private fun wouldShare(
+        step: Step,
+        capacity: WorkerCapacity,
+    ): Boolean = step.isBestEffort && capacity.hasServingTask || step.isServing && capacity.hasBestEffortTask
+
     private fun cost(
         task: TaskRun,
         step: Step,
@@ -135,6 +144,7 @@
         if (task.isCrashSuspect) cost += capacity.worker.runs.size * ENDANGERED_RUN_COST
         if (capacity.hasCrashSuspect) cost += ENDANGERED_RUN_COST
         if (isFailing(capacity.worker)) cost += FAILING_WORKER_COST
+        if (wouldShare(step, capacity)) cost += SHARED_WORKER_COST + TAIL_COST * sharing.cost(capacity.worker, step)
         if (runTimes.predictsEnds) cost += runTimes.lateEndCost(durationMs, lastEndMs(capacity), loop.nowMs)
         return cost
     }
@@ -185,5 +195,11 @@
 
         /** Exceeds all other costs together: a failing worker is the last resort. */
         const val FAILING_WORKER_COST = 20.0
+
+        /** Exceeds all other costs together: workers are shared when a task would wait otherwise. */
+        const val SHARED_WORKER_COST = 40.0
+
+        /** Exceeds the costs of unused capacity and of other racks: among shared workers, that with the most slack is chosen. */
+        const val TAIL_COST = 10.0
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/WorkerLink.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/WorkerLink.kt
@@ -53,12 +53,25 @@
     val waitMs: Int,
 )
 
+/** Lets run [runNumber] of a task work, and disturb others on its worker, at [percent] of what it could. */
+public data class PaceOrder(
+    val task: TaskId,
+    val runNumber: Long,
+    val percent: Int,
+    val fence: Long,
+)
+
 /** A run that a worker reports as running. */
 public data class RunningRow(
     val task: TaskId,
     val runNumber: Long,
     val checkpoint: String,
     val percent: Int,
+    /**
+     * A rough figure for the last half second: the tail of the response times in milliseconds for a task with a response time target,
+     * the processor time in use for any other; null if the worker gives none.
+     */
+    val load: Long? = null,
 )
 
 /** How a run ended, as reported by the worker. */
@@ -126,4 +139,10 @@
         order: HoldOrder,
         onAnswer: (WorkerAnswer) -> Unit,
     )
+
+    public fun pace(
+        entry: WorkerEntry,
+        order: PaceOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    )
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -186,6 +186,7 @@
     ) {
         if (row.checkpoint.isNotEmpty()) task.checkpoint = row.checkpoint
         task.isAtWork = row.percent == FULL_PERCENT
+        task.recordLoad(row.load, loop.nowMs)
         if (task.phase == TaskPhase.RUNNING) speeds?.onProgress(worker, task, row.percent)
         crashes.onRunning(task, loop.nowMs)
         if (task !in worker.startQueue) transitions.onBegun(task, worker, StartEvidence.LIST)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunTransitions.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunTransitions.kt
@@ -76,6 +76,7 @@
         task.lastRunNumber = maxOf(task.lastRunNumber, runNumber)
         task.startedAtMs = loop.nowMs
         task.startedClockMs = null
+        task.recordLoad(null, loop.nowMs)
         worker.addRun(task)
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -33,6 +33,9 @@
 import io.corianderrock.jobs.runtimes.RunTimeModel
 import io.corianderrock.jobs.runtimes.RunTimeRecords
 import io.corianderrock.jobs.runtimes.runTimeModelOf
+import io.corianderrock.jobs.sharing.NoSharing
+import io.corianderrock.jobs.sharing.PaceOrders
+import io.corianderrock.jobs.sharing.SharingController
 import io.corianderrock.jobs.state.JobProgress
 import io.corianderrock.jobs.state.JobSubmission
 import kotlinx.serialization.builtins.ListSerializer
@@ -75,7 +78,9 @@
             speedModel = runTimeModel.takeIf { settings.judgesWorkerSpeed },
             mayStart = { mayOrder() && inbox.isFresh },
             finder = { id, onResult -> inbox.find(id) { onResult(it !is JobInbox.Lookup.Unknown) } },
+            onReport = { sharing?.onReport(it) },
         )
+    private val sharing: SharingController? = if (settings.sharesServingWorkers) sharingController() else null
     private val gain = RemainingGain(loop, runTimes, runTimeModel)
     private val accountRules = AccountRules(loop, log, ports.configuration, bounds, registry, driver, ::capacityShortageMs)
 
@@ -86,7 +91,7 @@
             accountRules.admission,
         )
     private val order = accountRules.share(if (settings.ranksByRemainingGain) JobRanking(loop, gain, log) else ObjectiveOrder)
-    private val choice = WorkerChoice(loop, runTimes, settings.packsLongRunningTasks)
+    private val choice = WorkerChoice(loop, runTimes, settings.packsLongRunningTasks, sharing ?: NoSharing)
     private val placer =
         Placer(
             loop = loop,
@@ -274,6 +279,11 @@
         fencedAtMs = loop.nowMs
     }
 
+    private fun sharingController(): SharingController {
+        val paceOrders = PaceOrders(loop, ports.workers, log, ::mayOrder, driver::fence, ::onFenced)
+        return SharingController(loop, log, DriverWorkers(driver, mayMove = { placer.hasOtherPlace(it) }), paceOrders)
+    }
+
     private fun capacityShortageMs(pool: String): Long = placer.capacityShortageMs(pool)
 
     private fun mayOrder(): Boolean = isOwnershipFresh(WORKER_ORDER_FRESHNESS_MS)
@@ -354,6 +364,7 @@
         if (isLoaded) {
             registry.addDueOccurrences()
             driver.tick()
+            sharing?.tick()
             if (tickCount % FLEET_TICK_INTERVAL == 0L) {
                 fleet.tick()
                 waveDriver.tick()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulingSettings.kt
@@ -48,4 +48,6 @@
     val toleratesUnevenIntervals: Boolean = false,
     /** Releases only usable instances beyond the current work, without counting those that are still joining. */
     val keepsUsableInstances: Boolean = false,
+    /** Starts best-effort tasks beside tasks with a response time target when they would wait otherwise, and paces them. */
+    val sharesServingWorkers: Boolean = false,
 )
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -46,6 +46,8 @@
     mayStart: () -> Boolean = mayOrder,
     /** Looks up jobs of listed runs that the registry does not hold; by default there are none. */
     finder: JobFinder = JobFinder { _, onResult -> onResult(true) },
+    /** Called when the lists of a worker have come; those with jobs that have to be looked up are applied later. */
+    private val onReport: (WorkerView) -> Unit = {},
 ) {
     private val context = WorkerOrderContext(loop, link, log, epoch, mayOrder, mayStart, onChange, onFenced)
     private val table = WorkerTable()
@@ -157,6 +159,12 @@
         worker: WorkerView,
     ): Unit = orders.start(task, worker)
 
+    /** The fence of orders to [worker]. */
+    fun fence(worker: WorkerView): Long = context.epoch
+
+    /** Requests the lists of [worker] now, also while a hold waits for a run to end. */
+    fun requestLists(worker: WorkerView): Unit = holds.requestLists(worker)
+
     /** Stops the run of [task], which keeps its place on the worker until the worker no longer lists it. */
     fun stop(task: TaskRun): Unit = orders.stop(task)
 
@@ -165,7 +173,10 @@
         order: HoldOrder,
         sentAtMs: Long,
         lists: WorkerAnswer.Listed,
-    ): Unit = runLists.onListed(worker, order, sentAtMs, lists)
+    ) {
+        runLists.onListed(worker, order, sentAtMs, lists)
+        onReport(worker)
+    }
 
     private fun onOtherWorker(worker: WorkerView): Unit = register.removeEnded(worker)
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -6,6 +6,7 @@
 import io.corianderrock.jobs.ports.HoldOrder
 import io.corianderrock.jobs.ports.StartRefusal
 import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.sharing.isShared
 import io.corianderrock.jobs.state.MIN_WORKER_CLOCK_RATE
 import io.corianderrock.jobs.state.WorkerView
 
@@ -101,7 +102,11 @@
 
     /** A lost answer hides the ends of runs until its timeout, so that workers with short tasks are asked more often. */
     private fun waitMs(worker: WorkerView): Int =
-        if (worker.runs.values.all { it.stepRun.step.isLongRunning }) LONG_RUNNING_HOLD_WAIT_MS else HOLD_WAIT_MS
+        when {
+            worker.isShared -> SHARED_HOLD_WAIT_MS
+            worker.runs.values.all { it.stepRun.step.isLongRunning } -> LONG_RUNNING_HOLD_WAIT_MS
+            else -> HOLD_WAIT_MS
+        }
 
     private fun onAnswer(
         worker: WorkerView,
@@ -229,6 +234,9 @@
         /** How long a worker that runs only long-running tasks may delay its answer; renews their lease five times before it ends. */
         const val LONG_RUNNING_HOLD_WAIT_MS = 1_100
 
+        /** How long a worker may delay its answer while best-effort tasks disturb tasks that serve: tails are figures for half a second. */
+        const val SHARED_HOLD_WAIT_MS = 120
+
         /** One answer may be lost on its way from a sound worker; a worker that leaves two holds in a row unanswered gets no new work. */
         const val LOST_HOLDS_BEFORE_AVOIDING = 2
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -94,6 +94,21 @@
     /** True while the worker reports that the task works at its full rate. */
     var isAtWork: Boolean = false
 
+    /** The load of the current run in the last list that showed it, and the loop time of that list; null if none gave one. */
+    var load: Long? = null
+        private set
+    var loadAtMs: Long = 0
+        private set
+
+    /** Records the [load] of the current run, which a list of its worker showed at loop time [nowMs]. */
+    fun recordLoad(
+        load: Long?,
+        nowMs: Long,
+    ) {
+        this.load = load
+        loadAtMs = nowMs
+    }
+
     /** True if this owner has started the current run, and not from a checkpoint: its duration is the run time of the whole task. */
     var isWholeRun: Boolean = false
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
@@ -75,6 +75,9 @@
     /** The demand that counts against the capacity of a worker: without processor demand for best-effort tasks. */
     @Transient
     internal val occupied: Demand = if (isBestEffort) demand.copy(cpuMilli = 0) else demand
+
+    /** True when the tasks have users whose response times best-effort tasks on the same worker raise. */
+    internal val isServing: Boolean get() = responseTargetMs != null
 }
 
 /** Largest number of tasks of a job: the owner holds every task of a live job in memory, at some 200 bytes. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
@@ -15,6 +15,7 @@
 import io.corianderrock.jobs.ports.InstanceOrderAnswer
 import io.corianderrock.jobs.ports.InstanceService
 import io.corianderrock.jobs.ports.JobTables
+import io.corianderrock.jobs.ports.PaceOrder
 import io.corianderrock.jobs.ports.ReadResult
 import io.corianderrock.jobs.ports.RowChange
 import io.corianderrock.jobs.ports.RowKey
@@ -184,6 +185,14 @@
             loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs)) }
         }
 
+        override fun pace(
+            entry: WorkerEntry,
+            order: PaceOrder,
+            onAnswer: (WorkerAnswer) -> Unit,
+        ) {
+            loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs)) }
+        }
+
         override fun hold(
             entry: WorkerEntry,
             order: HoldOrder,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
@@ -8,6 +8,7 @@
 import io.corianderrock.jobs.ports.HoldOrder
 import io.corianderrock.jobs.ports.Instance
 import io.corianderrock.jobs.ports.InstanceState
+import io.corianderrock.jobs.ports.PaceOrder
 import io.corianderrock.jobs.ports.RowKey
 import io.corianderrock.jobs.ports.RunningRow
 import io.corianderrock.jobs.ports.StartOrder
@@ -207,6 +208,14 @@
         loop.after(stopAnswerMs) { onAnswer(WorkerAnswer.Done(clockMs())) }
     }
 
+    override fun pace(
+        entry: WorkerEntry,
+        order: PaceOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs())) }
+    }
+
     override fun hold(
         entry: WorkerEntry,
         order: HoldOrder,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfScriptedWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfScriptedWorkers.kt
@@ -7,6 +7,7 @@
 import io.corianderrock.jobs.ports.EndRow
 import io.corianderrock.jobs.ports.HoldOrder
 import io.corianderrock.jobs.ports.JobTables
+import io.corianderrock.jobs.ports.PaceOrder
 import io.corianderrock.jobs.ports.RunningRow
 import io.corianderrock.jobs.ports.StartOrder
 import io.corianderrock.jobs.ports.StopOrder
@@ -120,6 +121,14 @@
         loop.after(afterMs) { onAnswer(answer) }
     }
 
+    override fun pace(
+        entry: WorkerEntry,
+        order: PaceOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) {
+        loop.after(1) { onAnswer(WorkerAnswer.Done(clockMs())) }
+    }
+
     override fun hold(
         entry: WorkerEntry,
         order: HoldOrder,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/PackingTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/runtimes/PackingTest.kt
@@ -8,6 +8,7 @@
 import io.corianderrock.jobs.placement.RunTimeEstimator
 import io.corianderrock.jobs.ports.DecisionLog
 import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.PaceOrder
 import io.corianderrock.jobs.ports.StartOrder
 import io.corianderrock.jobs.ports.StopOrder
 import io.corianderrock.jobs.ports.WorkerAnswer
@@ -139,6 +140,12 @@
         onAnswer: (WorkerAnswer) -> Unit,
     ) = Unit
 
+    override fun pace(
+        entry: WorkerEntry,
+        order: PaceOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) = Unit
+
     override fun hold(
         entry: WorkerEntry,
         order: HoldOrder,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -7,6 +7,7 @@
 import io.corianderrock.jobs.ports.EndKind
 import io.corianderrock.jobs.ports.EndRow
 import io.corianderrock.jobs.ports.HoldOrder
+import io.corianderrock.jobs.ports.PaceOrder
 import io.corianderrock.jobs.ports.RunningRow
 import io.corianderrock.jobs.ports.StartOrder
 import io.corianderrock.jobs.ports.StartRefusal
@@ -253,6 +254,12 @@
         send(entry, { it.stop(order) }, onAnswer)
     }
 
+    override fun pace(
+        entry: WorkerEntry,
+        order: PaceOrder,
+        onAnswer: (WorkerAnswer) -> Unit,
+    ) = send(entry, { WorkerAnswer.Done(it.clockMs) }, onAnswer)
+
     override fun hold(
         entry: WorkerEntry,
         order: HoldOrder,
