Let a late first answer end no worker that has answered since it was sent for

A worker that answered its first hold ended those of its instance with an earlier start by the time of day. If that was set back between the two, the answer of the earlier worker, still on its way, ended the later one with its runs.

InferredEndTest before the change, "does not end the worker that has answered since that was sent for (TWICE)": Expected "w0" but actual was null.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -47,7 +47,7 @@
         lists: WorkerAnswer.Listed,
     ) {
         val bornBeforeMs = worker.bornWallMs
-        register.onAnsweredBy(worker, lists)
+        register.onAnsweredBy(worker, sentAtMs, lists)
         crashes.onAnswered(worker)
         if (order.fence < worker.fence) {
             // An incarnation that was not known: until it answers its own fence, starts that were sent to the last one may begin there.
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -134,13 +134,16 @@
     /**
      * Removes older workers of the instance of [worker], which has answered: each boot has a worker of its own, so their runs have
      * ended. A row alone proves nothing, as any program can write it: the answer has to name the same start. One without a start does
-     * not tell that it is the newer one.
+     * not tell that it is the newer one, nor does a late answer, sent for at [sentAtMs]: times of day may have been set back.
      */
-    private fun removeEarlierWorkers(worker: WorkerView) {
+    private fun removeEarlierWorkers(
+        worker: WorkerView,
+        sentAtMs: Long,
+    ) {
         val entry = worker.answeredEntry ?: return
         val instanceId = entry.instanceId ?: return
         for (other in workers.all.filter { it.id != entry.id && it.instanceId == instanceId }) {
-            if (other.entry.bornWallMs > entry.bornWallMs) continue
+            if (other.entry.bornWallMs > entry.bornWallMs || other.lastAnsweredAtMs >= sentAtMs) continue
             log.write("worker_replaced", "worker", other.id, "replacedBy", entry.id, "instance", instanceId)
             removeEnded(other)
         }
@@ -355,18 +358,19 @@
     }
 
     /**
-     * Records that [worker] has answered its last hold with [lists]. Only the current incarnation answers, so that one with an earlier
+     * Records that [worker] has answered its last hold, sent at [sentAtMs], with [lists]. Only the current incarnation answers, so that one with an earlier
      * start by the time of day is a later one whose clock was set back.
      */
     fun onAnsweredBy(
         worker: WorkerView,
+        sentAtMs: Long,
         lists: WorkerAnswer.Listed,
     ) {
         val bornWallMs = lists.bornWallMs
         worker.answeredBornWallMs = bornWallMs
         if (!worker.isReconciled) {
             crashes.onAppeared(worker)
-            removeEarlierWorkers(worker)
+            removeEarlierWorkers(worker, sentAtMs)
         }
         if (worker.bornWallMs != 0L && bornWallMs != 0L && bornWallMs != worker.bornWallMs) onNewIncarnation(worker, bornWallMs)
         if (worker.bornWallMs == 0L) recordIncarnation(worker, bornWallMs)
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InferredEndTest.kt
@@ -106,6 +106,19 @@
                 owner.tasks[0].worker?.id shouldBe "w0"
             }
         }
+        describe("the first answer of an earlier worker of an instance, whose clock was ahead") {
+            // Guards against an answer that is on its way while the next worker of the instance joins and begins a run (TWICE).
+            it("does not end the worker that has answered since that was sent for (TWICE)") {
+                val owner = OwnerOfScriptedWorkers()
+                val earlier = owner.entry(1).copy(instanceId = "i0", bornWallMs = owner.time.nowMs)
+                val lists = WorkerAnswer.Listed(workerClockMs = 1, earlier.bornWallMs, running = emptyList(), ended = emptyList())
+                owner.onHold = { entry, _ -> if (entry.id == "w1") SILENT_MS to lists else null }
+                owner.driver.onListed(earlier)
+                owner.driver.start(owner.tasks[0], owner.worker())
+                owner.passTicking(SILENT_MS + ANSWERED_MS)
+                owner.tasks[0].worker?.id shouldBe "w0"
+            }
+        }
         describe("a row with a later start by another writer") {
             // Guards against a sound worker whose own rows count as outdated until the owner changes, so that its runs lapse (LOST).
             it("gives way to the row of the worker, whose run goes on (LOST)") {
