Keep the worker of an ordered instance that answers while the list is on its way

A list that was requested after an accepted order and shows it carried out removed the worker with its runs. It may be of a time before the worker started again under its id and began them.

OrderedInstanceTest before the change, "keeps the worker if that answers while a list is on its way that shows the order carried out (TWICE)": Expected "w" but actual was null.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceListing.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceListing.kt
@@ -59,7 +59,7 @@
             val view = views.getOrPut(instance.id) { InstanceView(instance) }
             if (view.isOrdered || view.changedAtMs >= sentAtMs) continue
             if (view.isOutcomeOpen) settleOutcome(view, instance)
-            view.endingWorker?.let { settleEnd(view, instance, it) }
+            view.endingWorker?.let { settleEnd(view, instance, it, sentAtMs) }
             if (view.instance.state != instance.state || view.instance.workerId != instance.workerId) logListed(view.instance, instance)
             if (view.instance.state != InstanceState.UP && instance.state == InstanceState.UP) view.joinedAtMs = loop.nowMs
             view.instance = instance
@@ -84,15 +84,19 @@
     }
 
     /**
-     * Removes the worker of [entry], on which an accepted order found the instance, if [listed] shows that it has ended. If it shows the
+     * Removes the worker of [entry], on which an accepted order found the instance, if [listed], requested at [sentAtMs], shows that it
+     * has ended. If it shows the
      * worker still, the order was carried out before that joined: it runs on, and may be used.
      */
     private fun settleEnd(
         view: InstanceView,
         listed: Instance,
         entry: WorkerEntry,
+        sentAtMs: Long,
     ) {
         val isUp = listed.state == InstanceState.UP
+        // It may have started again under its id after the moment of the list.
+        if (driver.find(entry.id)?.let { it.lastAnsweredAtMs >= sentAtMs } == true) return
         if (listed.state == InstanceState.UNKNOWN || isUp && listed.workerId == null) return
         view.endingWorker = null
         if (isUp && listed.workerId == entry.id) {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OrderedInstanceTest.kt
@@ -35,6 +35,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
 
 internal class OrderedInstanceTest :
     DescribeSpec({
@@ -110,6 +111,24 @@
                     .shouldBeNull()
             }
         }
+        describe("an instance with a worker that runs a task, after an accepted order") {
+            // Guards against a slow list of the time before the worker started again under its id and began the task (TWICE).
+            it("keeps the worker if that answers while a list is on its way that shows the order carried out (TWICE)") {
+                val fleet = OrderedFleet()
+                fleet.owner.startTask()
+                fleet.owner.pass(SETTLE_MS)
+                fleet.maintain()
+                fleet.owner.pass(ANSWERED_MS)
+                fleet.listed = fleet.listed.copy(state = InstanceState.MAINTENANCE, workerId = null)
+                fleet.listMs = ANSWERED_MS
+                fleet.controller.tick()
+                fleet.owner.pass(LATE_ANSWER_MS)
+                fleet.controller.tick()
+                fleet.owner.pass(2 * ANSWERED_MS)
+                fleet.owner.task.worker
+                    ?.id shouldBe OwnerOfOneWorker.WORKER
+            }
+        }
         describe("a worker that is listed on an instance while an order to that is open") {
             // Guards against tasks that are placed on a worker which its instance's order is about to end (AVAIL).
             it("is cordoned before a task can be placed there, until the order is answered (AVAIL)") {
@@ -199,6 +218,9 @@
     private val registry = JobRegistry(loop, owner.committer, { _, _ -> })
     private val row = OwnerRow("e", "e", 2, 1)
     var listed = Instance(INSTANCE, POOL, InstanceState.UP, "dc", emptyList(), Demand(8_000, 32_000), OwnerOfOneWorker.WORKER)
+
+    /** Time from the request for a list to its answer. */
+    var listMs = 3L
     val sent = ArrayList<String>()
     val answers = ArrayList<InstanceOrderAnswer>()
     val controller =
@@ -232,7 +254,7 @@
 
     override fun list(onResult: (List<Instance>?) -> Unit) {
         val instance = listed
-        loop.after(3) { onResult(listOf(instance)) }
+        loop.after(listMs) { onResult(listOf(instance)) }
     }
 
     override fun move(
