Act on the review of repeated starts

- A list of instances that is older than a second no longer counts an instance as down: a kept task was freed while its worker was back (TWICE).
- A start that is refused keeps the place of its task also if a copy of an earlier run may arrive (TWICE).
- An accepted order to an instance ends only the worker that it was sent for (TWICE).
- Starts that are queued for a worker that falls silent are not sent, and at most four overdue ones let others pass (LOST).
- A lost first copy counts against the worker again, and a worker that answers no start is avoided; copies end after 2 s, of gangs after 1 s.
- Copies are 250 ms apart, also where connections are refused at once.
- The pace of a run belongs to an incarnation (HARM); answers to orders of a removed worker are not taken for a later owner's fence.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/FleetController.kt
@@ -308,7 +308,7 @@
             onOrderAnswered(view, answer, order.kind) {
                 view.endingWorker = worker?.entry
                 // One with runs joined after an earlier order was carried out: only empty instances are ordered.
-                worker?.takeIf { it.isEmpty }?.let { driver.onWorkerTerminated(it.id) }
+                worker?.takeIf { it.isEmpty && driver.find(it.id) === it }?.let { driver.onWorkerTerminated(it.id) }
                 view.joinedAtMs = loop.nowMs
                 view.instance = order.applyTo(view.instance)
                 view.cordonReason = null
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunOrders.kt
@@ -58,7 +58,8 @@
         worker: WorkerView,
         task: TaskRun,
     ) {
-        if (!isStartStillAllowed(worker, task)) {
+        // What is sent to a silent worker has to wait there until it can no longer be carried out.
+        if (worker.consecutiveLostHolds > 0 || !isStartStillAllowed(worker, task)) {
             worker.releaseRun(task, loop.nowMs)
             stopGangOf(task)
             return
@@ -152,7 +153,7 @@
         refusal: WorkerAnswer.Refused?,
     ) {
         log.write("start_given_up", "task", task.id, "run", task.runNumber, "worker", worker.id, "refusal", refusal?.refusal)
-        if (refusal != null) recordRefusal(worker, task, refusal)
+        if (refusal != null) recordRefusal(worker, task, refusal) else worker.avoidUntilMs = loop.nowMs + AVOID_UNHEALTHY_MS
         if (task.phase == TaskPhase.STARTING) stop(task)
         stopGangOf(task)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StartSender.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StartSender.kt
@@ -36,7 +36,7 @@
         val refusal: WorkerAnswer.Refused?,
     ) : StartOutcome
 
-    /** The first copy has no answer. Others are sent, so that another outcome follows. */
+    /** The first copy has no answer. Another outcome follows. */
     data object FirstCopyLost : StartOutcome
 }
 
@@ -72,12 +72,16 @@
         private val incarnation = worker.incarnation
         var copyCount = 0
         var inFlightCount = 0
+        var lastSentAtMs = firstSentAtMs
         var isOver = false
         val isSameIncarnation: Boolean get() = worker.incarnation == incarnation
         val isCurrent: Boolean get() = task.worker === worker && task.runNumber == order.runNumber
 
         /** True if some copy may be carried out late, by the present incarnation or by a later one. */
         val mayArrive: Boolean get() = worker.unsettledStarts.mayArrive(order.task, order.runNumber, loop.nowMs)
+
+        /** True if that holds for a copy of this run or of an earlier one of the task, which may be what the worker refuses this run for. */
+        val mayAnyRunArrive: Boolean get() = order.task in worker.unsettledStarts.tasks(loop.nowMs)
     }
 
     /** Starts the run that [task] has on [worker]. */
@@ -94,30 +98,48 @@
         worker.recordLeaseSent(expiresAtMs, sentAtMs)
         worker.unsettledStarts.onSent(order.task, order.runNumber, sentAtMs)
         attempt.inFlightCount++
-        var holdsSlot = attempt.copyCount++ == 0
-        if (holdsSlot) worker.ordersInFlight++
+        attempt.lastSentAtMs = sentAtMs
+        val slot = if (attempt.copyCount++ == 0) Slot(worker) else null
         var isAnswered = false
-        val freeSlot = {
-            if (holdsSlot) worker.ordersInFlight--
-            holdsSlot = false
-        }
         context.link.start(worker.entry, order) { answer ->
             attempt.inFlightCount--
             isAnswered = true
-            freeSlot()
+            slot?.free()
             settleCopy(attempt, sentAtMs, answer)
-            onAnswer(attempt, answer)
+            onAnswer(attempt, answer, isFirstCopy = slot != null)
             onSlotFree(worker)
         }
         loop.after(COPY_OVERDUE_MS) {
             if (isAnswered) return@after
-            // Other starts do not wait for a lost answer.
-            freeSlot()
+            slot?.onOverdue()
             if (mayRepeat(attempt)) sendCopy(attempt)
             onSlotFree(worker)
         }
     }
 
+    /** The part of the orders that [worker] may have in flight that the first copy of a start takes. */
+    private class Slot(
+        private val worker: WorkerView,
+    ) {
+        private var isOverdue = false
+
+        init {
+            worker.ordersInFlight++
+        }
+
+        /** Other starts do not wait for a lost answer; what is sent to a worker that is lost has to wait there, so that they are few. */
+        fun onOverdue() {
+            if (worker.overdueStarts >= MAX_OVERDUE_STARTS) return
+            isOverdue = true
+            worker.overdueStarts++
+            worker.ordersInFlight--
+        }
+
+        fun free() {
+            if (isOverdue) worker.overdueStarts-- else worker.ordersInFlight--
+        }
+    }
+
     private fun settleCopy(
         attempt: Attempt,
         sentAtMs: Long,
@@ -135,6 +157,7 @@
     private fun onAnswer(
         attempt: Attempt,
         answer: WorkerAnswer,
+        isFirstCopy: Boolean,
     ) {
         if (answer is WorkerAnswer.Refused && answer.refusal == StartRefusal.FENCE) {
             context.onFenceRejected(attempt.worker, attempt.order.fence)
@@ -143,8 +166,8 @@
         when (answer) {
             is WorkerAnswer.Done -> end(attempt, StartOutcome.Begun(answer.workerClockMs, isFirstCopy = attempt.copyCount == 1))
             is WorkerAnswer.Refused ->
-                end(attempt, if (attempt.mayArrive) StartOutcome.Open(answer) else StartOutcome.Refused(answer))
-            is WorkerAnswer.Unanswered -> onUnanswered(attempt, answer)
+                end(attempt, if (attempt.mayAnyRunArrive) StartOutcome.Open(answer) else StartOutcome.Refused(answer))
+            is WorkerAnswer.Unanswered -> onUnanswered(attempt, answer, isFirstCopy)
             is WorkerAnswer.Listed ->
                 error("worker ${attempt.worker.id} answered a start order with run lists, expected Done, Refused or Unanswered")
         }
@@ -153,6 +176,7 @@
     private fun onUnanswered(
         attempt: Attempt,
         answer: WorkerAnswer.Unanswered,
+        isFirstCopy: Boolean,
     ) {
         val order = attempt.order
         log.write(
@@ -168,22 +192,26 @@
             "reason",
             answer.reason,
         )
-        if (attempt.copyCount == 1 && answer.mayBeCarriedOut) onOutcome(attempt.worker, attempt.task, StartOutcome.FirstCopyLost)
+        if (isFirstCopy && answer.mayBeCarriedOut) onOutcome(attempt.worker, attempt.task, StartOutcome.FirstCopyLost)
         when {
             attempt.inFlightCount > 0 -> Unit
             !attempt.mayArrive -> end(attempt, StartOutcome.NotReached)
-            mayRepeat(attempt) -> sendCopy(attempt)
-            else -> end(attempt, StartOutcome.Open(refusal = null))
+            else -> loop.after(maxOf(0, attempt.lastSentAtMs + COPY_OVERDUE_MS - loop.nowMs)) { repeatOrGiveUp(attempt) }
         }
     }
 
+    private fun repeatOrGiveUp(attempt: Attempt) {
+        if (attempt.isOver || !attempt.isCurrent || attempt.inFlightCount > 0) return
+        if (mayRepeat(attempt)) sendCopy(attempt) else end(attempt, StartOutcome.Open(refusal = null))
+    }
+
     private fun mayRepeat(attempt: Attempt): Boolean =
         !attempt.isOver &&
             attempt.isCurrent &&
             attempt.isSameIncarnation &&
             attempt.task.phase == TaskPhase.STARTING &&
             attempt.worker.consecutiveLostHolds <= WorkerView.LOST_HOLDS_OF_RESPONSIVE &&
-            loop.nowMs - attempt.firstSentAtMs < REPEATED_FOR_MS &&
+            loop.nowMs - attempt.firstSentAtMs < (if (attempt.task.stepRun.step.isGang) GANG_REPEATED_FOR_MS else REPEATED_FOR_MS) &&
             isStillAllowed(attempt.worker, attempt.task)
 
     private fun end(
@@ -219,6 +247,12 @@
         const val COPY_OVERDUE_MS = 250L
 
         /** For this long copies are sent to a worker that answers its holds; then the task is stopped there and started elsewhere. */
-        const val REPEATED_FOR_MS = 3_000L
+        const val REPEATED_FOR_MS = 2_000L
+
+        /** The same for a member of a gang, as the others end after 3 s without it. */
+        const val GANG_REPEATED_FOR_MS = 1_000L
+
+        /** Overdue starts beside which a worker is sent others. */
+        const val MAX_OVERDUE_STARTS = 4
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -188,7 +188,8 @@
             val instanceId = worker.instanceId ?: continue
             val isEvidence = isSilentSince(worker, requestedAtMs) && !mayRunOn(byInstanceId[instanceId], worker)
             worker.listsWithoutWorker = if (isEvidence) worker.listsWithoutWorker + 1 else 0
-            if (worker.isDownByLists && mayHaveRuns(worker)) onDownByLists(worker, byInstanceId[instanceId])
+            if (isEvidence) worker.listedWithoutWorkerAtMs = requestedAtMs
+            if (worker.listsWithoutWorker >= LISTS_TO_END_WORKER && mayHaveRuns(worker)) onDownByLists(worker, byInstanceId[instanceId])
         }
     }
 
@@ -281,7 +282,7 @@
     ): Long {
         val sentAtMs = worker.unsettledStarts.lastSentAtMs(task.id, loop.nowMs) ?: return loop.nowMs
         return when {
-            !worker.isDownByLists -> {
+            !isKnownDown(worker) -> {
                 val longestMs = holds.worstCaseLeaseMs
                 maxOf(sentAtMs + LATE_ORDER_WINDOW_MS + longestMs, worker.lateLeaseEndsAtMs(loop.nowMs, longestMs))
             }
@@ -290,7 +291,9 @@
         }
     }
 
-    private val WorkerView.isDownByLists: Boolean get() = listsWithoutWorker >= LISTS_TO_END_WORKER
+    /** True if the last lists show the instance of [worker] as down. It may be up again since a list that is old. */
+    private fun isKnownDown(worker: WorkerView): Boolean =
+        worker.listsWithoutWorker >= LISTS_TO_END_WORKER && loop.nowMs - worker.listedWithoutWorkerAtMs < DOWN_EVIDENCE_MS
 
     /**
      * Called when another worker has answered at the address in the row [sentTo] of [worker]. A worker keeps its address, so that it has
@@ -430,6 +433,9 @@
         /** Lists of instances in a row that prove the end of a silent worker: one alone may have been made before it started. */
         const val LISTS_TO_END_WORKER = 2
 
+        /** Age of a list up to which an instance that it shows as down counts as down: an instance may be back within a second. */
+        const val DOWN_EVIDENCE_MS = 1_000L
+
         /**
          * How long a long-running task waits for the return of an instance that is down: within 7 s after the last disruption it has to be
          * at work again.
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerTable.kt
@@ -46,6 +46,7 @@
         nowMs: Long,
     ) {
         byId.remove(worker.id)
+        worker.retire()
         unsettledStartsOfRemoved.values.removeAll { it.isEmpty(nowMs) }
         if (!worker.unsettledStarts.isEmpty(nowMs)) unsettledStartsOfRemoved[worker.id] = worker.unsettledStarts
         unlinkInstance(worker)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/sharing/PaceOrders.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/sharing/PaceOrders.kt
@@ -18,6 +18,8 @@
 /** The pace of the run [runNumber] of a task. */
 internal class RunPace(
     val runNumber: Long,
+    /** The fence of the incarnation that runs it: a later one may have begun the run anew, at full pace. */
+    val fence: Long,
 ) {
     /** The last ordered percentage; null before the first order. A run works at full pace when it starts. */
     var percent: Int? = null
@@ -67,7 +69,9 @@
 
     /** The pace of the current run of [task]. */
     fun paceOf(task: TaskRun): RunPace =
-        paces[task]?.takeIf { it.runNumber == task.runNumber } ?: RunPace(task.runNumber).also { paces[task] = it }
+        paces[task]?.takeIf { it.isOf(task) } ?: RunPace(task.runNumber, task.worker?.fence ?: 0).also { paces[task] = it }
+
+    private fun RunPace.isOf(task: TaskRun): Boolean = runNumber == task.runNumber && fence == (task.worker?.fence ?: 0)
 
     /** Drops what is known of runs that have ended. */
     fun forgetEnded() {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -127,6 +127,9 @@
     /** Number of lists of instances in a row, requested while the worker was silent, by which it has ended. */
     var listsWithoutWorker: Int = 0
 
+    /** Loop time at which the last of these lists was requested. */
+    var listedWithoutWorkerAtMs: Long = 0
+
     /** True while a hold, which extends the lease and requests a report, is not answered. */
     var isHoldInFlight: Boolean = false
 
@@ -138,6 +141,9 @@
     var nextHoldAtMs: Long = 0
     var consecutiveLostHolds: Int = 0
     var ordersInFlight: Int = 0
+
+    /** Starts whose first order is overdue and that do not hold up others any more. */
+    var overdueStarts: Int = 0
     val startQueue = ArrayDeque<TaskRun>()
 
     /** True while the instance is being emptied for a move or for maintenance: no new tasks are placed here. */
@@ -195,6 +201,11 @@
         task.waitingSinceMs = nowMs
     }
 
+    /** Called when the worker is removed: what its last orders are answered is not judged by their fence any more. */
+    fun retire() {
+        fence = Long.MAX_VALUE
+    }
+
     /** Frees the places of all runs. */
     fun releaseRuns(nowMs: Long) {
         runs.values.toList().forEach { releaseRun(it, nowMs) }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
@@ -288,7 +288,7 @@
         const val IN_FLIGHT_MS = 100L
 
         /** Time from the first of several copies of a start, none of which is answered, to the stop of its run. */
-        const val START_GIVEN_UP_MS = 3_500L
+        const val START_GIVEN_UP_MS = 2_500L
 
         /** Time in which a stop is answered and confirmed by the next report. */
         const val STOP_MS = 1_500L
