--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -58,7 +58,11 @@
     var answeredEntry: WorkerEntry? = null
 
     /** False if the worker has answered by a row with another address or instance than the present one. */
-    val isEntryAnswered: Boolean get() = answeredEntry.let { it == null || it.address == entry.address && it.instanceId == entry.instanceId }
+    val isEntryAnswered: Boolean
+        get() {
+            val answered = answeredEntry ?: return true
+            return answered.address == entry.address && answered.instanceId == entry.instanceId
+        }
 
     /** The instance on which the worker runs. */
     val instanceId: String? get() = (answeredEntry ?: entry).instanceId
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfScriptedWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfScriptedWorkers.kt
@@ -77,8 +77,7 @@
     }
 
     /** The row of the worker [index], by itself. */
-    fun entry(index: Int = 0) =
-        WorkerEntry("w$index", "w$index", "pool", "dc", "i$index", CAPACITY, emptyList(), false, null, bornWallMs)
+    fun entry(index: Int = 0) = WorkerEntry("w$index", "w$index", "pool", "dc", "i$index", CAPACITY, emptyList(), false, null, bornWallMs)
 
     fun cancelJob() = registry.cancel(job) {}
 
