--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -437,9 +437,9 @@
         const val DOWN_EVIDENCE_MS = 1_000L
 
         /**
-         * How long a long-running task waits for the return of an instance that is down: within 7 s after the last disruption it has to be
-         * at work again.
+         * How long after the last copy of its start a long-running task waits for the return of an instance that is down. It has to be at
+         * work again within 7 s after the last disruption; copies are sent for up to 2 s, and lists are requested every 0.5 s.
          */
-        const val LONG_RUNNING_LATE_START_MS = 6_000L
+        const val LONG_RUNNING_LATE_START_MS = 4_500L
     }
 }
