Test what the review of repeated starts found

Workers that answer no start count as failing, few starts are sent to a worker that falls silent, a refusal keeps the place while an earlier run may arrive, a removed worker's refusals do not suspend the owner, and old lists do not count an instance as down. They were written after the changes and not run against the code before them.

--- a/jobs/src/test/kotlin/io/corianderrock/jobs/RepeatedStartTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/RepeatedStartTest.kt
@@ -12,7 +12,10 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
@@ -70,6 +73,43 @@
                 owner.tasks.drop(2).map { it.phase } shouldBe List(2) { TaskPhase.RUNNING }
             }
         }
+        describe("a worker that answers its holds and no start") {
+            // Guards against a worker that is given the same tasks again and again (late first starts).
+            it("counts as failing, and is avoided once a start is given up") {
+                val owner = ownerWithLostAnswers(lostCount = Int.MAX_VALUE)
+                owner.driver.start(owner.tasks[0], owner.worker())
+                owner.pass(1_000)
+                owner.worker().record.failureEvidence shouldBeGreaterThan 0.0
+                owner.passUntil { owner.stops.isNotEmpty() }
+                owner.worker().avoidUntilMs shouldBeGreaterThan owner.time.nowMs
+            }
+        }
+        describe("a worker that falls silent with starts in its queue") {
+            // Guards against tasks that wait where they may be started late, although they were never sent (LOST).
+            it("is sent only a few of them, and the others are free") {
+                val owner = OwnerOfScriptedWorkers(Step(20, Demand(100, 100)))
+                owner.onStart = { _, _ -> LOST }
+                owner.onHold = { _, _ -> LOST }
+                owner.tasks.forEach { owner.driver.start(it, owner.worker()) }
+                owner.passTicking(3_000)
+                owner.starts.mapTo(HashSet()) { it.task }.size shouldBeLessThan 9
+                owner.tasks.count { it.phase == TaskPhase.WAITING } shouldBeGreaterThan 10
+            }
+        }
+        describe("a start that is refused while an earlier run of its task may arrive late") {
+            // Guards against a task that is started elsewhere while the earlier run may be what occupies the worker (TWICE).
+            it("keeps the task on the worker until a stop is answered (TWICE)") {
+                val owner = ownerWithLostAnswers(lostCount = Int.MAX_VALUE)
+                owner.driver.start(owner.tasks[0], owner.worker())
+                owner.passTicking(GIVEN_UP_MS)
+                owner.tasks[0].worker.shouldBeNull()
+                owner.onStop = { _, _ -> LOST }
+                owner.onStart = { _, _ -> 1L to WorkerAnswer.Refused(StartRefusal.NO_CAPACITY, 0) }
+                owner.driver.start(owner.tasks[0], owner.worker())
+                owner.pass(500)
+                owner.tasks[0].worker.shouldNotBeNull()
+            }
+        }
         describe("a repeated start that is refused") {
             // Guards against a task that is started elsewhere while the first copy may still be carried out (TWICE).
             it("keeps the task on the worker until a stop is answered (TWICE)") {
@@ -93,6 +133,19 @@
                 owner.starts.size shouldBe sent
             }
         }
+        describe("a worker that was removed and is listed again") {
+            // Guards against an owner that takes the refusal of an order to the removed worker for the sight of a later owner.
+            it("does not suspend the owner by refusing an order from before") {
+                val owner = OwnerOfScriptedWorkers()
+                owner.onStart = { _, _ -> 100L to WorkerAnswer.Refused(StartRefusal.FENCE, 0) }
+                owner.driver.start(owner.tasks[0], owner.worker())
+                owner.pass(20)
+                owner.driver.onWorkerTerminated("w0")
+                owner.driver.onListed(owner.entry())
+                owner.pass(200)
+                owner.fencedCount shouldBe 0
+            }
+        }
         describe("a worker that has started again under its id") {
             // Guards against late orders to the last incarnation, which a new one takes as it has seen no fence (TWICE).
             it("is sent orders under a higher fence, so that it rejects all earlier ones (TWICE)") {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/WorkerDriverTest.kt
@@ -155,6 +155,22 @@
                 owner.task.worker shouldBe null
             }
 
+            // Guards against an instance that counts as down by old lists while its worker is back and begins a late start (TWICE).
+            it("keeps the task for a whole lease longer if lists come no more (TWICE)") {
+                val owner = OwnerOfOneWorker()
+                owner.isUp = false
+                owner.startTask()
+                owner.pass(ANSWER_MS + IN_FLIGHT_MS)
+                repeat(2) {
+                    owner.listInstanceAsDown()
+                    owner.pass(IN_FLIGHT_MS)
+                }
+                owner.passTicking(LATEST_ORDER_MS + LATE_MARGIN_MS)
+                owner.task.worker.shouldNotBeNull()
+                owner.passTicking(LONGEST_LEASE_MS)
+                owner.task.worker.shouldBeNull()
+            }
+
             // Guards against the same wait where the instance has another worker, which proves that this one has left.
             it("frees the task at once if its instance has another worker") {
                 val owner = OwnerOfOneWorker()
