--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceListing.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/InstanceListing.kt
@@ -85,8 +85,7 @@
 
     /**
      * Removes the worker of [entry], on which an accepted order found the instance, if [listed], requested at [sentAtMs], shows that it
-     * has ended. If it shows the
-     * worker still, the order was carried out before that joined: it runs on, and may be used.
+     * has ended. If it shows the worker still, the order was carried out before that joined: it runs on, and may be used.
      */
     private fun settleEnd(
         view: InstanceView,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StartSender.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StartSender.kt
@@ -44,6 +44,7 @@
 internal class StartSender(
     private val context: WorkerOrderContext,
     private val holds: WorkerHolds,
+    /** True if the task may still be started on the worker. Asked again before each copy. */
     private val isStillAllowed: (WorkerView, TaskRun) -> Boolean,
     /** Called when the worker may be sent another start. */
     private val onSlotFree: (WorkerView) -> Unit,
@@ -58,6 +59,7 @@
         val worker: WorkerView,
         val task: TaskRun,
     ) {
+        /** What all copies have in common; lease and ticket are those of the time of each copy. */
         val order =
             StartOrder(
                 task = task.id,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -272,7 +272,7 @@
         /** A hold that a responsive worker has not answered by then, after its wait, is sent again. */
         const val COPY_OVERDUE_MS = 250L
 
-        /** Holds of a series: a third one is answered or lost as the first one times out. */
+        /** Holds of a series. The third one is sent 0.5 s after the first was due, which times out soon after. */
         const val MAX_COPIES = 3
 
         /** How long a worker may delay its answer while best-effort tasks disturb tasks that serve: tails are figures for half a second. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerRegister.kt
@@ -361,8 +361,8 @@
     }
 
     /**
-     * Records that [worker] has answered its last hold, sent at [sentAtMs], with [lists]. Only the current incarnation answers, so that one with an earlier
-     * start by the time of day is a later one whose clock was set back.
+     * Records that [worker] has answered its last hold, sent at [sentAtMs], with [lists]. Only the current incarnation answers, so that
+     * one with an earlier start by the time of day is a later one whose clock was set back.
      */
     fun onAnsweredBy(
         worker: WorkerView,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/UnsettledStarts.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/UnsettledStarts.kt
@@ -54,7 +54,7 @@
         if (ofTask.isEmpty()) starts.remove(task)
     }
 
-    /** Called when the present incarnation has begun the run [runNumber] of [task], or has answered a stop of it: holds for earlier runs too. */
+    /** Called when the present incarnation has begun the run [runNumber] of [task] or answered a stop of it. Holds for earlier runs too. */
     fun onRejected(
         task: TaskId,
         runNumber: Long,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/SilentFaultTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/SilentFaultTest.kt
@@ -34,7 +34,7 @@
         }
         describe("seeds with silent connections and workers that start again under their id") {
             // Guards against a start of an earlier owner that a later incarnation of its worker carries out beside another run (TWICE).
-            for ((seed, cause) in KNOWN_FAILURES) {
+            for ((seed, cause) in CAUSES_BY_SEED) {
                 it("seed $seed: $cause") {
                     silentFaultWorld(seed).run().violations.shouldBeEmpty()
                 }
@@ -45,7 +45,8 @@
 /** The wording of [io.corianderrock.jobs.world.TwiceCheck] for starts after an end. */
 private const val AFTER_AN_END = "TWICE (b)"
 
-private val KNOWN_FAILURES =
+/** What failed when the seed was found. */
+private val CAUSES_BY_SEED =
     mapOf(
         30 to "a copy of an answered start of an earlier owner reached the next incarnation, whose instance had been listed as down",
         37 to "an unanswered start of an earlier owner reached a restarted worker that nobody had reached",
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -1,7 +1,8 @@
 /*
  * Seeded simulation of the job scheduler on a small fleet. Faults: entries that are killed, frozen or partitioned from
  * the store; a store that is down or loses answers; workers that crash, are lost for good, restart under their id, are
- * partitioned or receive orders late; connections that go silent, and lists of instances that come late or not at all. Callers submit jobs, query their state and cancel them.
+ * partitioned or receive orders late; connections that go silent, and lists of instances that come late or not at all. Callers
+ * submit jobs, query their state and cancel them.
  */
 package io.corianderrock.jobs.world
 
--- a/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
+++ b/transport/src/main/kotlin/io/corianderrock/transport/HttpCall.kt
@@ -29,8 +29,8 @@
 )
 
 /**
- * Confined to the thread of [timers]. [onResult] is called once, on that thread. Throws [IllegalArgumentException] if a header cannot be sent as
- * it is.
+ * Confined to the thread of [timers]. [onResult] is called once, on that thread. Throws [IllegalArgumentException] if a header cannot be
+ * sent as it is.
  */
 internal class HttpCall(
     private val request: HttpCallRequest,
