--- a/review/rig/Cases.java
+++ b/review/rig/Cases.java
@@ -12,7 +12,7 @@
 
     public static void main(String[] args) {
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
-        Map<String, Case> cases = Map.of("timed", Cases::timedJobs, "crashes", Cases::crashes);
+        Map<String, Case> cases = Map.of("timed", Cases::timedJobs, "crashes", Cases::crashes, "history", Cases::history, "deletion", Cases::deletion);
         int status = 2;
         try (Rig rig = new Rig(Path.of(args[1], "record.txt"), 3)) {
             rig.note("case %s, %s", args[0], hasTrouble ? "with the disruption" : "without the disruption");
@@ -76,6 +76,80 @@
         return broken;
     }
 
+    /** Jobs that the system has finished in the hours before, see review/7/claim.txt. */
+    private static final int OLD_JOBS = 120_000;
+
+    /** The owner is lost after hours of ordinary traffic: LOST. */
+    private static List<String> history(Rig rig, boolean hasTrouble) throws Exception {
+        rig.deploy(8, 3);
+        addOldJobs(rig, OLD_JOBS);
+        Rig.Entry leader = rig.leader();
+        if (hasTrouble) rig.kill(leader, 3_000);
+        Rig.sleep(500);
+        List<String> jobs = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            String id = rig.newId();
+            if (rig.submit(id, TALLY, TALLY_KIND, TALLY_KIND).equals("200")) jobs.add(id);
+            Rig.sleep(100);
+        }
+        if (jobs.isEmpty()) throw new IllegalStateException("no job was accepted");
+        rig.note("the traffic has ended, %d jobs are accepted", jobs.size());
+        // contactMs after the killed process is back, and finish_s after the end of the traffic.
+        Rig.sleep(3_000 + 3_000 + 14_000);
+        List<String> broken = new ArrayList<>();
+        for (int i = 0; i < 10 && broken.isEmpty(); i++) {
+            // For 3 s a job has nothing running, although no worker runs anything.
+            boolean isAnyRunning = false;
+            for (int k = 0; k < 30; k++) {
+                isAnyRunning |= rig.workers().stream().anyMatch(worker -> !worker.runNumbers().isEmpty());
+                Rig.sleep(100);
+            }
+            List<String> open = jobs.stream().filter(id -> rig.doneCount(id) < 12).toList();
+            if (open.isEmpty()) break;
+            if (isAnyRunning) continue;
+            for (String id : open) {
+                broken.add("job " + id + " has had nothing running for 3 s, with eight idle workers; " + rig.doneCount(id) + " of its 12 tasks are done");
+            }
+        }
+        rig.call("GET", Rig.PREFIX + jobs.get(0), null, 3);
+        rig.noteErrors("OutOfMemoryError");
+        return broken;
+    }
+
+    /** How fast the owner deletes finished jobs whose time is over; breaks no rule. */
+    private static List<String> deletion(Rig rig, boolean hasTrouble) throws Exception {
+        rig.deploy(8, 3);
+        addOldJobs(rig, 2_000);
+        rig.kill(rig.leader(), 3_000);
+        Rig.sleep(5_000);
+        for (int i = 0; i < 9; i++) {
+            rig.note("rows of jobs in the store: %d", rig.store.count("jobs"));
+            Rig.sleep(5_000);
+        }
+        return List.of();
+    }
+
+    /** A job like tally-nat: 2 steps of 6 tasks. */
+    private static final Map<String, Object> TALLY =
+        Json.of(
+            "spec", "x".repeat(150),
+            "steps", List.of(
+                Json.of("count", 6, "cpu", 1_800, "memMb", 6_500, "estimateMs", 680),
+                Json.of("count", 6, "cpu", 1_800, "memMb", 6_500, "estimateMs", 680, "after", List.of(0))));
+    private static final Rig.TaskKind TALLY_KIND = new Rig.TaskKind(1_800, 6_500, 300);
+
+    /** Lets the system finish one job and copies the rows that it has stored of it, under other ids and finished 200 s ago. */
+    private static void addOldJobs(Rig rig, int count) {
+        String model = rig.newId();
+        rig.submit(model, TALLY, TALLY_KIND, TALLY_KIND);
+        if (!"complete".equals(awaitFinal(rig, List.of(model), 15_000).get(model))) throw new IllegalStateException("the first job is not complete");
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < count; i++) ids.add(rig.newId());
+        long finishedMs = System.currentTimeMillis() - 200_000;
+        rig.store.copyJob(model, ids, (id, content) -> content.replaceAll("(\"finishedWallMs\":)\\d+", "$1" + finishedMs));
+        rig.note("rows of finished jobs in the store: %d", rig.store.count("jobs"));
+    }
+
     private static void awaitStart(Rig rig) {
         int before = rig.runCount();
         for (int i = 0; i < 300 && rig.runCount() < before + 4; i++) Rig.sleep(10);
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -221,7 +221,11 @@
 
     /** Sends a call to entries in turn until one gives a definite answer; returns its status and body. */
     String[] call(String method, String path, String body) {
-        for (int attempt = 0; attempt < 20; attempt++) {
+        return call(method, path, body, 20);
+    }
+
+    String[] call(String method, String path, String body, int attempts) {
+        for (int attempt = 0; attempt < attempts; attempt++) {
             Entry entry = entries.get(random.nextInt(entries.size()));
             HttpRequest request =
                 HttpRequest.newBuilder(URI.create("http://" + entry.ip + ":" + entry.front + path))
@@ -297,6 +301,13 @@
         note("end of %s run %d (%s) on %s is taken note of", task, number, how, worker.id);
     }
 
+    /** The number of tasks of the job [id] that have ended `done`. */
+    long doneCount(String id) {
+        synchronized (runs) {
+            return runs.stream().filter(run -> run.task.startsWith(id) && "done".equals(run.how)).map(run -> run.task).distinct().count();
+        }
+    }
+
     int runCount() {
         synchronized (runs) {
             return runs.size();
@@ -342,6 +353,15 @@
         }
     }
 
+    /** Notes how many lines with [text] each process has written. */
+    void noteErrors(String text) throws IOException {
+        for (Entry entry : entries) {
+            try (var lines = Files.lines(folder.resolve(entry.name + ".log"))) {
+                note("%s: %d lines with %s", entry.name, lines.filter(line -> line.contains(text)).count(), text);
+            }
+        }
+    }
+
     private void awaitReady(Entry entry) {
         for (int i = 0; i < 300; i++) {
             try {
--- a/review/rig/Store.java
+++ b/review/rig/Store.java
@@ -149,6 +149,26 @@
         return null;
     }
 
+    /** Adds copies of the rows of the job [id] that the system has stored, for jobs of [ids]; [edit] changes the content of each. */
+    synchronized void copyJob(String id, List<String> ids, java.util.function.BinaryOperator<String> edit) {
+        version++;
+        for (TreeMap<String, Row> rows : List.copyOf(parts.values())) {
+            Row row = rows.get(id);
+            if (row == null) continue;
+            String content = new String(Base64.getDecoder().decode(row.value), StandardCharsets.UTF_8);
+            for (String copy : ids) {
+                String value = edit.apply(copy, content.replace(id, copy));
+                String encoded = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+                rows.put(copy, new Row(row.table, row.part, copy, encoded, version));
+            }
+        }
+    }
+
+    /** The number of rows in [table], in all its parts. */
+    synchronized int count(String table) {
+        return parts.entrySet().stream().filter(part -> part.getKey().startsWith(table + "\n")).mapToInt(part -> part.getValue().size()).sum();
+    }
+
     private Row find(String table, String part, String key) {
         TreeMap<String, Row> rows = parts.get(table + "\n" + part);
         return rows == null ? null : rows.get(key);
