--- a/review/rig/Cases.java
+++ b/review/rig/Cases.java
@@ -12,7 +12,7 @@
 
     public static void main(String[] args) {
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
-        Map<String, Case> cases = Map.of("timed", Cases::timedJobs, "history", Cases::history, "deletion", Cases::deletion);
+        Map<String, Case> cases = Map.of("timed", Cases::timedJobs, "history", Cases::history, "large", Cases::largeJobs, "deletion", Cases::deletion);
         int status = 2;
         try (Rig rig = new Rig(Path.of(args[1], "record.txt"), 3)) {
             rig.note("case %s, %s", args[0], hasTrouble ? "with the disruption" : "without the disruption");
@@ -75,15 +75,10 @@
         Rig.sleep(3_000 + 3_000 + 14_000);
         List<String> broken = new ArrayList<>();
         for (int i = 0; i < 10 && broken.isEmpty(); i++) {
-            // For 3 s a job has nothing running, although no worker runs anything.
-            boolean isAnyRunning = false;
-            for (int k = 0; k < 30; k++) {
-                isAnyRunning |= rig.workers().stream().anyMatch(worker -> !worker.runNumbers().isEmpty());
-                Rig.sleep(100);
-            }
+            boolean isIdle = isIdleFor3s(rig);
             List<String> open = jobs.stream().filter(id -> rig.doneCount(id) < 12).toList();
             if (open.isEmpty()) break;
-            if (isAnyRunning) continue;
+            if (!isIdle) continue;
             for (String id : open) {
                 broken.add("job " + id + " has had nothing running for 3 s, with eight idle workers; " + rig.doneCount(id) + " of its 12 tasks are done");
             }
@@ -93,6 +88,52 @@
         return broken;
     }
 
+    /** Large jobs come at once, then some like tally-nat: LOST. */
+    private static List<String> largeJobs(Rig rig, boolean hasTrouble) throws Exception {
+        rig.deploy(8, 3);
+        rig.isBrief = true;
+        int taskCount = hasTrouble ? 20_000 : 200;
+        Rig.TaskKind kind = new Rig.TaskKind(1_000, 100, 300);
+        Map<String, Object> large =
+            Json.of("spec", "batch", "steps", List.of(Json.of("count", taskCount, "cpu", 1_000, "memMb", 100, "estimateMs", 300)));
+        Map<String, Long> tasksByJob = new LinkedHashMap<>();
+        long untilMs = Rig.nowMs() + 50_000;
+        for (int i = 0; i < 55 && Rig.nowMs() < untilMs; i++) {
+            boolean isLarge = i < 50;
+            String id = rig.newId();
+            String status = isLarge ? rig.submit(id, large, kind) : rig.submit(id, TALLY, TALLY_KIND, TALLY_KIND);
+            if (status.equals("200")) tasksByJob.put(id, isLarge ? taskCount : 12L);
+            Rig.sleep(200);
+        }
+        rig.note("the traffic has ended, %d jobs are accepted, %d runs have begun", tasksByJob.size(), rig.runCount());
+        // finish_s after the end of the traffic.
+        Rig.sleep(14_000);
+        List<String> broken = new ArrayList<>();
+        for (int i = 0; i < 5 && broken.isEmpty(); i++) {
+            int before = rig.runCount();
+            if (isIdleFor3s(rig) && rig.runCount() == before) {
+                tasksByJob.forEach((id, count) -> {
+                    long done = rig.doneCount(id);
+                    if (done < count) broken.add("job " + id + " has had nothing running for 3 s, with eight idle workers; " + done + " of its " + count + " tasks are done");
+                });
+            }
+            if (broken.isEmpty() && tasksByJob.entrySet().stream().allMatch(job -> rig.doneCount(job.getKey()) >= job.getValue())) break;
+        }
+        rig.note("%d runs have begun", rig.runCount());
+        rig.noteErrors("OutOfMemoryError");
+        return broken;
+    }
+
+    /** True if no worker runs anything for 3 s. */
+    private static boolean isIdleFor3s(Rig rig) {
+        boolean isIdle = true;
+        for (int i = 0; i < 30; i++) {
+            isIdle &= rig.workers().stream().allMatch(worker -> worker.runNumbers().isEmpty());
+            Rig.sleep(100);
+        }
+        return isIdle;
+    }
+
     /** How fast the owner deletes finished jobs whose time is over; breaks no rule. */
     private static List<String> deletion(Rig rig, boolean hasTrouble) throws Exception {
         rig.deploy(8, 3);
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -115,6 +115,7 @@
     final List<Entry> entries = new ArrayList<>();
     final Map<String, Worker> workersByMachine = new LinkedHashMap<>();
     final List<RunRecord> runs = new ArrayList<>();
+    private final Map<String, RunRecord> runsByKey = new HashMap<>();
     final Random random = new Random(1);
     private final Map<String, List<TaskKind>> kindsByJob = new ConcurrentHashMap<>();
     private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -254,7 +255,7 @@
         kindsByJob.put(id, Arrays.asList(kinds));
         String body = Json.write(job);
         note("job %s: %s", id, body);
-        return call("POST", PREFIX + id, body)[0];
+        return call("POST", PREFIX + id, body, 3)[0];
     }
 
     /** The state of job [id] as a client is told, or the status if that is not 200. */
@@ -274,9 +275,11 @@
 
     void onRunStarted(Worker worker, String task, long number) {
         synchronized (runs) {
-            runs.add(new RunRecord(task, number, worker));
+            RunRecord run = new RunRecord(task, number, worker);
+            runs.add(run);
+            runsByKey.put(worker.id + worker.hashCode() + "/" + task + "/" + number, run);
         }
-        note("%s starts %s run %d", worker.id, task, number);
+        if (!isBrief) note("%s starts %s run %d", worker.id, task, number);
     }
 
     void onRunEnded(Worker worker, String task, long number, String how) {
@@ -285,7 +288,7 @@
             run.endedMs = nowMs();
             run.how = how;
         }
-        note("%s ends %s run %d: %s", worker.id, task, number, how);
+        if (!isBrief) note("%s ends %s run %d: %s", worker.id, task, number, how);
     }
 
     void onRunLost(Worker worker, String task, long number) {
@@ -298,7 +301,7 @@
             if (run.isAcknowledged) return;
             run.isAcknowledged = true;
         }
-        note("end of %s run %d (%s) on %s is taken note of", task, number, how, worker.id);
+        if (!isBrief) note("end of %s run %d (%s) on %s is taken note of", task, number, how, worker.id);
     }
 
     /** The number of tasks of the job [id] that have ended `done`. */
@@ -316,10 +319,8 @@
 
     private RunRecord find(Worker worker, String task, long number) {
         synchronized (runs) {
-            for (int i = runs.size() - 1; i >= 0; i--) {
-                RunRecord run = runs.get(i);
-                if (run.worker == worker && run.number == number && run.task.equals(task)) return run;
-            }
+            RunRecord run = runsByKey.get(worker.id + worker.hashCode() + "/" + task + "/" + number);
+            if (run != null) return run;
         }
         throw new IllegalStateException("no run " + number + " of " + task);
     }
@@ -344,6 +345,9 @@
         return broken;
     }
 
+    /** True to leave single runs out of the record. */
+    volatile boolean isBrief;
+
     void note(String format, Object... values) {
         synchronized (record) {
             record.printf("%7d ms  ", nowMs() - startMs);
