--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/ListedJobs.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/ListedJobs.kt
@@ -6,6 +6,7 @@
 package io.corianderrock.jobs.runs
 
 import io.corianderrock.jobs.ports.WorkerAnswer
+import io.corianderrock.jobs.state.TaskId
 import io.corianderrock.jobs.state.WorkerView
 
 /** Reads a job of the store into the registry; [find]'s callback gets false if the store did not tell whether there is one. */
@@ -50,6 +51,20 @@
         }
     }
 
+    /** Why no task of a live job is known under [id], for the log; with the time until the task's occurrence is due by this entry's clock. */
+    fun explainUnknown(
+        id: TaskId,
+        wallMs: Long,
+    ): String {
+        val job = registry.find(id.jobId)
+        return when {
+            job == null -> if (id.jobId in deleted) "job not found" else "job not read"
+            !job.isLive -> "job ${job.state}"
+            id.occurrence in job.occurrences -> "no such task"
+            else -> "occurrence not added, due in ${job.submission.dueWallMs(id.occurrence) - wallMs} ms"
+        }
+    }
+
     private fun read(
         id: String,
         onResult: (Boolean) -> Unit,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -112,6 +112,7 @@
         val ranKey = if (ended?.isWhole == true) "ranMs" else "ranAtLeastMs"
         val ranMs = ended?.tookMs ?: 0
         log.write("task_ended", "task", end.task, "run", end.runNumber, "worker", worker.id, "outcome", end.kind, ranKey, ranMs)
+        if (task == null) logEndWithoutTask(worker, end)
         if (task != null) {
             worker.openEnds.add(OpenEnd(end.number, task.stepRun.job))
             recordEnd(worker, task, end)
@@ -120,6 +121,14 @@
         leaseRows.storeEnd(worker) { holds.onEndsStored(worker) }
     }
 
+    private fun logEndWithoutTask(
+        worker: WorkerView,
+        end: EndRow,
+    ) {
+        val because = jobs.explainUnknown(end.task, loop.wallMs)
+        log.write("end_without_task", "task", end.task, "run", end.runNumber, "worker", worker.id, "end", end.number, "because", because)
+    }
+
     private fun recordEnd(
         worker: WorkerView,
         task: TaskRun,
@@ -183,7 +192,8 @@
         row: RunningRow,
     ) {
         if (worker.orphanedRuns.put(row.task, row.runNumber) == row.runNumber) return
-        log.write("run_unknown", "task", row.task, "run", row.runNumber, "worker", worker.id)
+        val because = jobs.explainUnknown(row.task, loop.wallMs)
+        log.write("run_unknown", "task", row.task, "run", row.runNumber, "worker", worker.id, "because", because)
         orders.sendStop(worker, row.task, row.runNumber)
     }
 
