Record ends and adopt runs of occurrences that the owner has not found due

Cause: occurrences were added by the tick that follows the first answers of the workers, or, with a clock that is behind, seconds later. RunLists took a task that it did not find for one that does not exist: its end was acknowledged without being recorded, its run stopped.

Why this fix works: what an owner may conclude from an unknown task is decided in one place, ListedTasks, by facts that cannot change: the job's end, its absence from the store, its submission. An occurrence that a worker lists is added; its waiting tasks start once it is due by this owner's clock.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -108,15 +108,8 @@
                 continue
             }
             running += times(step.occupied, run.occupyingCount)
-            if (step.after.any {
-                    !run.job.occurrences
-                        .getValue(run.occurrence)
-                        .steps[it]
-                        .isDone
-                }
-            ) {
-                continue
-            }
+            val occurrence = run.job.occurrences.getValue(run.occurrence)
+            if (!occurrence.isReady(run)) continue
             if (run.job in missed) continue
             val waitingCount = startableCount(run)
             waitingCpu += step.occupied.cpuMilli * waitingCount
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -126,7 +126,7 @@
         if (job.state.isFinal) return
         liveJobs[job.id] = job
         liveJobsByPool.getOrPut(job.queue.pool) { LinkedHashMap() }[job.id] = job
-        if (job.submission.times == 0) job.addOccurrence(0, loop.nowMs)
+        job.addDueOccurrences(loop.wallMs, loop.nowMs)
         onAccepted(job)
     }
 
@@ -214,15 +214,7 @@
 
     /** Adds the occurrences of recurring jobs that are due by the wall clock. */
     fun addDueOccurrences() {
-        for (job in liveJobs.values) {
-            val submission = job.submission
-            if (submission.times == 0) continue
-            for (number in 0 until submission.times) {
-                if (number in job.occurrences) continue
-                if (loop.wallMs < submission.dueWallMs(number)) break
-                job.addOccurrence(number, loop.nowMs)
-            }
-        }
+        for (job in liveJobs.values) job.addDueOccurrences(loop.wallMs, loop.nowMs)
     }
 
     /** Deletes jobs that became final more than [RETENTION_MS] ago, in memory and in the store. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/ListedJobs.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/ListedTasks.kt
@@ -1,12 +1,18 @@
 /*
- * The jobs of listed runs. A job that another entry stored just after this owner had loaded all jobs may have been started by the owner
- * before, whose inbox it reached first. Its runs and ends say nothing to an owner that does not know it, and an end that is acknowledged
- * unread is lost; so the job is looked up before its runs are taken note of.
+ * The tasks of listed runs and ends. What a worker lists was started by an owner that may have known more than this one: a job that another
+ * entry stored just after this owner had loaded all jobs, or an occurrence that is not due yet by this entry's clock. An end that is
+ * acknowledged without being recorded is lost, so that its task runs again; a run that is stopped as unknown runs again beside the first.
+ *
+ * So not knowing a task proves nothing. An owner acknowledges an end without recording it, and stops a run without a place for it, only if
+ * no task can be missing: the job has ended; the store does not hold it, so that it was deleted after its end, as it is stored before its
+ * first start; or it has no such task by its submission, which never changes.
  */
 package io.corianderrock.jobs.runs
 
+import io.corianderrock.jobs.ports.EventLoop
 import io.corianderrock.jobs.ports.WorkerAnswer
 import io.corianderrock.jobs.state.TaskId
+import io.corianderrock.jobs.state.TaskRun
 import io.corianderrock.jobs.state.WorkerView
 
 /** Reads a job of the store into the registry; [find]'s callback gets false if the store did not tell whether there is one. */
@@ -17,8 +23,22 @@
     )
 }
 
-/** Looks up jobs that [registry] does not hold. Used on the event loop only. */
-internal class ListedJobs(
+/** What an owner knows of a task that a worker lists. */
+internal sealed interface ListedTask {
+    /** The [task] of a live job. */
+    data class Known(
+        val task: TaskRun,
+    ) : ListedTask
+
+    /** No end of the task changes anything, and no run of it is to go on, as [reason] tells. */
+    data class Over(
+        val reason: String,
+    ) : ListedTask
+}
+
+/** Finds the tasks of listed runs, and looks up the jobs that [registry] does not hold. Used on the event loop only. */
+internal class ListedTasks(
+    private val loop: EventLoop,
     private val registry: JobRegistry,
     private val finder: JobFinder,
 ) {
@@ -51,18 +71,11 @@
         }
     }
 
-    /** Why no task of a live job is known under [id], for the log; with the time until the task's occurrence is due by this entry's clock. */
-    fun explainUnknown(
-        id: TaskId,
-        wallMs: Long,
-    ): String {
-        val job = registry.find(id.jobId)
-        return when {
-            job == null -> if (id.jobId in deleted) "job not found" else "job not read"
-            !job.isLive -> "job ${job.state}"
-            id.occurrence in job.occurrences -> "no such task"
-            else -> "occurrence not added, due in ${job.submission.dueWallMs(id.occurrence) - wallMs} ms"
-        }
+    /** The task [id], whose job has been looked up. */
+    fun resolve(id: TaskId): ListedTask {
+        val job = registry.find(id.jobId) ?: return ListedTask.Over("the store does not hold the job")
+        if (!job.isLive) return ListedTask.Over("the job is ${job.state}")
+        return job.listedTask(id, loop.nowMs)?.let(ListedTask::Known) ?: ListedTask.Over("the job has no such task")
     }
 
     private fun read(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -22,7 +22,7 @@
 internal class RunLists(
     private val context: WorkerOrderContext,
     private val registry: JobRegistry,
-    private val jobs: ListedJobs,
+    private val tasks: ListedTasks,
     private val leaseRows: WorkerLeaseRows,
     private val holds: WorkerHolds,
     private val orders: RunOrders,
@@ -55,15 +55,15 @@
             return
         }
         val isSameIncarnation = bornBeforeMs == worker.bornWallMs
-        val unknown = jobs.unknownIn(worker, lists)
+        val unknown = tasks.unknownIn(worker, lists)
         if (unknown.isEmpty()) {
             applyLists(worker, order, sentAtMs, lists, isSameIncarnation)
             return
         }
         worker.deferredLists = lists
         // Their stops do not depend on what the jobs are that have to be looked up.
-        lists.running.filter { isOfEndedJob(it) && it.task !in worker.runs }.forEach { stopUnknownRun(worker, it) }
-        jobs.find(unknown) {
+        lists.running.filter { isOfEndedJob(it) && it.task !in worker.runs }.forEach { stopUnknownRun(worker, it, "the job has ended") }
+        tasks.find(unknown) {
             // Before tasks of a job that was found can be placed.
             if (worker.deferredLists === lists) applyLists(worker, order, sentAtMs, lists, isSameIncarnation)
         }
@@ -99,7 +99,6 @@
         clock: RunClock,
     ) {
         worker.processedEnd = end.number
-        val task = registry.find(end.task.jobId)?.takeIf { it.isLive }?.task(end.task)
         worker.orphanedRuns.remove(end.task)
         val current = worker.runs[end.task]?.takeIf { it.runNumber == end.runNumber }
         val ended = current?.let { clock.endedRun(it, worker, end.kind, loop.nowMs) }
@@ -112,23 +111,18 @@
         val ranKey = if (ended?.isWhole == true) "ranMs" else "ranAtLeastMs"
         val ranMs = ended?.tookMs ?: 0
         log.write("task_ended", "task", end.task, "run", end.runNumber, "worker", worker.id, "outcome", end.kind, ranKey, ranMs)
-        if (task == null) logEndWithoutTask(worker, end)
-        if (task != null) {
-            worker.openEnds.add(OpenEnd(end.number, task.stepRun.job))
-            recordEnd(worker, task, end)
+        when (val listed = tasks.resolve(end.task)) {
+            is ListedTask.Known -> {
+                worker.openEnds.add(OpenEnd(end.number, listed.task.stepRun.job))
+                recordEnd(worker, listed.task, end)
+            }
+            is ListedTask.Over ->
+                log.write("end_without_task", "task", end.task, "run", end.runNumber, "worker", worker.id, "because", listed.reason)
         }
         // After the job's progress: an ended run is acknowledged only once its effect on the job is stored.
         leaseRows.storeEnd(worker) { holds.onEndsStored(worker) }
     }
 
-    private fun logEndWithoutTask(
-        worker: WorkerView,
-        end: EndRow,
-    ) {
-        val because = jobs.explainUnknown(end.task, loop.wallMs)
-        log.write("end_without_task", "task", end.task, "run", end.runNumber, "worker", worker.id, "end", end.number, "because", because)
-    }
-
     private fun recordEnd(
         worker: WorkerView,
         task: TaskRun,
@@ -170,17 +164,17 @@
         row: RunningRow,
     ) {
         val current = worker.runs[row.task]
-        val task = registry.find(row.task.jobId)?.takeIf { it.isLive }?.task(row.task)
+        val listed = tasks.resolve(row.task)
         if (current != null && current.runNumber == row.runNumber) {
             confirmRunning(worker, current, row)
             // The end of a job stops its runs. A run that this has missed is stopped here.
             if (!current.stepRun.job.isLive && current.phase != TaskPhase.STOPPING) orders.stop(current)
-        } else if (task != null && canAdopt(worker, task, row)) {
-            adopt(worker, task, row)
+        } else if (listed is ListedTask.Known && canAdopt(worker, listed.task, row)) {
+            adopt(worker, listed.task, row)
         } else if (current != null) {
             stopListedRun(worker, current, row)
         } else {
-            stopUnknownRun(worker, row)
+            stopUnknownRun(worker, row, because = (listed as? ListedTask.Over)?.reason ?: "the task is not to run there")
         }
     }
 
@@ -190,9 +184,9 @@
     private fun stopUnknownRun(
         worker: WorkerView,
         row: RunningRow,
+        because: String,
     ) {
         if (worker.orphanedRuns.put(row.task, row.runNumber) == row.runNumber) return
-        val because = jobs.explainUnknown(row.task, loop.wallMs)
         log.write("run_unknown", "task", row.task, "run", row.runNumber, "worker", worker.id, "because", because)
         orders.sendStop(worker, row.task, row.runNumber)
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerDriver.kt
@@ -74,7 +74,7 @@
         RunLists(
             context,
             registry,
-            ListedJobs(registry, finder),
+            ListedTasks(loop, registry, finder),
             leaseRows,
             holds,
             orders,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -205,8 +205,8 @@
 ) {
     val isDone: Boolean get() = steps.all { it.isDone }
 
-    /** True when all steps that [stepRun] depends on are done. */
-    fun isReady(stepRun: StepRun): Boolean = stepRun.step.after.all { steps[it].isDone }
+    /** True when the occurrence is due and all steps that [stepRun] depends on are done. */
+    fun isReady(stepRun: StepRun): Boolean = stepRun.job.isDue(number) && stepRun.step.after.all { steps[it].isDone }
 
     /** True if [stepRun] cannot have begun before this owner's term: a task that it depends on has run in this term. */
     fun hasBecomeReadyInTerm(stepRun: StepRun): Boolean = stepRun.step.after.any { number -> steps[number].tasks.any { it.isPlaceKnown } }
@@ -243,8 +243,13 @@
     var runTimes: JobRunTimes? = null
     val id: String get() = submission.id
     val queue: Queue get() = submission.queue
+
+    /** The occurrences that are due, and those of which an earlier owner has started tasks: its clock may have been ahead. */
     val occurrences = sortedMapOf<Int, OccurrenceRun>()
 
+    /** Number of occurrences that were found due in this term. They stay due if the time of day is set back. */
+    private var dueCount = 0
+
     /** The state by the progress in memory, which may not be stored yet. */
     var state: JobState = JobState.QUEUED
 
@@ -268,6 +273,17 @@
             .flatMap { it.steps }
             .flatMap { it.tasks }
 
+    /** Adds the occurrences that are due at [wallMs] by the time of day. */
+    fun addDueOccurrences(
+        wallMs: Long,
+        nowMs: Long,
+    ) {
+        while (dueCount < submission.occurrenceCount && wallMs >= submission.dueWallMs(dueCount)) addOccurrence(dueCount++, nowMs)
+    }
+
+    /** True once tasks of the occurrence [number] may start. */
+    fun isDue(number: Int): Boolean = submission.times == 0 || number < dueCount
+
     fun addOccurrence(
         number: Int,
         nowMs: Long,
@@ -283,6 +299,17 @@
             ?.tasks
             ?.getOrNull(id.index)
 
+    /** The task [id], which a worker lists, so that its occurrence has begun; null if the job has no such task. */
+    fun listedTask(
+        id: TaskId,
+        nowMs: Long,
+    ): TaskRun? {
+        if (id.occurrence !in 0 until submission.occurrenceCount) return null
+        if (id.index !in 0 until (submission.steps.getOrNull(id.step)?.count ?: 0)) return null
+        addOccurrence(id.occurrence, nowMs)
+        return task(id)
+    }
+
     fun markStarted() {
         if (state == JobState.QUEUED) state = JobState.ACTIVE
         if (visibleState == JobState.QUEUED) visibleState = JobState.ACTIVE
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
@@ -60,7 +60,7 @@
     var readCount = 0
         private set
 
-    /** The tasks that the worker runs, with the times at which they started. */
+    /** The tasks that the worker runs, by a start of this owner or an earlier one, with the times at which they started. */
     val running = LinkedHashMap<TaskId, Long>()
     private val runNumbers = HashMap<TaskId, Long>()
 
@@ -198,7 +198,7 @@
             order: HoldOrder,
             onAnswer: (WorkerAnswer) -> Unit,
         ) = loop.after(maxOf(1L, order.waitMs.toLong())) {
-            val rows = running.keys.map { RunningRow(it, runNumbers.getValue(it), checkpoint = "", percent = 100) }
+            val rows = running.keys.map { RunningRow(it, runNumbers[it] ?: EARLIER_RUN, checkpoint = "", percent = 100) }
             onAnswer(WorkerAnswer.Listed(clockMs, WORKER.bornWallMs, rows, emptyList()))
         }
     }
@@ -227,6 +227,9 @@
         private val WORKER =
             WorkerEntry("w", "w", "pool", "dc", "i", Demand(8_000, 32_000), emptyList(), false, null, bornWallMs = 1)
 
+        /** The number of runs that an earlier owner has started. */
+        private const val EARLIER_RUN = 1L
+
         /** Half of the time that a call to the store takes. */
         private const val STORE_MS = 2L
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/OwnerOfOneWorker.kt
@@ -30,13 +30,14 @@
 import io.corianderrock.jobs.world.SimLoop
 import io.corianderrock.jobs.world.SimTime
 
-/** An owner with one worker, whose answers the test controls, and one job, with one task by default. */
+/** An owner with one worker, whose answers the test controls, and the job [submission], with one task by default. */
 internal class OwnerOfOneWorker(
     var isUp: Boolean = true,
     /** Time after which a hold of the worker fails while it is down. */
     private val failedHoldMs: Long = 1,
     steps: List<Step> = listOf(Step(1, Demand(1_000, 100))),
     finder: JobFinder = JobFinder { _, onResult -> onResult(true) },
+    submission: JobSubmission = JobSubmission("job", Queue("queue", POOL), "spec", steps),
 ) : WorkerLink {
     val time = SimTime()
     private val loop = SimLoop(time)
@@ -112,11 +113,12 @@
         private set
     private val job: JobRun
     val tasks: List<TaskRun> get() = job.tasks.toList()
-    val task: TaskRun
+    private val firstTask: TaskRun?
+    val task: TaskRun get() = checkNotNull(firstTask) { "no occurrence of the job was due when it was loaded" }
 
     init {
-        job = registry.load(JobSubmission("job", Queue("queue", POOL), "spec", steps), progress = null, isInherited = false)
-        task = job.tasks.first()
+        job = registry.load(submission, progress = null, isInherited = false)
+        firstTask = job.tasks.firstOrNull()
         driver.onListed(entry())
         driver.open()
         pass(SETTLE_MS)
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/Contact.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/Contact.kt
@@ -18,6 +18,9 @@
     /** Time since which all [parties] and the store are in touch; it lies ahead if one of them is not yet. */
     fun inTouchSinceMs(parties: Collection<String>): Long = maxOf(inTouchSinceMs(STORE), parties.maxOfOrNull { inTouchSinceMs(it) } ?: 0)
 
+    /** Time since which all parties are in touch; it lies ahead if one of them is not yet. */
+    val allInTouchSinceMs: Long get() = disruptedAtMs.values.maxOrNull()?.plus(CONTACT_MS) ?: 0
+
     private fun inTouchSinceMs(party: String): Long = disruptedAtMs[party]?.plus(CONTACT_MS) ?: 0
 
     companion object {
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/InvariantChecker.kt
@@ -54,6 +54,9 @@
     }
 
     val contact = Contact(time)
+
+    /** True if the entries' clocks may be seconds apart, so that a start may be early by as much. */
+    var doClocksDiffer = false
     private val jobs = HashMap<String, ObservedJob>()
     private val twice = TwiceCheck(time, contact, ::report)
 
@@ -229,6 +232,8 @@
             val isDone = (0 until observed.submission.steps[step].count).all { TaskId(task.jobId, task.occurrence, step, it) in doneTasks }
             if (!isDone) report("ORDER $task starts before step $step is done")
         }
+        checkDue(observed.submission, task)
+        checkCheckpoint(observed.submission, order)
         checkAntiAffinity(worker, observed.submission, task)
         if ((acknowledgedFailures[task] ?: 0) >= observed.submission.queue.maxAttempts &&
             !isLongRunning(task)
@@ -343,6 +348,23 @@
             .filter { isCounted(it.submission) }
             .mapNotNull { job -> job.firstStartAtMs?.minus(job.submittedAtMs) }
 
+    private fun checkDue(
+        submission: JobSubmission,
+        task: TaskId,
+    ) {
+        val earlyMs = submission.dueWallMs(task.occurrence) - time.nowMs
+        if (earlyMs > if (doClocksDiffer) EARLY_MS + CLOCK_STEP_MS else EARLY_MS) report("ORDER $task starts $earlyMs ms before it is due")
+    }
+
+    private fun checkCheckpoint(
+        submission: JobSubmission,
+        order: StartOrder,
+    ) {
+        val checkpoint = order.checkpoint ?: return
+        val isOwn = SimCheckpoint.isOf(checkpoint, order.task, submission.steps[order.task.step].isGang)
+        if (!isOwn) report("UNASKED ${order.task} starts from the checkpoint $checkpoint")
+    }
+
     private fun checkAntiAffinity(
         worker: SimWorker,
         submission: JobSubmission,
@@ -362,6 +384,8 @@
         twice.onEnd(worker, run, end, lasts = isLongRunning(run.task))
         events.publish(if (kind == EndKind.STOPPED) EventKind.RUN_STOPPED else EventKind.RUN_ENDED, run.task.jobId, worker)
         lastEndedAtMs[run.task] = time.nowMs
+        val isCalm = contact.allInTouchSinceMs <= run.startedAtMs
+        if (kind == EndKind.ALONE && isCalm && !jobs.getValue(run.task.jobId).mayBeCancelled) report("GANG ${run.task} ends alone")
         if (kind == EndKind.FAILED) failedEnds.merge(run.task, 1, Int::plus)
         if (kind == EndKind.DONE) doneTasks.add(run.task)
     }
@@ -513,7 +537,9 @@
             ?.isLongRunning == true
 
     private fun tasksOf(submission: JobSubmission): List<TaskId> =
-        submission.steps.flatMapIndexed { step, spec -> (0 until spec.count).map { TaskId(submission.id, 0, step, it) } }
+        (0 until submission.occurrenceCount).flatMap { occurrence ->
+            submission.steps.flatMapIndexed { step, spec -> (0 until spec.count).map { TaskId(submission.id, occurrence, step, it) } }
+        }
 
     private fun report(text: String) {
         violations.add("${time.nowMs}: $text" + if (isLateDelivery) " (by an order carried out late)" else "")
@@ -528,6 +554,12 @@
 
         const val CANCEL_GRACE_MS = 3_000L
 
+        /** By how much a start may precede the time at which its occurrence is due. */
+        const val EARLY_MS = 250L
+
+        /** By how much more it may where clocks differ. */
+        const val CLOCK_STEP_MS = 5_000L
+
         /** Time within which a worker stops a run. */
         const val STOP_TIMEOUT_MS = 200L
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/JobWorld.kt
@@ -64,6 +64,13 @@
     var isRemoved = false
         private set
     var processorMilli = 1_500
+
+    /** By how much its time of day is ahead of the others', also after a restart. */
+    var wallOffsetMs = 0L
+        set(value) {
+            field = value
+            loop.wallOffsetMs = value
+        }
     val isDisrupted: Boolean
         get() =
             !isUp || loop.frozenUntilMs > world.time.nowMs || isPartitionedFromStore || isPartitionedFromWorkers || isPartitionedFromPeers
@@ -77,7 +84,7 @@
     fun boot() {
         isUp = true
         isStopping = false
-        loop = SimLoop(world.time)
+        loop = SimLoop(world.time).also { it.wallOffsetMs = wallOffsetMs }
         scheduler = null
         val tables = world.store.tablesFor(this)
         val log = { event: String, fields: Array<out Any?> -> world.trace(name, event, fields) }
@@ -244,6 +251,9 @@
 
     /** As [EARLY_CANCELS], but a third of the jobs is long-running, so that their tasks end by a cancellation only. */
     LASTING_CANCELS,
+
+    /** Jobs with several occurrences, of steps in order, gangs and steps that save checkpoints. */
+    TIMED_JOBS,
 }
 
 /** The workloads of which the tasks of some jobs run eight times as long as most. */
@@ -331,6 +341,9 @@
     private val maintained = HashSet<String>()
     private val submissions = ArrayList<JobSubmission>()
     private var workerCount = 0
+
+    /** The gangs that have begun, by their steps, occurrences and run numbers. */
+    private val gangs = HashMap<Pair<TaskId, Long>, SimGang>()
     val jobIds: List<String> get() = submissions.map { it.id }
 
     fun trace(
@@ -406,9 +419,13 @@
 
     fun listedWorkers(): List<WorkerEntry> = workers.values.filter { it.isUp && it.entry.id !in unlisted }.map { it.listing }
 
-    fun runPlanOf(task: TaskId): RunPlan {
+    fun runPlanOf(
+        task: TaskId,
+        runNumber: Long,
+    ): RunPlan {
         val submission = submissions.first { it.id == task.jobId }
         val step = submission.steps[task.step]
+        if (step.isGang) return gangPlan(task, runNumber, step)
         val isPoison = submission.spec == "poison"
         val duration =
             when {
@@ -419,16 +436,35 @@
                 else -> 1_000_000L
             }
         val end = if (isPoison || submission.spec != STEADY_SPEC && random.nextInt(20) == 0) EndKind.FAILED else EndKind.DONE
-        return RunPlan(duration, end, step.demand, crashesWorker = submission.spec == DEADLY_SPEC && task.index == 0)
+        val crashesWorker = submission.spec == DEADLY_SPEC && task.index == 0
+        return RunPlan(duration, end, step.demand, crashesWorker, gang = null, checkpointIntervalMs(step))
     }
 
+    private fun gangPlan(
+        task: TaskId,
+        runNumber: Long,
+        step: Step,
+    ): RunPlan {
+        val gang = gangs.getOrPut(task.copy(index = 0) to runNumber) { SimGang(step.count, fails = random.nextInt(20) == 0) }
+        val fails = gang.fails && task.index == 0
+        return RunPlan(
+            if (fails) GANG_WORK_MS / 2 else GANG_WORK_MS,
+            if (fails) EndKind.FAILED else EndKind.DONE,
+            step.demand,
+            gang = gang,
+            checkpointIntervalMs = checkpointIntervalMs(step),
+        )
+    }
+
+    private fun checkpointIntervalMs(step: Step): Long? = if (step.isCheckpointing) CHECKPOINT_INTERVAL_MS else null
+
     /** Carries out [order] of the entry [sender] on [worker], which may crash the worker. */
     fun start(
         worker: SimWorker,
         order: StartOrder,
         sender: String,
     ): WorkerAnswer {
-        val plan = runPlanOf(order.task)
+        val plan = runPlanOf(order.task, order.runNumber)
         val answer = worker.start(order, plan, sender)
         trace(
             "world",
@@ -666,6 +702,7 @@
     }
 
     private fun newSubmission(): JobSubmission {
+        if (workload == Workload.TIMED_JOBS) return timedJob(submissions.size, time.nowMs, random)
         val pool = if (random.nextBoolean()) "a" else "b"
         val queue = Queue("queue-$pool", pool, maxAttempts = 3, stretchFactor = 2.0, targetLatencyMs = 600)
         val longRunningOneIn =
@@ -1080,6 +1117,8 @@
 
     private companion object {
         val CAPACITY = Demand(8_000, 32_000)
+        const val GANG_WORK_MS = 1_200L
+        const val CHECKPOINT_INTERVAL_MS = 300L
 
         /** Racks of the instances where steps prefer one. */
         const val RACK_COUNT = 2
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/SimWorkers.kt
@@ -33,12 +33,30 @@
         val task: TaskId,
         val number: Long,
         val startedAtMs: Long,
-        val endsAtMs: Long,
-        val kind: EndKind,
-        val demand: Demand,
+        val plan: RunPlan,
+        /** Work that the checkpoint of its start saves, in milliseconds. */
+        val savedMs: Long,
         /** True if the start was delivered late. */
         val isLate: Boolean,
     ) {
+        val demand: Demand get() = plan.demand
+
+        /** When its work ends if nothing interrupts it; a member of a gang works from [SimGang.worksSinceMs] on. */
+        val endsAtMs: Long get() = worksSinceMs?.let { it + maxOf(1, plan.durationMs - savedMs) } ?: Long.MAX_VALUE
+
+        private val worksSinceMs: Long? get() = if (plan.gang == null) startedAtMs else plan.gang.worksSinceMs
+
+        /** The checkpoint of its last whole interval of work at [nowMs], or of all its work if it [isStopped]; empty if it saves none. */
+        fun checkpoint(
+            nowMs: Long,
+            isStopped: Boolean = false,
+        ): String {
+            val intervalMs = plan.checkpointIntervalMs ?: return ""
+            val workedMs = savedMs + (worksSinceMs?.let { nowMs - it } ?: 0)
+            val keptMs = if (isStopped) workedMs else workedMs / intervalMs * intervalMs
+            return if (keptMs == 0L) "" else SimCheckpoint(task, plan.gang != null, keptMs).text
+        }
+
         /** When a stop that was ordered ends the run. */
         var stopsAtMs: Long? = null
     }
@@ -79,7 +97,14 @@
 
     fun tick() {
         if (!isUp) return
-        for (run in running.values.filter { time.nowMs >= it.endsAtMs }) end(run, run.kind)
+        for (run in running.values.toList()) {
+            val kind = run.plan.gang?.endOf(run.task, time.nowMs)
+            if (kind != null) end(run, kind)
+        }
+        for (run in running.values.filter { time.nowMs >= it.endsAtMs }) {
+            // The end of a member of a gang ends the others.
+            if (running[run.task] === run) end(run, run.plan.end)
+        }
         for (run in running.values.filter { run -> run.stopsAtMs.let { it != null && time.nowMs >= it } }) end(run, EndKind.STOPPED)
         if (clockMs > expiresAtClockMs) {
             lapsedAtMs = time.nowMs
@@ -90,6 +115,7 @@
     fun kill() {
         isUp = false
         checker.onKilled(running.keys)
+        for (run in running.values) run.plan.gang?.onEnd(run.task, EndKind.LAPSED, time.nowMs)
         running.clear()
     }
 
@@ -114,8 +140,9 @@
             ) { sum, run -> Demand(sum.cpuMilli + run.demand.cpuMilli, sum.memoryMb + run.demand.memoryMb) }
         if (used.cpuMilli + plan.demand.cpuMilli > entry.capacity.cpuMilli) return WorkerAnswer.Refused(StartRefusal.NO_CAPACITY, clockMs)
         checker.onStart(this, order, sender)
-        running[order.task] =
-            Run(order.task, order.runNumber, time.nowMs, time.nowMs + plan.durationMs, plan.end, plan.demand, checker.isLateDelivery)
+        val savedMs = order.checkpoint?.let { SimCheckpoint.savedMs(it) } ?: 0
+        running[order.task] = Run(order.task, order.runNumber, time.nowMs, plan, savedMs, checker.isLateDelivery)
+        plan.gang?.onStart(order.task, time.nowMs, ::tick)
         return WorkerAnswer.Done(clockMs)
     }
 
@@ -148,7 +175,7 @@
             checker.onEndAcknowledged(this, end, hasLapsed = lapsedAtMs > endedAtMs)
         }
         ended.removeAll { (end, _) -> end.number <= order.acknowledgedEnd }
-        val rows = running.values.map { RunningRow(it.task, it.number, "", 100) }
+        val rows = running.values.map { RunningRow(it.task, it.number, it.checkpoint(time.nowMs), 100) }
         return WorkerAnswer.Listed(clockMs, entry.bornWallMs, rows, ended.map { it.first })
     }
 
@@ -168,8 +195,9 @@
         running.remove(run.task)
         highestEndedRun.merge(run.task, run.number, ::maxOf)
         endCount++
-        val row = EndRow(endCount, run.task, run.number, kind, "")
+        val row = EndRow(endCount, run.task, run.number, kind, run.checkpoint(time.nowMs, isStopped = kind == EndKind.STOPPED))
         ended.add(row to time.nowMs)
+        run.plan.gang?.onEnd(run.task, kind, time.nowMs)
         checker.onEnd(this, run, row)
     }
 
@@ -184,6 +212,10 @@
     val end: EndKind,
     val demand: Demand,
     val crashesWorker: Boolean = false,
+    /** The gang of which it is a member; null for none. */
+    val gang: SimGang? = null,
+    /** Work after which a checkpoint is saved; null if none is. */
+    val checkpointIntervalMs: Long? = null,
 )
 
 /**
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
@@ -2,7 +2,7 @@
  * Runs the simulation by hand: `WorldMainKt FIRST LAST [WORKLOAD [LEASE_MS [POOL_DECISIONS]]]` prints the violations of a range of
  * seeds, and the decisions as well if the range has a single seed. WORKLOAD is one of [Workload], where EARLY_CANCELS includes the
  * cancellations of [EarlyCancels] and messages that overtake each other, COINCIDENCES for [Coincidences] beside these, with COINCIDENCES_SAME_IDS for workers that restart under their id, FLEET_CHANGES for [FleetChanges], or LATE_ORDERS for the faults of
- * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids, and SILENT_FAULTS for those of [SilentFaults]. POOL_DECISIONS true switches on the optional decisions on pools.
+ * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids, SILENT_FAULTS for those of [SilentFaults], and TIMED_JOBS includes those of [TimedJobFaults]. POOL_DECISIONS true switches on the optional decisions on pools.
  */
 package io.corianderrock.jobs.world
 
@@ -49,6 +49,8 @@
             lateOrderWorld(seed, keepsIds = workload == LATE_ORDERS, longestLeaseMs, settings, traces)
         } else if (workload == SILENT_FAULTS) {
             silentFaultWorld(seed, longestLeaseMs, settings, traces)
+        } else if (workload == Workload.TIMED_JOBS.name) {
+            timedJobWorld(seed, settings, traces)
         } else {
             JobWorld(seed, workload = Workload.valueOf(workload), longestLeaseMs = longestLeaseMs, settings = settings, traces = traces)
         }
