Keep what belongs to a job that cannot be read for a later owner

What callers would see, with entries of two versions beside each other: tasks that run again, 410 for an accepted job.

Cause: a row that could not be decoded was left out, so that the job, its progress or its failed runs counted as not there: ends were acknowledged unrecorded, runs stopped, tasks begun anew, rows of failed runs deleted; a bitmap that is not Base64 ended each term.

Why this fix works: a job that exists and cannot be read is a state of its own, of which nothing is concluded (ListedTasks, readJob).

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
@@ -193,10 +193,11 @@
     ): Unit =
         sharedReads.read(RowKey(Table.JOBS, id), onAnswer) { job ->
             val submission = job?.let { decodeStored(JobSubmission.serializer(), it.value) }
-            if (submission == null || submission.queue.name != queueName || !access.permits(submission.account)) {
-                onAnswer(CallerAnswer.NotFound)
-            } else {
-                readProgress(id, onAnswer)
+            when {
+                job == null -> onAnswer(CallerAnswer.NotFound)
+                submission == null -> onAnswer(UNREADABLE)
+                submission.queue.name != queueName || !access.permits(submission.account) -> onAnswer(CallerAnswer.NotFound)
+                else -> readProgress(id, onAnswer)
             }
         }
 
@@ -205,7 +206,7 @@
         onAnswer: (CallerAnswer) -> Unit,
     ) = sharedReads.read(RowKey(Table.PROGRESS, id), onAnswer) { row ->
         val progress = row?.let { decodeStored(JobProgress.serializer(), it.value) }
-        onAnswer(CallerAnswer.State(progress?.state ?: JobState.QUEUED))
+        onAnswer(if (row != null && progress == null) UNREADABLE else CallerAnswer.State(progress?.state ?: JobState.QUEUED))
     }
 
     /** Stores an inbox message that job [id] is to be cancelled; a job outside [access] is not found. */
@@ -216,9 +217,11 @@
     ) {
         val message = InboxMessage(id, isCancel = true).key
         read(Table.JOBS, id, onAnswer) { job ->
-            val account = job?.let { decodeStored(JobSubmission.serializer(), it.value) }?.account
+            val submission = job?.let { decodeStored(JobSubmission.serializer(), it.value) }
             when {
-                job == null || !access.permits(account) -> onAnswer(CallerAnswer.NotFound)
+                job == null -> onAnswer(CallerAnswer.NotFound)
+                submission == null -> onAnswer(UNREADABLE)
+                !access.permits(submission.account) -> onAnswer(CallerAnswer.NotFound)
                 openRequests.join(message, onAnswer) -> Unit
                 openRequests.isOpen(message) -> settle(message, message, onAnswer)
                 else -> writeOnce(message, RowChange(puts = mapOf(message to INBOX_MESSAGE)), onAnswer)
@@ -255,6 +258,9 @@
         /** Value of inbox rows, whose keys carry all information. */
         const val INBOX_MESSAGE = "1"
 
+        /** The job exists, in a form that a later version has stored. */
+        val UNREADABLE = CallerAnswer.NotApplied("this version cannot read the stored job; retry at another entry", RETRY_AFTER_MS)
+
         const val STILL_OPEN = "an earlier write without an answer may still be applied"
 
         /** Within this time a request that cannot be served is refused; a read usually takes 4 ms. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/Placer.kt
@@ -116,6 +116,7 @@
             worker.drainingSinceMs == null &&
             !worker.isCordoned &&
             worker.orphanedRuns.isEmpty() &&
+            !worker.hasUnreadableRuns &&
             worker.consecutiveLostHolds == 0 &&
             loop.nowMs >= worker.avoidUntilMs
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/WaitExplainer.kt
@@ -115,6 +115,8 @@
             inPool.count { it.consecutiveLostHolds > 0 },
             "withOrphanedRuns",
             inPool.count { it.orphanedRuns.isNotEmpty() },
+            "withUnreadableRuns",
+            inPool.count { it.hasUnreadableRuns },
             "reserved",
             capacities.count { it.isReserved },
             "crashes",
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -11,7 +11,6 @@
 import io.corianderrock.jobs.ports.StoredRow
 import io.corianderrock.jobs.ports.Table
 import io.corianderrock.jobs.state.JobRun
-import io.corianderrock.jobs.state.JobSubmission
 
 /** Adds the jobs of the inbox to [registry], until [isClosed]. Used on the event loop only. */
 internal class JobInbox(
@@ -54,6 +53,8 @@
             apply(message)
             return
         }
+        // A later owner that can read the job reads the message as well.
+        if (registry.isUnreadable(message.jobId)) return
         if (message.isCancel) heldCancellations[message.jobId] = message
         find(message.jobId) { found ->
             when (found) {
@@ -81,7 +82,7 @@
 
         data object Absent : Lookup
 
-        /** The row cannot be decoded, now or later. */
+        /** The store holds the job, and this version cannot read it, now or later. */
         data object Unreadable : Lookup
 
         /** The store did not answer. */
@@ -94,19 +95,26 @@
         onResult: (Lookup) -> Unit,
     ) = tables.read(RowKey(Table.JOBS, id)) { result ->
         val row = (result as? ReadResult.Rows)?.rows?.firstOrNull()
-        val submission = row?.let { decodeStored(JobSubmission.serializer(), it.value) }
         when {
             isClosed() || result !is ReadResult.Rows -> onResult(Lookup.Unknown)
             row == null -> onResult(Lookup.Absent)
-            submission == null -> onResult(Lookup.Unreadable)
-            else -> {
-                log.write("job_from_inbox", "job", id, "version", row.version)
-                val job = registry.load(submission, progress = null, isInherited = false)
+            else -> onResult(add(row))
+        }
+    }
+
+    private fun add(row: StoredRow): Lookup =
+        when (val stored = readJob(row)) {
+            is StoredJob.Unreadable -> {
+                registry.addUnreadable(row.key.key, stored.reason)
+                Lookup.Unreadable
+            }
+            is StoredJob.Readable -> {
+                log.write("job_from_inbox", "job", stored.submission.id, "version", row.version)
+                val job = registry.load(stored.submission, progress = null, isInherited = false)
                 job.mayBeKnownToEarlierOwner = hadEarlierOwner
-                onResult(Lookup.Found(job))
+                Lookup.Found(job)
             }
         }
-    }
 
     private fun apply(message: InboxMessage) {
         val job = registry.find(message.jobId) ?: return
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -53,6 +53,20 @@
 
     fun find(id: String): JobRun? = jobs[id]
 
+    /** Jobs that the store holds in a form that this version cannot read. */
+    private val unreadable = HashSet<String>()
+
+    /** True if the store holds the job [id] in a form that this version cannot read: it exists, and nothing is known of its tasks. */
+    fun isUnreadable(id: String): Boolean = id in unreadable
+
+    /** Records that the store holds the job [id], which cannot be read for [reason]. */
+    fun addUnreadable(
+        id: String,
+        reason: String,
+    ) {
+        if (unreadable.add(id)) log.write("job_unreadable", "job", id, "reason", reason)
+    }
+
     /** Adds a job that is already stored, by an earlier owner or by an entry that could not reach the owner. */
     fun load(
         submission: JobSubmission,
@@ -117,7 +131,13 @@
             log.write("job_found_stored", "job", job.id)
             job.mayBeKnownToEarlierOwner = true
         }
-        register(job)
+        val stored = existing?.let { readJob(it) }
+        if (stored is StoredJob.Unreadable) {
+            jobs.remove(job.id, job)
+            addUnreadable(job.id, stored.reason)
+        } else {
+            register(job)
+        }
     }
 
     private fun register(job: JobRun) {
@@ -362,6 +382,7 @@
             val (id, group) = TaskPositions.parseGroupKey(row.key) ?: continue
             val job = jobs[id]
             val runs = decodeStored(GroupRuns.serializer(), row.value)
+            if (isUnreadable(id)) continue
             if (job == null || job.state.isFinal) {
                 committer.put(row.key) { null }
             } else if (runs != null) {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/ListedTasks.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/ListedTasks.kt
@@ -1,11 +1,12 @@
 /*
  * The tasks of listed runs and ends. What a worker lists was started by an owner that may have known more than this one: a job that another
- * entry stored just after this owner had loaded all jobs, or an occurrence that is not due yet by this entry's clock. An end that is
- * acknowledged without being recorded is lost, so that its task runs again; a run that is stopped as unknown runs again beside the first.
+ * entry stored just after this owner had loaded all jobs, an occurrence that is not due yet by this entry's clock, or a job that a later
+ * version has stored in a form that this one cannot read. An end that is acknowledged without being recorded is lost, so that its task runs
+ * again; a run that is stopped as unknown runs again beside the first.
  *
  * So not knowing a task proves nothing. An owner acknowledges an end without recording it, and stops a run without a place for it, only if
  * no task can be missing: the job has ended; the store does not hold it, so that it was deleted after its end, as it is stored before its
- * first start; or it has no such task by its submission, which never changes.
+ * first start; or it has no such task by its submission, which never changes. Of a job that it cannot read, it keeps both for a later owner.
  */
 package io.corianderrock.jobs.runs
 
@@ -30,6 +31,9 @@
         val task: TaskRun,
     ) : ListedTask
 
+    /** The store holds the job of the task, and this version cannot read it. */
+    data object Unreadable : ListedTask
+
     /** No end of the task changes anything, and no run of it is to go on, as [reason] tells. */
     data class Over(
         val reason: String,
@@ -54,9 +58,12 @@
         lists: WorkerAnswer.Listed,
     ): Set<String> {
         val ended = lists.ended.filter { it.number > worker.processedEnd }.map { it.task.jobId }
-        return (lists.running.map { it.task.jobId } + ended).filterNotTo(HashSet()) { registry.find(it)?.isStored == true || it in deleted }
+        return (lists.running.map { it.task.jobId } + ended).filterNotTo(HashSet()) { isLookedUp(it) || it in deleted }
     }
 
+    /** True if the store is known to hold the job [id], whether or not it can be read. */
+    private fun isLookedUp(id: String): Boolean = registry.find(id)?.isStored == true || registry.isUnreadable(id)
+
     /** Looks up [ids]; [onFound] is called once all are known or known to be deleted, and not if a read fails. */
     fun find(
         ids: Set<String>,
@@ -73,6 +80,7 @@
 
     /** The task [id], whose job has been looked up. */
     fun resolve(id: TaskId): ListedTask {
+        if (registry.isUnreadable(id.jobId)) return ListedTask.Unreadable
         val job = registry.find(id.jobId) ?: return ListedTask.Over("the store does not hold the job")
         if (!job.isLive) return ListedTask.Over("the job is ${job.state}")
         return job.listedTask(id, loop.nowMs)?.let(ListedTask::Known) ?: ListedTask.Over("the job has no such task")
@@ -88,7 +96,7 @@
         }
         reads[id] = arrayListOf(onResult)
         finder.find(id) { isAnswered ->
-            if (isAnswered && registry.find(id)?.isStored != true) deleted.add(id)
+            if (isAnswered && !isLookedUp(id)) deleted.add(id)
             reads.remove(id)?.forEach { it(isAnswered) }
         }
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -86,6 +86,7 @@
             worker.unsettledStarts.onFenceAnswered()
             register.releaseOrStopEarlierRuns(worker, lists)
         }
+        worker.hasUnreadableRuns = lists.running.any { tasks.resolve(it.task) is ListedTask.Unreadable }
         lists.running.forEach { onRunningRow(worker, it) }
         completeStops(worker, sentAtMs, lists)
         // What the last incarnation has acknowledged says nothing of this one's ends.
@@ -116,13 +117,31 @@
                 worker.openEnds.add(OpenEnd(end.number, listed.task.stepRun.job))
                 recordEnd(worker, listed.task, end)
             }
+            is ListedTask.Unreadable -> onUnreadableEnd(worker, end)
             is ListedTask.Over ->
                 log.write("end_without_task", "task", end.task, "run", end.runNumber, "worker", worker.id, "because", listed.reason)
         }
+        limitKeptEnds(worker)
         // After the job's progress: an ended run is acknowledged only once its effect on the job is stored.
         leaseRows.storeEnd(worker) { holds.onEndsStored(worker) }
     }
 
+    /** Keeps [end], and with it all later ones, in the worker's list. */
+    private fun onUnreadableEnd(
+        worker: WorkerView,
+        end: EndRow,
+    ) {
+        log.write("end_unreadable", "task", end.task, "run", end.runNumber, "worker", worker.id, "end", end.number)
+        worker.openEnds.add(OpenEnd(end.number, job = null))
+    }
+
+    /** Gives up the ends that are kept because they cannot be read once the list holds so many that further ends would not be seen. */
+    private fun limitKeptEnds(worker: WorkerView) {
+        if (worker.processedEnd - worker.storableEnd <= MAX_KEPT_ENDS) return
+        val isAnyGivenUp = worker.openEnds.removeAll { it.job == null }
+        if (isAnyGivenUp) log.write("unreadable_ends_given_up", "worker", worker.id, "processed", worker.processedEnd)
+    }
+
     private fun recordEnd(
         worker: WorkerView,
         task: TaskRun,
@@ -173,7 +192,7 @@
             adopt(worker, listed.task, row)
         } else if (current != null) {
             stopListedRun(worker, current, row)
-        } else {
+        } else if (listed !is ListedTask.Unreadable) {
             stopUnknownRun(worker, row, because = (listed as? ListedTask.Over)?.reason ?: "the task is not to run there")
         }
     }
@@ -286,6 +305,9 @@
         /** A worker ends a run within 200 ms of its stop; the rest allows for its list. */
         const val STOP_REPEAT_MS = 1_000L
 
+        /** Ends that a worker may keep for a later owner: an answer lists 500, and those beyond would not be seen. */
+        const val MAX_KEPT_ENDS = 400L
+
         /** Percentage reported by a worker whose run is at full work. */
         const val FULL_PERCENT = 100
     }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -36,7 +36,6 @@
 import io.corianderrock.jobs.sharing.NoSharing
 import io.corianderrock.jobs.sharing.PaceOrders
 import io.corianderrock.jobs.sharing.SharingController
-import io.corianderrock.jobs.state.JobProgress
 import io.corianderrock.jobs.state.JobSubmission
 import kotlinx.serialization.builtins.ListSerializer
 
@@ -182,6 +181,10 @@
             onResult(SubmitResult.Unavailable)
             return
         }
+        if (registry.isUnreadable(submission.id)) {
+            onResult(SubmitResult.Accepted)
+            return
+        }
         val isKnown = registry.find(submission.id) != null
         val refusal = if (isKnown) null else refusalOf(submission)
         if (refusal != null) {
@@ -209,9 +212,9 @@
     ) = inbox.find(id) { found ->
         onResult(
             when (found) {
-                is JobInbox.Lookup.Found -> SubmitResult.Accepted
+                is JobInbox.Lookup.Found, is JobInbox.Lookup.Unreadable -> SubmitResult.Accepted
                 is JobInbox.Lookup.Absent -> SubmitResult.Rejected(refusal.reason, refusal.retryAfterMs)
-                is JobInbox.Lookup.Unreadable, is JobInbox.Lookup.Unknown -> SubmitResult.Unavailable
+                is JobInbox.Lookup.Unknown -> SubmitResult.Unavailable
             },
         )
     }
@@ -225,6 +228,7 @@
     /** The state of the job [id] as far as it is stored. */
     public fun state(id: String): JobAnswer {
         if (!isLoaded || isClosed || !isOwnershipFresh(STATE_FRESHNESS_MS)) return JobAnswer(isAvailable = false)
+        if (registry.isUnreadable(id)) return JobAnswer(isAvailable = false)
         val job = registry.find(id)?.takeIf { it.isStored } ?: return JobAnswer(isAvailable = true)
         // A write of the final state without an answer may have been applied already: only the store can tell.
         if (job.state != job.visibleState && committer.isStoreUnhealthy) return JobAnswer(isAvailable = false)
@@ -237,7 +241,7 @@
         access: JobAccess,
         onResult: (CancelResult) -> Unit,
     ) {
-        if (!isLoaded || isClosed || !canWrite) {
+        if (!isLoaded || isClosed || !canWrite || registry.isUnreadable(id)) {
             onResult(CancelResult.UNAVAILABLE)
             return
         }
@@ -294,16 +298,7 @@
         if (earlier.existed) maxOf(0, earlier.ordersEndMs(WORKER_ORDER_FRESHNESS_MS) - loop.nowMs) else 0
 
     private fun restore(rowsByTable: Map<Table, List<StoredRow>>) {
-        val progress = rowsByTable.getValue(Table.PROGRESS).associate { it.key.key to decodeStored(JobProgress.serializer(), it.value) }
-        for (row in rowsByTable.getValue(Table.JOBS)) {
-            val submission = decodeStored(JobSubmission.serializer(), row.value)
-            val error = if (submission == null) "not a job" else submission.validationError()
-            if (submission == null || error != null) {
-                log.write("job_unreadable", "job", row.key.key, "reason", error)
-                continue
-            }
-            registry.load(submission, progress[submission.id], isInherited = true)
-        }
+        restoreJobs(rowsByTable.getValue(Table.JOBS), rowsByTable.getValue(Table.PROGRESS))
         registry.loadGroups(rowsByTable.getValue(Table.PROGRESS))
         val leases = rowsByTable.getValue(Table.WORKER_LEASES).mapNotNull { decodeStored(WorkerLeaseRow.serializer(), it.value) }
         driver.inherit(leases, earlier.ordersEndMs(WORKER_ORDER_FRESHNESS_MS) + driver.worstCaseLeaseMs)
@@ -318,6 +313,23 @@
         log.write("owner_loaded", "epoch", owner.epoch, "jobs", registry.live.size, "leases", leases.size, "waves", waves.size)
     }
 
+    private fun restoreJobs(
+        jobs: List<StoredRow>,
+        progress: List<StoredRow>,
+    ) {
+        val progressById = progress.associateBy { it.key.key }
+        val withUnreadableGroups = jobsWithUnreadableGroups(progress)
+        for (row in jobs) {
+            val id = row.key.key
+            val stored = readJob(row, progressById[id])
+            when {
+                stored is StoredJob.Unreadable -> registry.addUnreadable(id, stored.reason)
+                id in withUnreadableGroups -> registry.addUnreadable(id, "not the failed runs of a group")
+                stored is StoredJob.Readable -> registry.load(stored.submission, stored.progress, isInherited = true)
+            }
+        }
+    }
+
     private fun onLoaded() {
         isLoaded = true
         driver.open()
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WorkerHolds.kt
@@ -246,6 +246,7 @@
             isListedButSilent(worker) ||
             worker.runs.size > worker.startQueue.size ||
             worker.orphanedRuns.isNotEmpty() ||
+            worker.hasUnreadableRuns ||
             worker.answeredStops.isNotEmpty() ||
             worker.deferredLists != null ||
             worker.acknowledgedEnd < worker.storedEnd
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/WorkerView.kt
@@ -14,11 +14,14 @@
 /** Age up to which an unanswered order counts as still arriving: it may be carried out up to 12 s after it was sent. */
 internal const val LATE_ORDER_WINDOW_MS = 13_000L
 
-/** The end [number] in a worker's list, of a run of a task of [job]. */
+/** The end [number] in a worker's list, of a run of a task of [job]; null if the job cannot be read. */
 internal class OpenEnd(
     val number: Long,
-    val job: JobRun,
-)
+    val job: JobRun?,
+) {
+    /** True if a later owner has to read the end from the worker: it cannot be recorded, or what it has changed cannot be stored. */
+    val isLeftToLaterOwner: Boolean get() = job == null || job.isProgressRefused
+}
 
 internal class WorkerView(
     var entry: WorkerEntry,
@@ -87,11 +90,14 @@
         private set
 
     /** True if the worker may run tasks that are not among [runs]. */
-    val mayHaveUnknownRuns: Boolean get() = consecutiveLostHolds > 0 || orphanedRuns.isNotEmpty()
+    val mayHaveUnknownRuns: Boolean get() = consecutiveLostHolds > 0 || orphanedRuns.isNotEmpty() || hasUnreadableRuns
 
     /** Runs that belong to no current task and are being stopped, with their run numbers; the capacity they occupy is unknown. */
     val orphanedRuns = HashMap<TaskId, Long>()
 
+    /** True if the last list shows runs of jobs that this version cannot read, which go on; the capacity they occupy is unknown. */
+    var hasUnreadableRuns: Boolean = false
+
     /** The last answered stop of each task: a report requested later without the run proves that it ended. */
     val answeredStops = HashMap<TaskId, AnsweredStop>()
 
@@ -101,8 +107,8 @@
     /** Processed ends that are not known to be stored, with the jobs that they concern. */
     val openEnds = ArrayDeque<OpenEnd>()
 
-    /** Number of the last processed end before the first whose effect on its job was refused by the store. */
-    val storableEnd: Long get() = openEnds.firstOrNull { it.job.isProgressRefused }?.let { it.number - 1 } ?: processedEnd
+    /** Number of the last processed end before the first that is left to a later owner. */
+    val storableEnd: Long get() = openEnds.firstOrNull { it.isLeftToLaterOwner }?.let { it.number - 1 } ?: processedEnd
 
     /** Number of the last end that the lease row in the last transaction covers. */
     var storingEnd: Long = 0
@@ -172,7 +178,7 @@
     val free: Demand get() = entry.capacity - occupied
 
     /** True when it is certain that nothing runs here. */
-    val isEmpty: Boolean get() = isReconciled && runs.isEmpty() && orphanedRuns.isEmpty() && startQueue.isEmpty()
+    val isEmpty: Boolean get() = isReconciled && runs.isEmpty() && orphanedRuns.isEmpty() && !hasUnreadableRuns && startQueue.isEmpty()
 
     fun addRun(task: TaskRun) {
         removeRun(task.id)
@@ -228,6 +234,7 @@
         incarnation++
         this.fence = fence
         orphanedRuns.clear()
+        hasUnreadableRuns = false
         answeredStops.clear()
         deferredLists = null
         unsettledStarts.beginIncarnation()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
@@ -10,6 +10,7 @@
 import io.corianderrock.jobs.ownership.OwnerRow
 import io.corianderrock.jobs.ports.AdviceAnswer
 import io.corianderrock.jobs.ports.ChangeResult
+import io.corianderrock.jobs.ports.EndRow
 import io.corianderrock.jobs.ports.HoldOrder
 import io.corianderrock.jobs.ports.Instance
 import io.corianderrock.jobs.ports.InstanceOrderAnswer
@@ -44,6 +45,8 @@
 internal class InboxOfOneOwner(
     hadEarlierOwner: Boolean = false,
     storedBefore: List<JobSubmission> = emptyList(),
+    /** Further rows that are stored before the owner starts. */
+    rowsBefore: Map<RowKey, String> = emptyMap(),
     /** True for the tables that the store does not let the owner scan. */
     var refusesScan: (Table) -> Boolean = { false },
 ) {
@@ -64,6 +67,13 @@
     val running = LinkedHashMap<TaskId, Long>()
     private val runNumbers = HashMap<TaskId, Long>()
 
+    /** The ends that the worker lists. */
+    var endedRows = emptyList<EndRow>()
+
+    /** The highest end that a hold has acknowledged. */
+    var acknowledgedEnd = 0L
+        private set
+
     /** The times at which the worker was told to start a task. */
     val startsAtMs = ArrayList<Long>()
 
@@ -111,6 +121,7 @@
 
     init {
         for (job in storedBefore) put(RowKey(Table.JOBS, job.id), storedJson.encodeToString(JobSubmission.serializer(), job))
+        rowsBefore.forEach(::put)
         put(OwnerRow.KEY, owner.encode())
         val ports =
             SchedulerPorts(
@@ -142,6 +153,14 @@
         value: String,
     ) = apply(RowChange(puts = mapOf(key to value)))
 
+    /** Asks the entry that cannot reach the owner for the state of [job]. */
+    fun askElsewhere(job: JobSubmission): CallerAnswer? {
+        var answer: CallerAnswer? = null
+        otherEntry.state(job.id, job.queue.name, JobAccess.ALL) { answer = it }
+        pass(ASK_MS)
+        return answer
+    }
+
     fun isStored(key: RowKey): Boolean = key in stored
 
     private fun apply(change: RowChange): ChangeResult {
@@ -198,8 +217,9 @@
             order: HoldOrder,
             onAnswer: (WorkerAnswer) -> Unit,
         ) = loop.after(maxOf(1L, order.waitMs.toLong())) {
+            acknowledgedEnd = maxOf(acknowledgedEnd, order.acknowledgedEnd)
             val rows = running.keys.map { RunningRow(it, runNumbers[it] ?: EARLIER_RUN, checkpoint = "", percent = 100) }
-            onAnswer(WorkerAnswer.Listed(clockMs, WORKER.bornWallMs, rows, emptyList()))
+            onAnswer(WorkerAnswer.Listed(clockMs, WORKER.bornWallMs, rows, endedRows))
         }
     }
 
@@ -230,6 +250,9 @@
         /** The number of runs that an earlier owner has started. */
         private const val EARLIER_RUN = 1L
 
+        /** Time in which a query is answered. */
+        private const val ASK_MS = 100L
+
         /** Half of the time that a call to the store takes. */
         private const val STORE_MS = 2L
     }
