--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/TimedJobFaults.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/TimedJobFaults.kt
@@ -100,7 +100,7 @@
     )
 }
 
-/** A simulation of [Workload.TIMED_JOBS] whose faults are [TimedJobFaults]. */
+/** A simulation of [Workload.TIMED_JOBS] whose faults are [TimedJobFaults]. In a third of the seeds entries store jobs around the owner. */
 internal fun timedJobWorld(
     seed: Int,
     settings: SchedulingSettings = SchedulingSettings(),
@@ -112,7 +112,7 @@
         tampering,
         hasFaults = false,
         workload = Workload.TIMED_JOBS,
-        settings = settings,
+        settings = if (seed % 3 == 0) settings.copy(bypassesSilentOwner = true) else settings,
         scheduleEvents = { TimedJobFaults(it, seed).schedule() },
         traces = traces,
         workersPollThemselves = true,
