Delete ended jobs as fast as they come, and load none whose time is over

Cause: 20 ended jobs were deleted every 5 s, 4 a second, where 13.6 come in; a new owner read both tables as a whole and held each ended job with its text.

Change: Retention deletes 45 jobs a transaction, as often as ten times a second while there is a backlog and no other write waits. JobLoader reads the tables page by page and keeps an id and a time of a job that is to be deleted. Such a job is known as ended, also while it is being deleted: the lookup of a listed run or a submission that is sent again does not begin it anew.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
@@ -137,12 +137,13 @@
 public sealed interface ReadResult {
     /**
      * A consistent snapshot of the rows. [version] is the version of the store at the snapshot, [storeMs] the time on its steady
-     * clock; null if not known.
+     * clock; null if not known. [lastKey] is set if further rows follow: they come after it.
      */
     public data class Rows(
         val rows: List<StoredRow>,
         val version: Long,
         val storeMs: Long? = null,
+        val lastKey: String? = null,
     ) : ReadResult
 
     /** Nothing was read. [refusal] is set if the call was refused for load. */
@@ -169,6 +170,23 @@
         onResult: (ReadResult) -> Unit,
     )
 
+    /**
+     * Reads rows of [table] whose keys come after [after], from the first one if it is null, in the order of their keys: as many as come
+     * in one answer, so that a table need not fit into memory. [ReadResult.Rows.lastKey] tells where to go on.
+     */
+    public fun scanPage(
+        table: Table,
+        after: String?,
+        onResult: (ReadResult) -> Unit,
+    ): Unit =
+        scan(table) { result ->
+            if (result is ReadResult.Rows && after != null) {
+                onResult(result.copy(rows = result.rows.filter { it.key.key > after }))
+            } else {
+                onResult(result)
+            }
+        }
+
     /** Reads one row; the result has at most one row. */
     public fun read(
         key: RowKey,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Committer.kt
@@ -33,6 +33,9 @@
     /** The most ASCII characters that a value may have. */
     val largestValueLength: Int get() = limits.largestValueLength
 
+    /** Number of rows that wait for a transaction. */
+    val pendingCount: Int get() = queue.size
+
     /** True while the current transaction is failing or its answer is overdue. */
     val isStoreUnhealthy: Boolean get() = transactions.health.isUnhealthy
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -89,28 +89,48 @@
         data object Unknown : Lookup
     }
 
-    /** Reads the job [id] from the store and adds it to the registry if it is there. */
+    /**
+     * Reads the job [id] from the store and adds it to the registry if it is there. It has progress only if an earlier owner has stored
+     * that, which this owner has loaded with all others, unless the job had ended long before. Then the progress is read first: a job that
+     * is deleted in between has no row any more, and is not taken for one that has not begun.
+     */
     fun find(
         id: String,
         onResult: (Lookup) -> Unit,
-    ) = tables.read(RowKey(Table.JOBS, id)) { result ->
-        val row = (result as? ReadResult.Rows)?.rows?.firstOrNull()
-        when {
-            isClosed() || result !is ReadResult.Rows -> onResult(Lookup.Unknown)
-            row == null -> onResult(Lookup.Absent)
-            else -> onResult(add(row))
+    ) {
+        if (!registry.retention.isNotLoaded(id)) {
+            readJob(id, progress = null, onResult)
+        } else {
+            readRow(RowKey(Table.PROGRESS, id), onResult) { progress -> readJob(id, progress, onResult) }
         }
     }
 
-    private fun add(row: StoredRow): Lookup =
-        when (val stored = readJob(row)) {
+    private fun readJob(
+        id: String,
+        progress: StoredRow?,
+        onResult: (Lookup) -> Unit,
+    ) = readRow(RowKey(Table.JOBS, id), onResult) { row -> onResult(if (row == null) Lookup.Absent else add(row, progress)) }
+
+    private fun readRow(
+        key: RowKey,
+        onResult: (Lookup) -> Unit,
+        onRow: (StoredRow?) -> Unit,
+    ) = tables.read(key) { result ->
+        if (isClosed() || result !is ReadResult.Rows) onResult(Lookup.Unknown) else onRow(result.rows.firstOrNull())
+    }
+
+    private fun add(
+        row: StoredRow,
+        progress: StoredRow?,
+    ): Lookup =
+        when (val stored = readJob(row, progress)) {
             is StoredJob.Unreadable -> {
                 registry.addUnreadable(row.key.key, stored.reason)
                 Lookup.Unreadable
             }
             is StoredJob.Readable -> {
                 log.write("job_from_inbox", "job", stored.submission.id, "version", row.version)
-                val job = registry.load(stored.submission, progress = null, isInherited = false)
+                val job = registry.load(stored.submission, stored.progress, isInherited = false)
                 job.mayBeKnownToEarlierOwner = hadEarlierOwner
                 Lookup.Found(job)
             }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -31,6 +31,9 @@
 ) {
     private val jobs = HashMap<String, JobRun>()
     private val liveJobs = LinkedHashMap<String, JobRun>()
+
+    /** Deletes jobs that have ended. */
+    val retention = Retention(loop, committer, log)
     private val liveJobsByPool = HashMap<String, LinkedHashMap<String, JobRun>>()
 
     /** Called when a job has become final, to stop its runs. Set by [WorkerDriver]. */
@@ -143,7 +146,10 @@
     private fun register(job: JobRun) {
         job.isStored = true
         jobs[job.id] = job
-        if (job.state.isFinal) return
+        if (job.state.isFinal) {
+            retain(job)
+            return
+        }
         liveJobs[job.id] = job
         liveJobsByPool.getOrPut(job.queue.pool) { LinkedHashMap() }[job.id] = job
         job.addDueOccurrences(loop.wallMs, loop.nowMs)
@@ -237,16 +243,6 @@
         for (job in liveJobs.values) job.addDueOccurrences(loop.wallMs, loop.nowMs)
     }
 
-    /** Deletes jobs that became final more than [RETENTION_MS] ago, in memory and in the store. */
-    fun deleteExpiredJobs() {
-        val expired = jobs.values.filter { it.visibleState.isFinal && loop.wallMs - it.finishedWallMs > RETENTION_MS }.take(MAX_DELETED)
-        for (job in expired) {
-            jobs.remove(job.id)
-            committer.put(RowKey(Table.JOBS, job.id)) { null }
-            committer.put(RowKey(Table.PROGRESS, job.id)) { null }
-        }
-    }
-
     /** Number of accepted jobs in the queue [queueName] of which no task has started. */
     fun pendingCount(queueName: String): Int = liveJobs.values.count { it.queue.name == queueName && it.state == JobState.QUEUED }
 
@@ -392,12 +388,16 @@
     }
 
     private fun onFinalStateStored(job: JobRun) {
+        // The state of a final job may be stored again, by a cancellation.
+        if (!job.visibleState.isFinal) retain(job)
         job.visibleState = job.storingState
         releaseTasksIfIdle(job)
         for (group in job.storedGroups) committer.put(TaskPositions.groupKey(job.id, group)) { null }
         job.storedGroups.clear()
     }
 
+    private fun retain(job: JobRun) = retention.add(job.id, job.finishedWallMs) { jobs.remove(job.id, job) }
+
     /** Frees the task objects of a final job if none of its tasks is on a worker. */
     private fun releaseTasksIfIdle(job: JobRun) {
         if (job.tasks.all { it.phase == TaskPhase.DONE || it.phase == TaskPhase.WAITING }) job.occurrences.clear()
@@ -409,12 +409,6 @@
 
         /** Crashes kept of a task that lasts: more do not change its back-off, and the progress row of a job is bounded. */
         const val MAX_KEPT_CRASHES = 8
-
-        /** Callers may query a job for 120 s after it became final; a quarter more allows for slow clocks. */
-        const val RETENTION_MS = 150_000L
-
-        /** Jobs deleted in one pass: their rows fit into one transaction. */
-        const val MAX_DELETED = 20
     }
 }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -135,6 +135,7 @@
             settings = settings,
         )
     private val waveDriver = WaveDriver(loop, fleet, ports.tables, committer, log, ports.waves)
+    private val jobLoader = JobLoader(registry)
     private val storedTables =
         StoredTables(loop, tables, log, includesRunTimes = settings.runTimes == RunTimeSource.LEARNED) { isClosed }
     private val inbox = JobInbox(loop, tables, registry, committer, log, earlier.existed) { isClosed }
@@ -156,7 +157,7 @@
             inbox.onAccepted(job)
         }
         fleet.sizer.onPeakStarted = { peaks -> committer.put(DEMAND_PEAKS_KEY) { storedJson.encodeToString(DEMAND_PEAKS, peaks) } }
-        if (earlier.existed) storedTables.read(::restore) else onLoaded()
+        if (earlier.existed) storedTables.read(jobLoader, ::restore) else onLoaded()
         tick()
     }
 
@@ -181,7 +182,7 @@
             onResult(SubmitResult.Unavailable)
             return
         }
-        if (registry.isUnreadable(submission.id)) {
+        if (registry.isUnreadable(submission.id) || registry.retention.isNotLoaded(submission.id)) {
             onResult(SubmitResult.Accepted)
             return
         }
@@ -228,7 +229,7 @@
     /** The state of the job [id] as far as it is stored. */
     public fun state(id: String): JobAnswer {
         if (!isLoaded || isClosed || !isOwnershipFresh(STATE_FRESHNESS_MS)) return JobAnswer(isAvailable = false)
-        if (registry.isUnreadable(id)) return JobAnswer(isAvailable = false)
+        if (registry.isUnreadable(id) || registry.retention.isNotLoaded(id)) return JobAnswer(isAvailable = false)
         val job = registry.find(id)?.takeIf { it.isStored } ?: return JobAnswer(isAvailable = true)
         // A write of the final state without an answer may have been applied already: only the store can tell.
         if (job.state != job.visibleState && committer.isStoreUnhealthy) return JobAnswer(isAvailable = false)
@@ -298,8 +299,6 @@
         if (earlier.existed) maxOf(0, earlier.ordersEndMs(WORKER_ORDER_FRESHNESS_MS) - loop.nowMs) else 0
 
     private fun restore(rowsByTable: Map<Table, List<StoredRow>>) {
-        restoreJobs(rowsByTable.getValue(Table.JOBS), rowsByTable.getValue(Table.PROGRESS))
-        registry.loadGroups(rowsByTable.getValue(Table.PROGRESS))
         val leases = rowsByTable.getValue(Table.WORKER_LEASES).mapNotNull { decodeStored(WorkerLeaseRow.serializer(), it.value) }
         driver.inherit(leases, earlier.ordersEndMs(WORKER_ORDER_FRESHNESS_MS) + driver.worstCaseLeaseMs)
         val waves = rowsByTable.getValue(Table.WAVES)
@@ -310,24 +309,19 @@
         // Before any task starts: a job may have been cancelled while there was no owner.
         rowsByTable.getValue(Table.INBOX).forEach(inbox::process)
         onLoaded()
-        log.write("owner_loaded", "epoch", owner.epoch, "jobs", registry.live.size, "leases", leases.size, "waves", waves.size)
-    }
-
-    private fun restoreJobs(
-        jobs: List<StoredRow>,
-        progress: List<StoredRow>,
-    ) {
-        val progressById = progress.associateBy { it.key.key }
-        val withUnreadableGroups = jobsWithUnreadableGroups(progress)
-        for (row in jobs) {
-            val id = row.key.key
-            val stored = readJob(row, progressById[id])
-            when {
-                stored is StoredJob.Unreadable -> registry.addUnreadable(id, stored.reason)
-                id in withUnreadableGroups -> registry.addUnreadable(id, "not the failed runs of a group")
-                stored is StoredJob.Readable -> registry.load(stored.submission, stored.progress, isInherited = true)
-            }
-        }
+        log.write(
+            "owner_loaded",
+            "epoch",
+            owner.epoch,
+            "jobs",
+            registry.live.size,
+            "leases",
+            leases.size,
+            "waves",
+            waves.size,
+            "endedNotLoaded",
+            jobLoader.notLoadedCount,
+        )
     }
 
     private fun onLoaded() {
@@ -382,7 +376,7 @@
                 waveDriver.tick()
             }
             inbox.readIfDue()
-            if (tickCount % EXPIRY_TICK_INTERVAL == 0L) registry.deleteExpiredJobs()
+            registry.retention.deleteIfDue()
             if (tickCount % PLACEMENT_TICK_INTERVAL == 0L) requestPlacement(null)
         }
     }
@@ -423,8 +417,5 @@
 
         /** Ticks between two updates of the fleet: 100 ms, short compared to the 1.5 s that a move takes. */
         const val FLEET_TICK_INTERVAL = 2L
-
-        /** Ticks between two deletions of expired jobs: every 5 s. */
-        const val EXPIRY_TICK_INTERVAL = 100L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoreClock.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoreClock.kt
@@ -53,6 +53,12 @@
                 onResult: (ReadResult) -> Unit,
             ) = tables.scan(table, observed(onResult))
 
+            override fun scanPage(
+                table: Table,
+                after: String?,
+                onResult: (ReadResult) -> Unit,
+            ) = tables.scanPage(table, after, observed(onResult))
+
             override fun read(
                 key: RowKey,
                 onResult: (ReadResult) -> Unit,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredTables.kt
@@ -20,14 +20,50 @@
 ) {
     private val restored = if (includesRunTimes) RESTORED + Table.RUN_TIMES else RESTORED
 
-    /** Calls [onRead] with the rows of each table once all of them are read. */
-    fun read(onRead: (Map<Table, List<StoredRow>>) -> Unit) {
+    /** Passes all jobs to [jobs]; then calls [onRead] with the rows of each other table, once all of them are read. */
+    fun read(
+        jobs: JobLoader,
+        onRead: (Map<Table, List<StoredRow>>) -> Unit,
+    ) {
         val rowsByTable = HashMap<Table, List<StoredRow>>()
+        var areJobsRead = false
+        val onSomeRead = { if (areJobsRead && rowsByTable.size == restored.size) onRead(rowsByTable) }
         for (table in restored) {
             scan(table) { rows ->
                 rowsByTable[table] = rows
-                if (rowsByTable.size == restored.size) onRead(rowsByTable)
+                onSomeRead()
+            }
+        }
+        readJobs(jobs) {
+            areJobsRead = true
+            onSomeRead()
+        }
+    }
+
+    /** The first page of jobs is requested with the progress, so that a small table is read at once; it waits for the last page of that. */
+    private fun readJobs(
+        jobs: JobLoader,
+        onRead: () -> Unit,
+    ) {
+        var isProgressRead = false
+        var onProgressRead: () -> Unit = {}
+        scanPages(Table.PROGRESS, onEnd = {
+            jobs.onProgressRead()
+            isProgressRead = true
+            onProgressRead()
+        }) { rows, next ->
+            jobs.addProgress(rows)
+            next()
+        }
+        scanPages(Table.JOBS, onEnd = {
+            jobs.onJobsRead()
+            onRead()
+        }) { rows, next ->
+            val add = {
+                jobs.addJobs(rows)
+                next()
             }
+            if (isProgressRead) add() else onProgressRead = add
         }
     }
 
@@ -39,19 +75,43 @@
             if (isClosed()) return@scan
             when (result) {
                 is ReadResult.Rows -> onRows(result.rows)
-                is ReadResult.Failed -> {
-                    log.write("scan_failed", "table", table.id, "reason", result.reason)
-                    loop.after(SCAN_RETRY_MS) { scan(table, onRows) }
-                }
+                is ReadResult.Failed -> retry(table, result) { scan(table, onRows) }
             }
         }
     }
 
+    /** Passes each page after [after] to [onPage], with what requests the next one. A page that is not read is requested again. */
+    private fun scanPages(
+        table: Table,
+        after: String? = null,
+        onEnd: () -> Unit,
+        onPage: (List<StoredRow>, () -> Unit) -> Unit,
+    ) {
+        tables.scanPage(table, after) { result ->
+            if (isClosed()) return@scanPage
+            when (result) {
+                is ReadResult.Rows ->
+                    onPage(result.rows) {
+                        result.lastKey?.let { scanPages(table, it, onEnd, onPage) } ?: onEnd()
+                    }
+                is ReadResult.Failed -> retry(table, result) { scanPages(table, after, onEnd, onPage) }
+            }
+        }
+    }
+
+    private fun retry(
+        table: Table,
+        failure: ReadResult.Failed,
+        scan: () -> Unit,
+    ) {
+        log.write("scan_failed", "table", table.id, "reason", failure.reason)
+        loop.after(SCAN_RETRY_MS) { scan() }
+    }
+
     private companion object {
+        /** The tables that are read as a whole. */
         val RESTORED =
             listOf(
-                Table.JOBS,
-                Table.PROGRESS,
                 Table.WORKER_LEASES,
                 Table.WAVES,
                 Table.INSTANCE_ORDERS,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/GatedTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/GatedTables.kt
@@ -55,6 +55,15 @@
             tables.scan(table, it)
         }
 
+    override fun scanPage(
+        table: Table,
+        after: String?,
+        onResult: (ReadResult) -> Unit,
+    ): Unit =
+        passRead(StoreCall(callClass ?: StoreCallClass.of(table), StoreCallKind.READ, isTimed = false), onResult) {
+            tables.scanPage(table, after, it)
+        }
+
     override fun read(
         key: RowKey,
         onResult: (ReadResult) -> Unit,
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
@@ -96,7 +96,17 @@
             override fun scan(
                 table: Table,
                 onResult: (ReadResult) -> Unit,
-            ) = answer(onResult) { stored.values.filter { it.key.table == table }.sortedBy { it.key.key } }
+            ) = answer(onResult) { rowsOf(table) }
+
+            override fun scanPage(
+                table: Table,
+                after: String?,
+                onResult: (ReadResult) -> Unit,
+            ) = time.after(2 * STORE_MS) {
+                val rows = rowsOf(table).filter { after == null || it.key.key > after }
+                val page = rows.take(PAGE_ROWS)
+                onResult(ReadResult.Rows(page, version, time.nowMs, lastKey = if (page.size < rows.size) page.last().key.key else null))
+            }
         }
 
     private val ownersTables =
@@ -113,6 +123,12 @@
                 table: Table,
                 onResult: (ReadResult) -> Unit,
             ) = if (refusesScan(table)) loop.after(STORE_MS) { onResult(REFUSED) } else store.scan(table, onResult)
+
+            override fun scanPage(
+                table: Table,
+                after: String?,
+                onResult: (ReadResult) -> Unit,
+            ) = if (refusesScan(table)) loop.after(STORE_MS) { onResult(REFUSED) } else store.scanPage(table, after, onResult)
         }
 
     private val otherEntry = StoredJobService(loop, store)
@@ -163,6 +179,8 @@
 
     fun isStored(key: RowKey): Boolean = key in stored
 
+    private fun rowsOf(table: Table) = stored.values.filter { it.key.table == table }.sortedBy { it.key.key }
+
     private fun apply(change: RowChange): ChangeResult {
         val isMet = change.expected.all { (key, expected) -> (stored[key]?.version ?: 0) == expected }
         if (!isMet) return ChangeResult.Conflict(change.expected.keys.mapNotNull { stored[it] })
@@ -253,6 +271,9 @@
         /** Time in which a query is answered. */
         private const val ASK_MS = 100L
 
+        /** Rows of a page. */
+        private const val PAGE_ROWS = 3
+
         /** Half of the time that a call to the store takes. */
         private const val STORE_MS = 2L
     }
