Accept only jobs whose tasks the owner can hold in memory

Cause: an object for each task of a live job, bounded for one job and not over all.

Change: MemoryAdmission refuses a job at once past a number of tasks that follows from the heap of the process, with the time until there is room by the work that is left. An entry that cannot ask the owner accepts small jobs only. The sets of failed and crashed runs of a task are made when they are needed.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
@@ -60,6 +60,8 @@
 public class StoredJobService(
     private val loop: EventLoop,
     private val tables: JobTables,
+    /** The most tasks of a job that is accepted here: what the owner holds in all is not known. */
+    private val maxTaskCount: Long = Long.MAX_VALUE,
 ) {
     private val sharedReads = SharedReads(loop, tables)
     private val openRequests = OpenRequests(loop)
@@ -131,6 +133,11 @@
             onAnswer(CallerAnswer.NotApplied(it, UNSTORABLE_RETRY_MS))
             return
         }
+        if (submission.taskCount > maxTaskCount) {
+            val reason = "without the scheduler a job may have $maxTaskCount tasks, this one has ${submission.taskCount}; retry later"
+            onAnswer(CallerAnswer.NotApplied(reason, RETRY_AFTER_MS))
+            return
+        }
         val key = RowKey(Table.JOBS, submission.id)
         val change =
             RowChange(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -48,6 +48,9 @@
     /** Accepted jobs that are not final. */
     val live: Collection<JobRun> get() = liveJobs.values
 
+    /** Tasks of all jobs that are accepted, or are being stored, and have not ended: the owner holds an object of each that is due. */
+    val heldTaskCount: Long get() = jobs.values.sumOf { if (it.state.isFinal) 0 else it.submission.taskCount }
+
     /** The pools that have or had live jobs. */
     val pools: Set<String> get() = liveJobsByPool.keys
 
@@ -214,7 +217,7 @@
         if (job.state.isFinal || !job.addCrashedRun(task, runNumber)) return
         task.lastCrashAtMs = lostAtMs
         if (job.isLongRunning) {
-            if (task.crashedRuns.size > MAX_KEPT_CRASHES) task.crashedRuns.remove(task.crashedRuns.first())
+            if (task.crashedRuns.size > MAX_KEPT_CRASHES) task.removeCrashedRun(task.crashedRuns.first())
         } else if (task.crashedRuns.size >= MAX_CRASHES) {
             log.write("job_crashes_workers", "job", job.id, "task", task.id, "runs", task.crashedRuns.joinToString("+"))
             finish(job, JobState.FAILED)
@@ -228,13 +231,13 @@
         runNumber: Long,
     ) {
         val job = task.stepRun.job
-        if (!job.state.isFinal && task.crashedRuns.remove(runNumber)) storeProgress(job, task)
+        if (!job.state.isFinal && task.removeCrashedRun(runNumber)) storeProgress(job, task)
     }
 
     /** Clears the crashes counted for [task], which has run long enough not to be their cause. */
     fun clearCrashes(task: TaskRun) {
         if (task.crashedRuns.isEmpty()) return
-        task.crashedRuns.clear()
+        task.clearCrashedRuns()
         storeProgress(task.stepRun.job, task)
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -8,6 +8,7 @@
 import io.corianderrock.jobs.accounts.JobAccess
 import io.corianderrock.jobs.contention.JobRanking
 import io.corianderrock.jobs.contention.LoadAdmission
+import io.corianderrock.jobs.contention.MemoryAdmission
 import io.corianderrock.jobs.contention.RemainingGain
 import io.corianderrock.jobs.entry.AdmissionPolicy
 import io.corianderrock.jobs.entry.Refusal
@@ -86,6 +87,7 @@
     /** The accounts' policy comes last: it meters what the others admit. */
     private val admissionPolicies: List<AdmissionPolicy> =
         listOfNotNull(
+            MemoryAdmission(registry, log, bounds.taskCapacity, ::backlogMs),
             if (settings.refusesHopelessJobs) LoadAdmission(loop, registry, gain, log, driver::attainableCores) else null,
             accountRules.admission,
         )
@@ -289,6 +291,12 @@
         return SharingController(loop, log, DriverWorkers(driver, mayMove = { placer.hasOtherPlace(it) }), paceOrders)
     }
 
+    /** Time in which all workers can carry out the work of the live jobs. */
+    private fun backlogMs(): Double {
+        val cores = registry.pools.sumOf(driver::attainableCores)
+        return registry.live.sumOf { runTimes.remainingCoreMs(it) } / maxOf(cores, 1.0)
+    }
+
     private fun capacityShortageMs(pool: String): Long = placer.capacityShortageMs(pool)
 
     private fun mayOrder(): Boolean = isOwnershipFresh(WORKER_ORDER_FRESHNESS_MS)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerPorts.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerPorts.kt
@@ -3,6 +3,7 @@
  */
 package io.corianderrock.jobs.runs
 
+import io.corianderrock.jobs.contention.TaskCapacity
 import io.corianderrock.jobs.ports.AdviceService
 import io.corianderrock.jobs.ports.DecisionLog
 import io.corianderrock.jobs.ports.EventLoop
@@ -34,4 +35,6 @@
     val accountWindowMs: Long = 5_000,
     /** How many times as long a task runs outside its preferred rack. */
     val remoteFactor: Double = 1.5,
+    /** How many tasks the owner may hold in memory. */
+    val taskCapacity: TaskCapacity = TaskCapacity(),
 )
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -51,11 +51,27 @@
     var runNumber: Long = 0
     var lastRunNumber: Long = 0
 
+    private var failed: LinkedHashSet<Long>? = null
+    private var crashed: LinkedHashSet<Long>? = null
+
     /** Numbers of the failed runs, kept so that an end counts once: a worker reports it until it is acknowledged as stored. */
-    val failedRuns = LinkedHashSet<Long>()
+    val failedRuns: Set<Long> get() = failed.orEmpty()
 
     /** Numbers of the runs during which their worker crashed. */
-    val crashedRuns = LinkedHashSet<Long>()
+    val crashedRuns: Set<Long> get() = crashed.orEmpty()
+
+    /** Adds [runNumber] to [failedRuns]; false if it is among them. */
+    fun addFailedRun(runNumber: Long): Boolean = (failed ?: LinkedHashSet<Long>().also { failed = it }).add(runNumber)
+
+    /** Adds [runNumber] to [crashedRuns]; false if it is among them. */
+    fun addCrashedRun(runNumber: Long): Boolean = (crashed ?: LinkedHashSet<Long>().also { crashed = it }).add(runNumber)
+
+    /** Removes [runNumber] from [crashedRuns]; false if it is not among them. */
+    fun removeCrashedRun(runNumber: Long): Boolean = crashed?.remove(runNumber) == true
+
+    fun clearCrashedRuns() {
+        crashed = null
+    }
 
     /** True if the task may be what crashed its workers, so that it must not take other tasks with it once more. */
     val isCrashSuspect: Boolean get() = crashedRuns.size >= CRASHES_BEFORE_ISOLATION
@@ -345,13 +361,13 @@
     fun addFailedRun(
         task: TaskRun,
         runNumber: Long,
-    ): Boolean = task.failedRuns.add(runNumber).also { if (it) countedRuns++ }
+    ): Boolean = task.addFailedRun(runNumber).also { if (it) countedRuns++ }
 
     /** Adds the run [runNumber] of [task], during which its worker crashed; false if it was counted before. */
     fun addCrashedRun(
         task: TaskRun,
         runNumber: Long,
-    ): Boolean = task.crashedRuns.add(runNumber).also { if (it) countedRuns++ }
+    ): Boolean = task.addCrashedRun(runNumber).also { if (it) countedRuns++ }
 
     fun groupOf(task: TaskRun): Int = positions.groupOf(task.id)
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
@@ -80,7 +80,7 @@
     internal val isServing: Boolean get() = responseTargetMs != null
 }
 
-/** Largest number of tasks of a job: the owner holds every task of a live job in memory, at some 200 bytes. */
+/** Largest number of tasks of a job. */
 private const val MAX_TASKS = 20_000L
 
 /** A job as accepted. Wall times are in milliseconds since the Unix epoch. */
@@ -115,7 +115,8 @@
             else -> null
         }
 
-    private val taskCount: Long get() = steps.sumOf { it.count.toLong() } * occurrenceCount
+    /** Number of tasks over all occurrences. */
+    internal val taskCount: Long get() = steps.sumOf { it.count.toLong() } * occurrenceCount
 }
 
 /** The identity of one task. [occurrence], [step] and [index] count from zero. */
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/InboxOfOneOwner.kt
@@ -47,6 +47,7 @@
     storedBefore: List<JobSubmission> = emptyList(),
     /** Further rows that are stored before the owner starts. */
     rowsBefore: Map<RowKey, String> = emptyMap(),
+    bounds: SchedulerBounds = SchedulerBounds(),
     /** True for the tables that the store does not let the owner scan. */
     var refusesScan: (Table) -> Boolean = { false },
 ) {
@@ -151,7 +152,7 @@
                 waves = { emptyList() },
             )
         val earlier = EarlierOwner(hadEarlierOwner, isSameEntry = false, lastWriteByMs = time.nowMs, hasStopped = true)
-        scheduler = Scheduler(ports, SchedulerBounds(), owner, version, earlier) {}
+        scheduler = Scheduler(ports, bounds, owner, version, earlier) {}
         scheduler.onWorkerListed(WORKER)
         scheduler.start()
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/UnevenWorkersTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/UnevenWorkersTest.kt
@@ -168,7 +168,7 @@
         failures.onEnded(worker, run.task, run.kind)
         if (run.kind == EndKind.DONE) return
         run.task.lastFailedWorkerId = worker.id
-        if (run.task.failedRuns.add(run.task.runNumber) && run.task.failedRuns.size < ATTEMPTS) retries.add(run.task)
+        if (run.task.addFailedRun(run.task.runNumber) && run.task.failedRuns.size < ATTEMPTS) retries.add(run.task)
     }
 }
 
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/placement/CrashIsolationTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/placement/CrashIsolationTest.kt
@@ -24,7 +24,7 @@
     val submission = JobSubmission("job", Queue("queue", "pool"), "spec", listOf(step))
     val job = JobRun(submission, isInherited = false, acceptedAtMs = 0)
     return job.addOccurrence(0, 0).steps.first().tasks.first().apply {
-        crashedRuns.addAll(listOf(1L, 2L))
+        listOf(1L, 2L).forEach(::addCrashedRun)
         startedAtMs = STARTED_AT_MS
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/placement/SuspectRestartsTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/placement/SuspectRestartsTest.kt
@@ -45,7 +45,7 @@
         val step = Step(1, Demand(1_000, 500), isLongRunning = isLongRunning)
         val job = JobRun(JobSubmission("job$crashes", Queue("queue", "pool"), "spec", listOf(step)), isInherited = false, acceptedAtMs = 0)
         return job.addOccurrence(0, 0).steps.first().tasks.first().apply {
-            crashedRuns.addAll((1L..crashes))
+            (1L..crashes).forEach(::addCrashedRun)
             runNumber = crashes.toLong()
             lastCrashAtMs = lostAtMs
         }
