--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/ListedTasks.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/ListedTasks.kt
@@ -78,9 +78,12 @@
         }
     }
 
+    /** True if the store holds the job of the task [id] in a form that this version cannot read. */
+    fun isUnreadable(id: TaskId): Boolean = registry.isUnreadable(id.jobId)
+
     /** The task [id], whose job has been looked up. */
     fun resolve(id: TaskId): ListedTask {
-        if (registry.isUnreadable(id.jobId)) return ListedTask.Unreadable
+        if (isUnreadable(id)) return ListedTask.Unreadable
         val job = registry.find(id.jobId) ?: return ListedTask.Over("the store does not hold the job")
         if (!job.isLive) return ListedTask.Over("the job is ${job.state}")
         return job.listedTask(id, loop.nowMs)?.let(ListedTask::Known) ?: ListedTask.Over("the job has no such task")
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/RunLists.kt
@@ -86,7 +86,7 @@
             worker.unsettledStarts.onFenceAnswered()
             register.releaseOrStopEarlierRuns(worker, lists)
         }
-        worker.hasUnreadableRuns = lists.running.any { tasks.resolve(it.task) is ListedTask.Unreadable }
+        worker.hasUnreadableRuns = lists.running.any { tasks.isUnreadable(it.task) }
         lists.running.forEach { onRunningRow(worker, it) }
         completeStops(worker, sentAtMs, lists)
         // What the last incarnation has acknowledged says nothing of this one's ends.
