--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -99,13 +99,13 @@
         onResult: (Lookup) -> Unit,
     ) {
         if (!registry.retention.isNotLoaded(id)) {
-            readJob(id, progress = null, onResult)
+            readJobRow(id, progress = null, onResult)
         } else {
-            readRow(RowKey(Table.PROGRESS, id), onResult) { progress -> readJob(id, progress, onResult) }
+            readRow(RowKey(Table.PROGRESS, id), onResult) { progress -> readJobRow(id, progress, onResult) }
         }
     }
 
-    private fun readJob(
+    private fun readJobRow(
         id: String,
         progress: StoredRow?,
         onResult: (Lookup) -> Unit,
