--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -48,8 +48,11 @@
     /** Accepted jobs that are not final. */
     val live: Collection<JobRun> get() = liveJobs.values
 
+    /** Jobs that are being stored. */
+    private val openJobs = HashSet<JobRun>()
+
     /** Tasks of all jobs that are accepted, or are being stored, and have not ended: the owner holds an object of each that is due. */
-    val heldTaskCount: Long get() = jobs.values.sumOf { if (it.state.isFinal) 0 else it.submission.taskCount }
+    val heldTaskCount: Long get() = liveJobs.values.sumOf { it.submission.taskCount } + openJobs.sumOf { it.submission.taskCount }
 
     /** The pools that have or had live jobs. */
     val pools: Set<String> get() = liveJobsByPool.keys
@@ -105,13 +108,13 @@
             onAccepted(registered)
             return
         }
-        val job = registered ?: JobRun(submission, isInherited = false, loop.nowMs).also { jobs[submission.id] = it }
+        val job = registered ?: JobRun(submission, isInherited = false, loop.nowMs).also { open(it) }
         val withdraw = {
-            if (!job.isStored) jobs.remove(job.id, job)
+            if (!job.isStored) forget(job)
             if (job.isStored) onAccepted(job) else onWithdrawn()
         }
         val refuse = { refusal: WriteRefusal ->
-            if (!job.isStored) jobs.remove(job.id, job)
+            if (!job.isStored) forget(job)
             if (job.isStored) onAccepted(job) else onRefused(refusal)
         }
         val onStored = { existing: StoredRow? ->
@@ -129,6 +132,16 @@
         ) { storedJson.encodeToString(JobSubmission.serializer(), submission) }
     }
 
+    private fun open(job: JobRun) {
+        jobs[job.id] = job
+        openJobs.add(job)
+    }
+
+    private fun forget(job: JobRun) {
+        jobs.remove(job.id, job)
+        openJobs.remove(job)
+    }
+
     private fun registerStored(
         job: JobRun,
         existing: StoredRow?,
@@ -139,7 +152,7 @@
         }
         val stored = existing?.let { readJob(it) }
         if (stored is StoredJob.Unreadable) {
-            jobs.remove(job.id, job)
+            forget(job)
             addUnreadable(job.id, stored.reason)
         } else {
             register(job)
@@ -148,6 +161,7 @@
 
     private fun register(job: JobRun) {
         job.isStored = true
+        openJobs.remove(job)
         jobs[job.id] = job
         if (job.state.isFinal) {
             retain(job)
