--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -68,6 +68,9 @@
     /** True if the store holds the job [id] in a form that this version cannot read: it exists, and nothing is known of its tasks. */
     fun isUnreadable(id: String): Boolean = id in unreadable
 
+    /** True if the store holds the job [id] and this owner does not: it cannot be read, or has ended and is about to be deleted. */
+    fun isOnlyStored(id: String): Boolean = isUnreadable(id) || retention.isNotLoaded(id)
+
     /** Records that the store holds the job [id], which cannot be read for [reason]. */
     fun addUnreadable(
         id: String,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -184,7 +184,7 @@
             onResult(SubmitResult.Unavailable)
             return
         }
-        if (registry.isUnreadable(submission.id) || registry.retention.isNotLoaded(submission.id)) {
+        if (registry.isOnlyStored(submission.id)) {
             onResult(SubmitResult.Accepted)
             return
         }
@@ -231,7 +231,7 @@
     /** The state of the job [id] as far as it is stored. */
     public fun state(id: String): JobAnswer {
         if (!isLoaded || isClosed || !isOwnershipFresh(STATE_FRESHNESS_MS)) return JobAnswer(isAvailable = false)
-        if (registry.isUnreadable(id) || registry.retention.isNotLoaded(id)) return JobAnswer(isAvailable = false)
+        if (registry.isOnlyStored(id)) return JobAnswer(isAvailable = false)
         val job = registry.find(id)?.takeIf { it.isStored } ?: return JobAnswer(isAvailable = true)
         // A write of the final state without an answer may have been applied already: only the store can tell.
         if (job.state != job.visibleState && committer.isStoreUnhealthy) return JobAnswer(isAvailable = false)
