--- a/jobs/src/main/kotlin/io/corianderrock/jobs/contention/MemoryAdmission.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/contention/MemoryAdmission.kt
@@ -1,6 +1,6 @@
 /*
  * Refuses jobs whose tasks the owner could not hold in memory, as it would run out of memory over them, and so would each owner that loads
- * them. The bound is that of the process. Large jobs leave a part of it to small ones, so that a few of them do not shut these out.
+ * them. The bound follows from the heap of the process. Large jobs leave a part of it to small ones, so that a few of them do not shut these out.
  */
 package io.corianderrock.jobs.contention
 
@@ -18,7 +18,7 @@
     /** The most tasks of a job that counts as small, and that is accepted by an entry that cannot ask the owner. */
     public val smallJobTaskCount: Long get() = taskCount / SMALL_JOB_DIVISOR
 
-    /** What jobs may hold together with one of [jobTaskCount] tasks. */
+    /** The most tasks that all jobs may have together once one of [jobTaskCount] tasks is accepted. */
     internal fun limitFor(jobTaskCount: Long): Long =
         if (jobTaskCount <= smallJobTaskCount) taskCount else taskCount / LARGE_JOBS_DIVISOR * LARGE_JOBS_MULTIPLIER
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobLoader.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobLoader.kt
@@ -1,7 +1,7 @@
 /*
  * Loads the jobs of earlier owners, page by page: first the progress of all jobs, which tells those that have ended long ago, then the jobs,
- * of which those are left out. What an owner holds in memory depends on the jobs that are live or may still be queried, but for an id and a
- * time of each job that is to be deleted.
+ * of which those are left out. An owner holds the jobs that are live or may still be queried, and of each that is to be deleted an id and a
+ * time.
  */
 package io.corianderrock.jobs.runs
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Retention.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Retention.kt
@@ -3,8 +3,9 @@
  * come: what is due goes every few seconds, in transactions of its own or with other writes, and a backlog, as after an outage of the store
  * or a takeover from an older version, in one transaction after the other while no other write waits.
  *
- * Deletions are idempotent. A job whose rows are deleted in two transactions, between which the owner is lost, is deleted by the next one:
- * the row of the job goes before that of its progress, without which it would begin anew.
+ * Deletions are idempotent. Both rows of a job go in one transaction, or the row of the job goes first: then the next owner finds an ended
+ * job and deletes it. A job without its progress would begin anew. The order does not hold where a write of the progress waits already,
+ * which keeps its place in the queue, and the transaction has no room for both.
  */
 package io.corianderrock.jobs.runs
 
@@ -43,7 +44,7 @@
     /** True if the store may hold the job [id], which has ended, and which is not held in memory. */
     fun isNotLoaded(id: String): Boolean = id in notLoaded
 
-    /** Has the job [id], whose end is stored, deleted in time; [forget] removes it from memory and returns whether it did. */
+    /** Schedules the deletion of the job [id], whose end is stored; [forget] removes it from memory and returns whether it did. */
     fun add(
         id: String,
         endedWallMs: Long,
@@ -53,7 +54,7 @@
         notLoaded.remove(id)
     }
 
-    /** Has the job [id], which is expired, deleted without being loaded. */
+    /** Schedules the deletion of the expired job [id], which is not loaded. */
     fun addNotLoaded(
         id: String,
         endedWallMs: Long,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredTables.kt
@@ -18,7 +18,7 @@
     includesRunTimes: Boolean,
     private val isClosed: () -> Boolean,
 ) {
-    private val restored = if (includesRunTimes) RESTORED + Table.RUN_TIMES else RESTORED
+    private val wholeTables = if (includesRunTimes) WHOLE_TABLES + Table.RUN_TIMES else WHOLE_TABLES
 
     /** Passes all jobs to [jobs]; then calls [onRead] with the rows of each other table, once all of them are read. */
     fun read(
@@ -27,8 +27,8 @@
     ) {
         val rowsByTable = HashMap<Table, List<StoredRow>>()
         var areJobsRead = false
-        val onSomeRead = { if (areJobsRead && rowsByTable.size == restored.size) onRead(rowsByTable) }
-        for (table in restored) {
+        val onSomeRead = { if (areJobsRead && rowsByTable.size == wholeTables.size) onRead(rowsByTable) }
+        for (table in wholeTables) {
             scan(table) { rows ->
                 rowsByTable[table] = rows
                 onSomeRead()
@@ -109,8 +109,8 @@
     }
 
     private companion object {
-        /** The tables that are read as a whole. */
-        val RESTORED =
+        /** The tables that are read as a whole; jobs and their progress are read by pages. */
+        val WHOLE_TABLES =
             listOf(
                 Table.WORKER_LEASES,
                 Table.WAVES,
