--- /dev/null
+++ b/review/rig3/Overflow.java
@@ -0,0 +1,58 @@
+import java.nio.file.Path;
+
+/** One job whose counts overflow the product of tasks and times, beside a sound job that was accepted before. */
+final class Overflow {
+    static final String HUGE = "2147483647";
+
+    public static void main(String[] args) throws Exception {
+        boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+        Record record = new Record(Path.of(args[0]));
+        int status = 2;
+        try (Deployment deployment = new Deployment(record, 3)) {
+            status = play(deployment, record, hasTrouble);
+        } catch (Exception e) {
+            record.line("could not run: " + e);
+            e.printStackTrace();
+        }
+        System.exit(status);
+    }
+
+    private static int play(Deployment deployment, Record record, boolean hasTrouble) throws Exception {
+        deployment.configure(3);
+        deployment.fleet.add("tally", 8);
+        deployment.fleet.add("ports", 4);
+        deployment.fleet.add("spare", 4);
+        deployment.start();
+        String id = "5c0e7a21d94b36f8";
+        String sound = "{\"spec\":\"ms=12000 cpu=1000\",\"steps\":[{\"count\":4,\"cpu\":1000,\"memMb\":256,\"estimateMs\":12000}]}";
+        if (!deployment.submit("tally", id, sound, 20_000)) {
+            record.line("could not run: the job was not accepted");
+            return 2;
+        }
+        Thread.sleep(2_000);
+        // The steps have 3 x 2147483647 tasks, and the job has as many times: the product does not fit into 64 bits.
+        String count = hasTrouble ? HUGE : "2";
+        String step = "{\"count\":" + count + ",\"cpu\":1000,\"memMb\":256,\"estimateMs\":1000}";
+        String job = "{\"spec\":\"ms=1000 cpu=1000\",\"steps\":[" + step + "," + step + "," + step + "],\"times\":" + count
+            + ",\"intervalMs\":1000,\"startAtMs\":" + System.currentTimeMillis() + "}";
+        deployment.call(deployment.entries.get(0), "POST", "/ports/7d11c3aa90b2e4f5", job);
+        String state = "";
+        for (int n = 0; n < 40; n++) {
+            Thread.sleep(1_000);
+            state = deployment.call(deployment.entries.get(n % 3), "GET", "/tally/" + id, null);
+            if (state.contains("complete")) break;
+        }
+        int exits = deployment.entries.stream().mapToInt(e -> e.ownExits).sum();
+        long often = deployment.entries.stream().filter(e -> e.ownExits >= 3).count();
+        record.line("entries ended by themselves " + exits + " times, " + often + " of 3 entries three times or more; the sound job: " + state);
+        if (often >= 2) {
+            record.line("BROKEN Fault: on two machines or more processes ended by themselves three times");
+            return 1;
+        }
+        if (!state.contains("complete")) {
+            record.line("BROKEN LOST: the accepted job is not completed although there is capacity");
+            return 1;
+        }
+        return 0;
+    }
+}
