--- a/review/rig3/Deployment.java
+++ b/review/rig3/Deployment.java
@@ -161,11 +161,16 @@
 
     /** Sends one request to an entry; returns "STATUS BODY", or "none" if there is no answer. */
     String call(Entry entry, String method, String path, String body) {
+        return call(entry, method, path, body, 3_000);
+    }
+
+    /** The same; the client leaves after [patienceMs]. */
+    String call(Entry entry, String method, String path, String body, long patienceMs) {
         String answer;
         try {
             HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + entry.front + path))
                 .header("Host", HOST).header("Content-Type", "application/json").header("Corianderrock-Deadline-Ms", "3000")
-                .timeout(Duration.ofSeconds(3))
+                .timeout(Duration.ofMillis(patienceMs))
                 .method(method, body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body))
                 .build();
             HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
--- a/review/rig3/Store.java
+++ b/review/rig3/Store.java
@@ -46,8 +46,44 @@
         return value == null ? "" : (String) value;
     }
 
+    private Http.Answer transact(Map<String, Object> tx) throws InterruptedException {
+        if (takeLate(tx)) {
+            Fleet.later(lateMs, () -> {
+                Http.Answer answer = apply(tx);
+                if (record != null) record.line("store: the late write is " + (answer.status() == 200 ? "done" : "refused with " + answer.status()));
+            });
+            // The connection delivers nothing further; its other end gives it up.
+            Thread.sleep(20_000);
+            return new Http.Answer(0, null);
+        }
+        return apply(tx);
+    }
+
+    private String lateKey;
+    private long lateMs;
+    private Record record;
+
+    /** The next write that puts a row with [key] gets no answer and is done [ms] later, if its condition still holds. */
+    synchronized void loseNext(String key, long ms, Record record) {
+        lateKey = key;
+        lateMs = ms;
+        this.record = record;
+    }
+
+    @SuppressWarnings("unchecked")
+    private synchronized boolean takeLate(Map<String, Object> tx) {
+        if (lateKey == null) return false;
+        for (Object o : (List<Object>) tx.getOrDefault("puts", List.of())) {
+            if (!text((Map<?, ?>) o, "key").equals(lateKey)) continue;
+            lateKey = null;
+            record.line("store: a write is left without an answer and will be done in " + lateMs + " ms");
+            return true;
+        }
+        return false;
+    }
+
     @SuppressWarnings("unchecked")
-    private synchronized Http.Answer transact(Map<String, Object> tx) {
+    private synchronized Http.Answer apply(Map<String, Object> tx) {
         List<Object> expected = (List<Object>) tx.getOrDefault("expectedRev", List.of());
         boolean isConflict = false;
         List<Object> current = new ArrayList<>();
