--- a/review/rig3/CancelWhileStoring.java
+++ b/review/rig3/CancelWhileStoring.java
@@ -34,7 +34,7 @@
         Thread.sleep(4_000);
         String id = "5c0e7a21d94b36f8";
         if (hasTrouble) deployment.store.loseNext(id, LATE_MS, record);
-        deployment.call(deployment.entries.get(0), "POST", "/tally/" + id, job, 300);
+        deployment.call(deployment.entries.get(0), "POST", "/tally/" + id, job, 180);
         String cancelled = deployment.call(deployment.entries.get(1), "DELETE", "/tally/" + id, null);
         boolean isAcknowledged = cancelled.startsWith("2") || cancelled.startsWith("410");
         for (int n = 0; n < 5 && !isAcknowledged; n++) {
