--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,4 +5,4 @@
 cd "$here/../.." || exit 2
 [ -d target/review-rig3 ] || { echo "run review/build-3.sh first"; exit 2; }
 exec timeout -k 5 115 java -Djdk.httpclient.allowRestrictedHeaders=host -Dsun.net.httpserver.nodelay=true \
-    -cp target/review-rig3 Crashes "${RECORD:-$here/record.txt}"
+    -cp target/review-rig3 CancelWhileStoring "${RECORD:-$here/record.txt}"
