--- a/review/rig3/Fleet.java
+++ b/review/rig3/Fleet.java
@@ -128,6 +128,7 @@
             if (runs.values().stream().mapToLong(r -> r.cpu).sum() + run.cpu > 32_000) return refuse("room");
             runs.put(task, run);
             highest.put(task, runId);
+            startedWallMs.putIfAbsent(task, System.currentTimeMillis());
             record.line("worker " + id + " starts " + task + " run " + runId + " fence " + fence);
             return new Http.Answer(200, Json.map("clockMs", clockMs(), "born", bornMs));
         }
@@ -169,6 +170,9 @@
     final Map<String, Integer> ended = new HashMap<>();
     final Http cloud;
 
+    /** The time of day of the first start of each task. */
+    final Map<String, Long> startedWallMs = new HashMap<>();
+
     Fleet(Store store, Record record, String ip) throws Exception {
         this.store = store;
         this.record = record;
