--- a/review/rig3/Fleet.java
+++ b/review/rig3/Fleet.java
@@ -204,6 +204,21 @@
                 return new Http.Answer(404, null);
             }
         });
+        // Ends are due by the worker's own clock, whether or not anyone asks it.
+        Thread clock = new Thread(() -> {
+            while (true) {
+                try {
+                    Thread.sleep(50);
+                    synchronized (this) {
+                        for (Machine m : machines) if (m.worker != null) m.worker.advance();
+                    }
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        });
+        clock.setDaemon(true);
+        clock.start();
         Thread beats = new Thread(() -> {
             while (true) {
                 try {
@@ -269,27 +284,21 @@
         record.line("machine " + m.name + " is up with worker " + m.worker.id);
     }
 
-    /** Crashes the worker that runs [task], for [forMs]; false if none does. Another one starts on the machine then. */
-    synchronized boolean crashWorkerOf(String task, long forMs) {
+    synchronized boolean isRunning(String task) {
         for (Machine m : machines) {
             if (m.worker == null) continue;
             m.worker.advance();
-            if (!m.worker.runs.containsKey(task)) continue;
-            record.line("worker " + m.worker.id + " crashes with " + m.worker.runs.size() + " runs, among them " + task
-                + " run " + m.worker.runs.get(task).runId);
-            down(m, "down");
-            later(forMs, () -> up(m));
-            return true;
+            if (m.worker.runs.containsKey(task)) return true;
         }
         return false;
     }
 
-    synchronized boolean isRunning(String task) {
+    /** The processor time, in thousandths of a core, that all runs take. */
+    synchronized long usedCpu() {
+        long used = 0;
         for (Machine m : machines) {
-            if (m.worker == null) continue;
-            m.worker.advance();
-            if (m.worker.runs.containsKey(task)) return true;
+            if (m.worker != null) used += m.worker.runs.values().stream().mapToLong(r -> r.cpu).sum();
         }
-        return false;
+        return used;
     }
 }
--- a/review/rig3/Overflow.java
+++ b/review/rig3/Overflow.java
@@ -4,6 +4,9 @@
 final class Overflow {
     static final String HUGE = "2147483647";
 
+    /** `finish_s` of the small sites. */
+    static final int FINISH_S = 14;
+
     public static void main(String[] args) throws Exception {
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
         Record record = new Record(Path.of(args[0]));
@@ -37,21 +40,27 @@
             + ",\"intervalMs\":1000,\"startAtMs\":" + System.currentTimeMillis() + "}";
         deployment.call(deployment.entries.get(0), "POST", "/ports/7d11c3aa90b2e4f5", job);
         String state = "";
+        int idleS = 0;
         for (int n = 0; n < 40; n++) {
             Thread.sleep(1_000);
             state = deployment.call(deployment.entries.get(n % 3), "GET", "/tally/" + id, null);
             if (state.contains("complete")) break;
+            boolean isIdle = true;
+            for (int task = 0; task < 4; task++) isIdle &= !deployment.fleet.isRunning(id + ".0.0." + task);
+            idleS = isIdle ? idleS + 1 : 0;
         }
         int exits = deployment.entries.stream().mapToInt(e -> e.ownExits).sum();
         long often = deployment.entries.stream().filter(e -> e.ownExits >= 3).count();
-        record.line("entries ended by themselves " + exits + " times, " + often + " of 3 entries three times or more; the sound job: " + state);
-        if (often >= 2) {
-            record.line("BROKEN Fault: on two machines or more processes ended by themselves three times");
-            return 1;
-        }
+        record.line("the sound job: " + state + "; none of its tasks has run for the last " + idleS + " s; all runs take "
+            + deployment.fleet.usedCpu() + " thousandths of a core of " + 8 * 32_000);
+        record.line("entries ended by themselves " + exits + " times, " + often + " of 3 entries three times or more");
+        boolean isLost = !state.contains("complete") && idleS > FINISH_S + 3;
+        if (isLost) record.line("BROKEN LOST: the accepted job is not complete and has nothing running although there is capacity");
+        if (often >= 2) record.line("BROKEN Fault: on two machines or more processes ended by themselves three times");
+        if (isLost || often >= 2) return 1;
         if (!state.contains("complete")) {
-            record.line("BROKEN LOST: the accepted job is not completed although there is capacity");
-            return 1;
+            record.line("could not run: the sound job did not complete in time");
+            return 2;
         }
         return 0;
     }
