Bound every number of a job before anything is computed with it

Cause: the number of tasks was multiplied in 64 bits without a check and became negative, below every limit. Other numbers had no limit at all: demands were multiplied with counts in 32 bits (remaining work, waiting work, running work of a pool), a target latency was added to a time, an interval multiplied with an occurrence, the margin subtracted from a caller's deadline, a run number listed by a worker counted up, an occurrence of a stored progress row taken as it was.

JobLimits.kt holds the limit of each number of a job; each process that may store a job checks them first (unstorableReason), and callers get 400 with field, value and limit, also for numbers that the field's type cannot hold.

Rows of earlier versions: numbers that do not change a job's tasks are moved into their limits. A job with more tasks than the progress of a job can record in any version (2^31 - 1) fails without a task being created (job_unrunnable), and is deleted like others. One between the limit of this version and that stays unreadable, as a later version may have stored it; a DELETE ends it.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/contention/RemainingGain.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/contention/RemainingGain.kt
@@ -85,7 +85,7 @@
 
     private fun waitingCoreMs(job: JobRun): Double =
         job.occurrences.values.sumOf { occurrence ->
-            occurrence.steps.sumOf { it.waitingCount * it.step.occupied.cpuMilli * model.expectedMs(it) / MILLI }
+            occurrence.steps.sumOf { it.waitingCount.toDouble() * it.step.occupied.cpuMilli * model.expectedMs(it) / MILLI }
         }
 
     companion object {
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/fleet/PoolDemand.kt
@@ -92,7 +92,8 @@
         var longRunningMemory = 0.0
         var spreadCount = 0
         var hasWaitingLongRunning = false
-        var running = Demand()
+        var runningCpu = 0.0
+        var runningMemory = 0.0
         var waitingCpu = 0.0
         var waitingMemory = 0.0
         var waitingWork = 0.0
@@ -107,7 +108,8 @@
                 step.maxPerWorker?.let { spreadCount = max(spreadCount, wholeInstances(count, max(1, it))) }
                 continue
             }
-            running += times(step.occupied, run.occupyingCount)
+            runningCpu += step.occupied.cpuMilli.toDouble() * run.occupyingCount
+            runningMemory += step.occupied.memoryMb.toDouble() * run.occupyingCount
             val occurrence = run.job.occurrences.getValue(run.occurrence)
             if (!occurrence.isReady(run)) continue
             if (run.job in missed) continue
@@ -118,8 +120,8 @@
         }
         val arriving = (arrivals[pool]?.at(loop.nowMs) ?: 0.0) * MILLI
         val backlogCpu = minOf(waitingCpu, waitingWork * MILLI / BACKLOG_HORIZON_MS)
-        val ordinaryCpu = max(arriving * ARRIVAL_MARGIN, running.cpuMilli + backlogCpu)
-        val ordinaryMemory = running.memoryMb + waitingMemory * (if (waitingCpu == 0.0) 1.0 else backlogCpu / waitingCpu)
+        val ordinaryCpu = max(arriving * ARRIVAL_MARGIN, runningCpu + backlogCpu)
+        val ordinaryMemory = runningMemory + waitingMemory * (if (waitingCpu == 0.0) 1.0 else backlogCpu / waitingCpu)
         val longRunningCount =
             max(
                 spreadCount,
@@ -138,7 +140,7 @@
             instanceCount = total,
             longRunningInstanceCount = longRunningCount,
             hasWaitingLongRunning = hasWaitingLongRunning,
-            runningCpuMilli = running.cpuMilli,
+            runningCpuMilli = runningCpu.toInt(),
             waitingWorkCoreMs = waitingWork,
             arrivingCpuMilli = arriving,
             longRunningInstances =
@@ -153,11 +155,6 @@
 
     private fun startableCount(run: StepRun): Double = if (run.waitingCount == 0) 0.0 else run.waitingCount * limit.startableShare(run)
 
-    private fun times(
-        demand: Demand,
-        count: Int,
-    ): Demand = Demand(demand.cpuMilli * count, demand.memoryMb * count, demand.gpuCount * count)
-
     private fun instancesFor(
         cpuMilli: Double,
         capacity: Demand,
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RunTimeEstimator.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/placement/RunTimeEstimator.kt
@@ -57,7 +57,9 @@
     /** The expected work of the tasks of [job] that are not done, in core-milliseconds. By means, since a sum of medians is too low. */
     fun remainingCoreMs(job: JobRun): Double =
         job.occurrences.values.sumOf { occurrence ->
-            occurrence.steps.sumOf { run -> (run.step.count - run.doneCount) * run.step.demand.cpuMilli * expectedMs(run) / MILLI }
+            occurrence.steps.sumOf { run ->
+                (run.step.count - run.doneCount).toDouble() * run.step.demand.cpuMilli * expectedMs(run) / MILLI
+            }
         }
 
     /**
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -128,6 +128,7 @@
                 registry.addUnreadable(row.key.key, stored.reason)
                 Lookup.Unreadable
             }
+            is StoredJob.Unrunnable -> Lookup.Found(registry.failUnrunnable(stored))
             is StoredJob.Readable -> {
                 log.write("job_from_inbox", "job", stored.submission.id, "version", row.version)
                 val job = registry.load(stored.submission, stored.progress, isInherited = false)
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobLoader.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobLoader.kt
@@ -53,6 +53,7 @@
         val stored = readJob(row, progressById.remove(id))
         when {
             stored is StoredJob.Unreadable -> registry.addUnreadable(id, stored.reason)
+            stored is StoredJob.Unrunnable -> registry.failUnrunnable(stored)
             id in withUnreadableGroups -> registry.addUnreadable(id, "not the failed runs of a group")
             stored is StoredJob.Readable -> registry.load(stored.submission, stored.progress, isInherited = true)
         }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobRegistry.kt
@@ -94,6 +94,20 @@
         return job
     }
 
+    /** Adds a stored job that can never run, without any of its tasks: it fails, and is deleted as others that have ended are. */
+    fun failUnrunnable(stored: StoredJob.Unrunnable): JobRun {
+        val id = stored.submission.id
+        jobs[id]?.takeIf { it.isStored }?.let { return it }
+        log.write("job_unrunnable", "job", id, "queue", stored.submission.queue.name, "reason", stored.reason)
+        val job = jobs[id] ?: JobRun(stored.submission, isInherited = true, loop.nowMs)
+        openJobs.remove(job)
+        jobs[id] = job
+        job.isStored = true
+        finish(job, JobState.FAILED)
+        storeProgress(job)
+        return job
+    }
+
     /**
      * Stores [submission]. [onAccepted] is called once it is stored, also if it was stored before; [onDropped] if the
      * ownership ends before that is known; [onWithdrawn] if the store is lost and it is certain that nothing was stored; [onRefused] if
@@ -154,11 +168,13 @@
             job.mayBeKnownToEarlierOwner = true
         }
         val stored = existing?.let { readJob(it) }
-        if (stored is StoredJob.Unreadable) {
-            forget(job)
-            addUnreadable(job.id, stored.reason)
-        } else {
-            register(job)
+        when (stored) {
+            is StoredJob.Unreadable -> {
+                forget(job)
+                addUnreadable(job.id, stored.reason)
+            }
+            is StoredJob.Unrunnable -> failUnrunnable(stored)
+            is StoredJob.Readable, null -> register(job)
         }
     }
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StorableJobs.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StorableJobs.kt
@@ -1,5 +1,6 @@
 /*
- * Whether the store can hold a job for as long as it lives: checked before the job is accepted, as a job that cannot be stored is lost.
+ * Whether a job is valid and the store can hold it for as long as it lives: checked before the job is accepted, by each process that may
+ * store it, as a peer of an earlier version may have checked less. A job that cannot be stored is lost.
  */
 package io.corianderrock.jobs.runs
 
@@ -11,11 +12,12 @@
 import io.corianderrock.jobs.state.TaskPositions
 import io.corianderrock.jobs.state.largestFoldedLength
 
-/** Why a store of [limits] cannot hold [submission], with the limit's name and both figures; null if it can. */
+/** Why [submission] is not valid or a store of [limits] cannot hold it, with the limit's name and the figures; null if it can be accepted. */
 internal fun unstorableReason(
     submission: JobSubmission,
     limits: StoreLimits,
 ): String? {
+    submission.validationError()?.let { return it }
     val job = RowKey(Table.JOBS, submission.id)
     val value = storedJson.encodeToString(JobSubmission.serializer(), submission)
     limits.exceededBy(job, value)?.let { return reason("the job", it, "use a shorter spec, fewer steps or several jobs") }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredJob.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredJob.kt
@@ -8,8 +8,10 @@
 import io.corianderrock.jobs.state.GroupRuns
 import io.corianderrock.jobs.state.JobProgress
 import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.state.MAX_RECORDABLE_TASKS
 import io.corianderrock.jobs.state.TaskPositions
 import io.corianderrock.jobs.state.decodeBits
+import io.corianderrock.jobs.state.withinLimits
 
 /** A job that the store holds. */
 internal sealed interface StoredJob {
@@ -19,6 +21,15 @@
         val progress: JobProgress?,
     ) : StoredJob
 
+    /**
+     * The [submission] has more tasks than the progress of a job can record in any version, so that none of them can have run. An
+     * earlier version accepted such jobs, as it computed the number with an overflow.
+     */
+    data class Unrunnable(
+        val submission: JobSubmission,
+        val reason: String,
+    ) : StoredJob
+
     /** The job exists, and nothing may be concluded about its tasks. */
     data class Unreadable(
         val reason: String,
@@ -30,7 +41,11 @@
     row: StoredRow,
     progress: StoredRow? = null,
 ): StoredJob {
-    val submission = decodeStored(JobSubmission.serializer(), row.value) ?: return StoredJob.Unreadable("not a job")
+    val submission = decodeStored(JobSubmission.serializer(), row.value)?.withinLimits() ?: return StoredJob.Unreadable("not a job")
+    if (submission.taskCount > MAX_RECORDABLE_TASKS) {
+        val ended = progress?.let { decodeStored(JobProgress.serializer(), it.value) }?.takeIf { it.state.isFinal }
+        return if (ended != null) StoredJob.Readable(submission, ended) else StoredJob.Unrunnable(submission, unrunnableReason(submission))
+    }
     submission.validationError()?.let { return StoredJob.Unreadable(it) }
     if (progress == null) return StoredJob.Readable(submission, progress = null)
     val read = decodeStored(JobProgress.serializer(), progress.value) ?: return StoredJob.Unreadable("not the progress of a job")
@@ -38,6 +53,9 @@
     return if (areBitsValid) StoredJob.Readable(submission, read) else StoredJob.Unreadable("the bitmap of its done tasks is not Base64")
 }
 
+private fun unrunnableReason(submission: JobSubmission): String =
+    "${submission.taskCount} tasks, and the progress of a job records at most $MAX_RECORDABLE_TASKS"
+
 /** The jobs of which a row of failed runs is among [rows], the table of progress, that cannot be read. */
 internal fun jobsWithUnreadableGroups(rows: List<StoredRow>): Set<String> =
     rows.mapNotNullTo(HashSet()) { row ->
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobRun.kt
@@ -241,6 +241,7 @@
         stored: StepProgress,
         nowMs: Long,
     ) {
+        if (stored.occurrence !in 0 until submission.occurrenceCount) return
         val run = addOccurrence(stored.occurrence, nowMs).steps.getOrNull(stored.step) ?: return
         for (index in stored.doneTaskIndices) run.tasks.getOrNull(index)?.let(run::markDone)
         for ((index, numbers) in stored.failedRuns) run.tasks.getOrNull(index)?.let { task -> numbers.forEach { addFailedRun(task, it) } }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/state/JobSubmission.kt
@@ -37,8 +37,6 @@
     internal operator fun minus(other: Demand): Demand =
         Demand(cpuMilli - other.cpuMilli, memoryMb - other.memoryMb, gpuCount - other.gpuCount)
 
-    internal val isNegative: Boolean get() = cpuMilli < 0 || memoryMb < 0 || gpuCount < 0
-
     internal fun fitsIn(capacity: Demand): Boolean =
         cpuMilli <= capacity.cpuMilli && memoryMb <= capacity.memoryMb && gpuCount <= capacity.gpuCount
 }
@@ -80,9 +78,6 @@
     internal val isServing: Boolean get() = responseTargetMs != null
 }
 
-/** Largest number of tasks of a job. */
-private const val MAX_TASKS = 20_000L
-
 /** A job as accepted. Wall times are in milliseconds since the Unix epoch. */
 @Serializable
 public data class JobSubmission(
@@ -102,21 +97,24 @@
 
     internal fun dueWallMs(occurrence: Int): Long = if (times == 0) 0 else firstDueWallMs + occurrence * intervalMs
 
-    /** Returns why this submission can never run, or null when it is valid. */
-    public fun validationError(): String? =
-        when {
+    /** Returns why this submission can never run, with names of fields by [nameOf], or null when it is valid. */
+    public fun validationError(nameOf: (JobNumber) -> String = { it.name }): String? {
+        limitViolation()?.let { return it.describe(nameOf) }
+        return when {
             steps.isEmpty() -> "steps is empty; add at least one step"
-            steps.any { it.count < 1 } -> "a step has a count below 1; set count to at least 1"
             steps.withIndex().any { (index, step) -> step.after.any { it !in 0 until index } } ->
                 "a step's after lists a step that does not come before it; list only indices of earlier steps"
-            steps.any { it.demand.isNegative } -> "a step has a negative cpu, memMb or gpu; use zero for none"
-            times < 0 || intervalMs < 0 -> "times or intervalMs is negative; leave both out for a job that runs once"
             taskCount > MAX_TASKS -> "the job has $taskCount tasks over all its times, at most $MAX_TASKS are allowed; submit several jobs"
             else -> null
         }
+    }
 
-    /** Number of tasks over all occurrences. */
-    internal val taskCount: Long get() = steps.sumOf { it.count.toLong() } * occurrenceCount
+    /** Number of tasks over all occurrences; [Long.MAX_VALUE] if it is larger, as a row of an earlier version may tell. */
+    internal val taskCount: Long
+        get() {
+            val perOccurrence = steps.sumOf { it.count.toLong() }
+            return if (perOccurrence > Long.MAX_VALUE / occurrenceCount) Long.MAX_VALUE else perOccurrence * occurrenceCount
+        }
 }
 
 /** The identity of one task. [occurrence], [step] and [index] count from zero. */
