Keep cancellations of jobs that are not known until their submission cannot arrive any more

Callers: a client left before its job was accepted and cancelled it at another entry.

Cause: Scheduler.cancel took a job that it was storing for one that is not known, StoredJobService.cancel found no row and answered 410, and neither recorded anything. The same held for a submission in an open write of another entry, in one that the store carries out late, not read yet by a frozen process, or sent again after the cancellation; JobInbox deleted a cancellation whose job it could not find.

A cancellation of a job that is not known, or is being stored, is now stored in the table cancellations before it is answered, with the rights of its caller, by the owner or through the inbox. The job ends when it becomes known: accepted by this owner or a later one, or found in the inbox. The rows are kept for 150 s, like those of ended jobs. The answer is 410, or 200 if the job has become known meanwhile. A job of another account is treated as one that does not exist, by the same steps, and its row ends only jobs that the caller may cancel.

Bounds: 10,000 are held, 300 wait, 32 are in transactions at a time, and 20 a second are looked up in the store; beyond that callers get 503 with Retry-After. New jobs go first in each transaction. An entry around the owner stores 500 within 150 s.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
@@ -24,7 +24,7 @@
         when (request) {
             is JobRequest.Submit -> current.submit(request.submission) { onReply(replyTo(it, request.submission.id)) }
             is JobRequest.State -> onReply(state(current, request))
-            is JobRequest.Cancel -> current.cancel(request.id, request.access) { onReply(replyToCancel(it)) }
+            is JobRequest.Cancel -> current.cancel(request.id, request.access) { onReply(replyToCancel(it, current)) }
             is JobRequest.Pending -> onReply(current.pending(request.queueName)?.let { answer(CallerAnswer.Pending(it)) } ?: NOT_HANDLED)
         }
     }
@@ -40,11 +40,15 @@
             is SubmitResult.Unknown -> SchedulerReply.Unanswered("the ownership ended while the job was being stored")
         }
 
-    private fun replyToCancel(result: CancelResult): SchedulerReply =
+    private fun replyToCancel(
+        result: CancelResult,
+        scheduler: Scheduler,
+    ): SchedulerReply =
         when (result) {
             CancelResult.STORED -> answer(CallerAnswer.Applied)
-            // The scheduler may not have read yet that another entry stored the job, so the store decides, also about access.
-            CancelResult.NOT_KNOWN, CancelResult.UNAVAILABLE -> NOT_HANDLED
+            CancelResult.NOT_KNOWN -> answer(CallerAnswer.NotFound)
+            CancelResult.TOO_MANY -> answer(CallerAnswer.NotApplied(TOO_MANY_UNKNOWN, maxOf(MIN_RETRY_MS, scheduler.cancellationRoomInMs)))
+            CancelResult.UNAVAILABLE -> NOT_HANDLED
             CancelResult.UNKNOWN -> SchedulerReply.Unanswered("the ownership ended while the cancellation was being stored")
         }
 
@@ -63,7 +67,9 @@
 
     private fun answer(answer: CallerAnswer): SchedulerReply = SchedulerReply.Answer(answer)
 
-    private companion object {
-        val NOT_HANDLED = SchedulerReply.NotHandled("the scheduler has not loaded the jobs, cannot write or does not know this job")
+    internal companion object {
+        const val TOO_MANY_UNKNOWN = "too many jobs that do not exist were cancelled; retry later"
+        private const val MIN_RETRY_MS = 1_000L
+        private val NOT_HANDLED = SchedulerReply.NotHandled("the scheduler has not loaded the jobs, cannot write or does not know this job")
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
@@ -66,6 +66,9 @@
     private val sharedReads = SharedReads(loop, tables)
     private val openRequests = OpenRequests(loop)
 
+    /** When this entry has sent messages for jobs that are not stored. The owner deletes them once it has read them, which may be late. */
+    private val unknownCancelledAtMs = ArrayDeque<Long>()
+
     /** Called when this entry has told its callers something of job [id] that was not read here. */
     internal fun onTold(id: String) {
         sharedReads.outdate(RowKey(Table.JOBS, id))
@@ -76,7 +79,7 @@
     internal fun mayStillApply(request: JobRequest): Boolean =
         when (request) {
             is JobRequest.Submit -> openRequests.isOpen(InboxMessage(request.submission.id, isCancel = false).key)
-            is JobRequest.Cancel -> openRequests.isOpen(InboxMessage(request.id, isCancel = true).key)
+            is JobRequest.Cancel -> cancellationsOf(request.id, request.access).any { openRequests.isOpen(it.key) }
             is JobRequest.State, is JobRequest.Pending -> false
         }
 
@@ -139,16 +142,17 @@
             return
         }
         val key = RowKey(Table.JOBS, submission.id)
+        val message = InboxMessage(submission.id, isCancel = false)
         val change =
             RowChange(
                 expected = mapOf(key to 0L),
                 puts =
                     mapOf(
                         key to storedJson.encodeToString(JobSubmission.serializer(), submission),
-                        InboxMessage(submission.id, isCancel = false).key to INBOX_MESSAGE,
+                        message.key to message.value,
                     ),
             )
-        writeOnce(InboxMessage(submission.id, isCancel = false).key, change, onAnswer)
+        writeOnce(message.key, change, onAnswer)
     }
 
     /** Sends [change], which writes [message], unless it is in flight; two callers may have read at the same time that it is needed. */
@@ -216,26 +220,53 @@
         onAnswer(if (row != null && progress == null) UNREADABLE else CallerAnswer.State(progress?.state ?: JobState.QUEUED))
     }
 
-    /** Stores an inbox message that job [id] is to be cancelled; a job outside [access] is not found. */
+    /**
+     * Stores an inbox message that job [id] is to be cancelled. One that is not stored is not found, and the message ends it if its
+     * submission, which may be in an open write of any entry, arrives later. One outside [access] is treated in the same way.
+     */
     public fun cancel(
         id: String,
         access: JobAccess,
         onAnswer: (CallerAnswer) -> Unit,
-    ) {
-        val message = InboxMessage(id, isCancel = true).key
+    ): Unit =
         read(Table.JOBS, id, onAnswer) { job ->
             val submission = job?.let { decodeStored(JobSubmission.serializer(), it.value) }
             when {
-                job == null -> onAnswer(CallerAnswer.NotFound)
-                submission == null -> onAnswer(UNREADABLE)
-                !access.permits(submission.account) -> onAnswer(CallerAnswer.NotFound)
-                openRequests.join(message, onAnswer) -> Unit
-                openRequests.isOpen(message) -> settle(message, message, onAnswer)
-                else -> writeOnce(message, RowChange(puts = mapOf(message to INBOX_MESSAGE)), onAnswer)
+                job != null && submission == null -> onAnswer(UNREADABLE)
+                submission?.let { access.permits(it.account) } == true -> store(InboxMessage(id, isCancel = true), onAnswer)
+                else -> cancelUnknown(InboxMessage(id, isCancel = true, access), onAnswer)
             }
         }
+
+    private fun cancelUnknown(
+        message: InboxMessage,
+        onAnswer: (CallerAnswer) -> Unit,
+    ) {
+        while (unknownCancelledAtMs.firstOrNull()?.let { loop.nowMs - it > UNKNOWN_CANCELS_MS } == true) unknownCancelledAtMs.removeFirst()
+        if (unknownCancelledAtMs.size >= MAX_UNKNOWN_CANCELS) {
+            onAnswer(CallerAnswer.NotApplied(LocalSchedulerClient.TOO_MANY_UNKNOWN, RETRY_AFTER_MS))
+            return
+        }
+        unknownCancelledAtMs.addLast(loop.nowMs)
+        store(message) { onAnswer(if (it is CallerAnswer.Applied) CallerAnswer.NotFound else it) }
+    }
+
+    /** Stores [message], unless a write of it is open. */
+    private fun store(
+        message: InboxMessage,
+        onAnswer: (CallerAnswer) -> Unit,
+    ) = when {
+        openRequests.join(message.key, onAnswer) -> Unit
+        openRequests.isOpen(message.key) -> settle(message.key, message.key, onAnswer)
+        else -> writeOnce(message.key, RowChange(puts = mapOf(message.key to message.value)), onAnswer)
     }
 
+    /** The messages by which a call with [access] may cancel the job [id]. */
+    private fun cancellationsOf(
+        id: String,
+        access: JobAccess,
+    ): List<InboxMessage> = listOf(JobAccess.ALL, access).map { InboxMessage(id, isCancel = true, it) }
+
     /** Passes the row to [onRow], null when there is none; answers [onAnswer] when the store cannot be read. */
     private fun read(
         table: Table,
@@ -262,12 +293,13 @@
     }
 
     private companion object {
-        /** Value of inbox rows, whose keys carry all information. */
-        const val INBOX_MESSAGE = "1"
-
         /** The job exists, in a form that a later version has stored. */
         val UNREADABLE = CallerAnswer.NotApplied("this version cannot read the stored job; retry at another entry", RETRY_AFTER_MS)
 
+        /** Cancellations of unknown jobs that one entry stores within [UNKNOWN_CANCELS_MS]: bounds the rows that wait for an owner. */
+        const val MAX_UNKNOWN_CANCELS = 500
+        const val UNKNOWN_CANCELS_MS = 150_000L
+
         const val STILL_OPEN = "an earlier write without an answer may still be applied"
 
         /** Within this time a request that cannot be served is refused; a read usually takes 4 ms. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/ports/JobTables.kt
@@ -16,6 +16,7 @@
     INSTANCE_ORDERS("instance_orders"),
     DEMAND_PEAKS("turns"),
     RUN_TIMES("run_times"),
+    EARLY_CANCELLATIONS("cancellations"),
     ;
 
     /** Name of the table in the platform store. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -17,6 +17,7 @@
     private val loop: EventLoop,
     private val tables: JobTables,
     private val registry: JobRegistry,
+    private val cancellations: EarlyCancellations,
     private val committer: Committer,
     private val log: DecisionLog,
     private val hadEarlierOwner: Boolean,
@@ -27,8 +28,8 @@
     private var nextReadAtMs = Long.MIN_VALUE / 2
     private var isReading = false
 
-    /** Cancellations that were read while their job was not known, by job. */
-    private val heldCancellations = HashMap<String, InboxMessage>()
+    /** Cancellations of unknown jobs that are being stored apart from the inbox. */
+    private val openCancellations = HashSet<InboxMessage>()
 
     /** True if the last read is recent enough for tasks to be started. */
     val isFresh: Boolean get() = freshness.ageMs < FRESHNESS_MS
@@ -48,31 +49,37 @@
     }
 
     fun process(row: StoredRow) {
-        val message = InboxMessage.of(row.key)
+        val message = InboxMessage.of(row) ?: return
         if (registry.find(message.jobId)?.isStored == true) {
             apply(message)
             return
         }
         // A later owner that can read the job reads the message as well.
         if (registry.isUnreadable(message.jobId)) return
-        if (message.isCancel) heldCancellations[message.jobId] = message
+        if (message.isCancel) cancelUnknown(message) else findSubmitted(message)
+    }
+
+    /** Its job may still be submitted. If the cancellation cannot be held, the message is read again. */
+    private fun cancelUnknown(message: InboxMessage) {
+        if (!openCancellations.add(message)) return
+        val onEnd = { openCancellations.remove(message) }
+        val isHeld =
+            cancellations.add(message.jobId, message.access, areAnswered = true, onDropped = { onEnd() }) {
+                onEnd()
+                delete(message)
+            }
+        if (!isHeld) onEnd()
+    }
+
+    private fun findSubmitted(message: InboxMessage) =
         find(message.jobId) { found ->
             when (found) {
                 is Lookup.Found -> apply(message)
-                // Jobs are stored before or with their messages, so this one has expired.
+                // Jobs are stored with their messages, so this one has expired.
                 is Lookup.Absent -> delete(message)
                 is Lookup.Unreadable, is Lookup.Unknown -> Unit
             }
         }
-    }
-
-    /**
-     * Called when [job] has become known, by whatever message or caller: a cancellation that was read before has to be applied before
-     * its tasks are placed, also if the read of the job for that message fails.
-     */
-    fun onAccepted(job: JobRun) {
-        heldCancellations[job.id]?.let(::apply)
-    }
 
     /** What the store holds of a job that the registry does not know. */
     sealed interface Lookup {
@@ -139,14 +146,11 @@
 
     private fun apply(message: InboxMessage) {
         val job = registry.find(message.jobId) ?: return
-        heldCancellations.remove(message.jobId, message)
-        if (message.isCancel) registry.cancel(job) { delete(message) } else delete(message)
+        val cancels = message.isCancel && message.access.permits(job.submission.account)
+        if (cancels) registry.cancel(job) { delete(message) } else delete(message)
     }
 
-    private fun delete(message: InboxMessage) {
-        heldCancellations.remove(message.jobId, message)
-        committer.put(message.key) { null }
-    }
+    private fun delete(message: InboxMessage) = committer.put(message.key) { null }
 
     private companion object {
         /** Interval between reads of the inbox. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Retention.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Retention.kt
@@ -93,20 +93,20 @@
         deletedInSeries = 0
     }
 
-    private companion object {
+    companion object {
         /** Callers may query a job for 120 s after it became final; a quarter more allows for slow clocks. */
         const val RETENTION_MS = 150_000L
 
         /** Jobs deleted in one pass: their rows fit into one transaction. */
-        const val MAX_DELETED = 45
+        private const val MAX_DELETED = 45
 
         /** Writes that may wait before a pass, so that deletions do not delay them. */
-        const val MAX_PENDING = 8
+        private const val MAX_PENDING = 8
 
         /** Time between two passes. */
-        const val INTERVAL_MS = 5_000L
+        private const val INTERVAL_MS = 5_000L
 
         /** Time between two passes while there is a backlog: 450 jobs a second, by ten transactions. */
-        const val BACKLOG_INTERVAL_MS = 100L
+        private const val BACKLOG_INTERVAL_MS = 100L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -37,7 +37,9 @@
 import io.corianderrock.jobs.sharing.NoSharing
 import io.corianderrock.jobs.sharing.PaceOrders
 import io.corianderrock.jobs.sharing.SharingController
+import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.JobSubmission
+import io.corianderrock.jobs.storerate.TokenBucket
 import kotlinx.serialization.builtins.ListSerializer
 
 /**
@@ -140,7 +142,9 @@
     private val jobLoader = JobLoader(registry)
     private val storedTables =
         StoredTables(loop, tables, log, includesRunTimes = settings.runTimes == RunTimeSource.LEARNED) { isClosed }
-    private val inbox = JobInbox(loop, tables, registry, committer, log, earlier.existed) { isClosed }
+    private val cancellations = EarlyCancellations(loop, committer, log)
+    private val cancelLookups = TokenBucket(loop, ratePerS = { CANCEL_LOOKUPS_PER_S }, capacity = { CANCEL_LOOKUPS_PER_S })
+    private val inbox = JobInbox(loop, tables, registry, cancellations, committer, log, earlier.existed) { isClosed }
     private var isLoaded = false
     private var isClosed = false
     private var isPlacementRequested = false
@@ -156,7 +160,7 @@
             accountRules.admission.onAccepted(job)
             demand.onAccepted(job)
             requestPlacement(job.queue.pool)
-            inbox.onAccepted(job)
+            if (cancellations.covers(job.submission)) registry.cancel(job) {}
         }
         fleet.sizer.onPeakStarted = { peaks -> committer.put(DEMAND_PEAKS_KEY) { storedJson.encodeToString(DEMAND_PEAKS, peaks) } }
         if (earlier.existed) storedTables.read(jobLoader, ::restore) else onLoaded()
@@ -238,24 +242,60 @@
         return JobAnswer(true, job.visibleState, job.queue.name, job.submission.account)
     }
 
-    /** Cancels the job [id] if it is within [access]; [onResult] is called once. */
+    /**
+     * Cancels the job [id] if it is within [access]; [onResult] is called once. A job that is being stored, or not known, is cancelled for
+     * its submission, which may still arrive.
+     */
     public fun cancel(
         id: String,
         access: JobAccess,
         onResult: (CancelResult) -> Unit,
     ) {
-        if (!isLoaded || isClosed || !canWrite || registry.isUnreadable(id)) {
-            onResult(CancelResult.UNAVAILABLE)
-            return
+        when {
+            !isLoaded || isClosed || !canWrite || registry.isUnreadable(id) -> onResult(CancelResult.UNAVAILABLE)
+            permitted(id, access) != null -> cancelHeld(id, access, onResult)
+            !cancellations.hasRoomFor(id, access) -> onResult(CancelResult.TOO_MANY)
+            // Another entry may have stored the job since the inbox was last read. The job ends also if it is not looked up.
+            cancelLookups.take() ->
+                inbox.find(id) { found ->
+                    val isUnavailable = found is JobInbox.Lookup.Unreadable || isClosed
+                    if (isUnavailable) onResult(CancelResult.UNAVAILABLE) else cancelHeld(id, access, onResult)
+                }
+            else -> cancelHeld(id, access, onResult)
         }
-        val job = registry.find(id)?.takeIf { it.isStored && access.permits(it.submission.account) }
-        if (job == null) {
-            onResult(CancelResult.NOT_KNOWN)
+    }
+
+    /**
+     * Cancels the job [id] by what is held in memory. A job outside [access] is treated as one that does not exist, so that neither the
+     * answer nor its time tells of it.
+     */
+    private fun cancelHeld(
+        id: String,
+        access: JobAccess,
+        onResult: (CancelResult) -> Unit,
+    ) {
+        val onDropped = { onResult(CancelResult.UNKNOWN) }
+        val stored = permitted(id, access)?.takeIf { it.isStored }
+        if (stored != null) {
+            registry.cancel(stored, onDropped) { onResult(CancelResult.STORED) }
             return
         }
-        registry.cancel(job, onDropped = { onResult(CancelResult.UNKNOWN) }) { onResult(CancelResult.STORED) }
+        val isAdded =
+            cancellations.add(id, access, onDropped = onDropped) {
+                onResult(if (permitted(id, access) != null) CancelResult.STORED else CancelResult.NOT_KNOWN)
+            }
+        if (!isAdded) onResult(CancelResult.TOO_MANY)
     }
 
+    /** The job [id], stored or being stored, if it is within [access]. */
+    private fun permitted(
+        id: String,
+        access: JobAccess,
+    ): JobRun? = registry.find(id)?.takeIf { access.permits(it.submission.account) }
+
+    /** Time in milliseconds until a cancellation of an unknown job can be taken again. */
+    public val cancellationRoomInMs: Long get() = cancellations.roomInMs
+
     /** Number of jobs in the queue [queueName] of which no task has started; null if this scheduler is unavailable. */
     public fun pending(queueName: String): Int? = if (isLoaded && !isClosed) registry.pendingCount(queueName) else null
 
@@ -274,6 +314,7 @@
     private fun close() {
         isClosed = true
         driver.close()
+        cancellations.close()
     }
 
     private fun isOwnershipFresh(withinMs: Long): Boolean =
@@ -314,6 +355,8 @@
         instanceOrders.load(rowsByTable.getValue(Table.INSTANCE_ORDERS))
         rowsByTable[Table.RUN_TIMES]?.forEach { runTimeRecords.load(it.value) }
         rowsByTable.getValue(Table.DEMAND_PEAKS).forEach { row -> decodeStored(DEMAND_PEAKS, row.value)?.let(fleet.sizer::load) }
+        cancellations.load(rowsByTable.getValue(Table.EARLY_CANCELLATIONS))
+        registry.live.filter { cancellations.covers(it.submission) }.forEach { registry.cancel(it) {} }
         // Before any task starts: a job may have been cancelled while there was no owner.
         rowsByTable.getValue(Table.INBOX).forEach(inbox::process)
         onLoaded()
@@ -385,6 +428,7 @@
             }
             inbox.readIfDue()
             registry.retention.deleteIfDue()
+            cancellations.tick()
             if (tickCount % PLACEMENT_TICK_INTERVAL == 0L) requestPlacement(null)
         }
     }
@@ -399,6 +443,9 @@
         /** Greatest age of the last confirmed write at which orders to instances are sent; the next owner waits as long. */
         const val INSTANCE_ORDER_FRESHNESS_MS = 1_500L
 
+        /** Reads for cancellations of jobs that are not known: few beside the owner's other reads. */
+        const val CANCEL_LOOKUPS_PER_S = 20.0
+
         /** Retry delay for a job that the store does not accept: sent again as it is, it is refused again. */
         const val UNSTORABLE_RETRY_MS = 60_000L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerAnswers.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerAnswers.kt
@@ -28,9 +28,12 @@
     /** The cancellation is stored. */
     STORED,
 
-    /** The job is not known here, or its caller may not see it; nothing was done. */
+    /** There is no such job that its caller may see, and a submission of it that is still on its way starts nothing. */
     NOT_KNOWN,
 
+    /** Nothing was done: too many cancellations of jobs that are not known are held, see [Scheduler.cancellationRoomInMs]. */
+    TOO_MANY,
+
     /** Nothing was done: this scheduler is not loaded, no longer the owner, or cannot write. */
     UNAVAILABLE,
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredTables.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/StoredTables.kt
@@ -116,6 +116,7 @@
                 Table.WAVES,
                 Table.INSTANCE_ORDERS,
                 Table.DEMAND_PEAKS,
+                Table.EARLY_CANCELLATIONS,
                 Table.INBOX,
             )
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/StoreCall.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/storerate/StoreCall.kt
@@ -34,7 +34,7 @@
             when (table) {
                 Table.OWNERS -> OWNERSHIP
                 Table.WORKER_LEASES, Table.INSTANCE_ORDERS -> LEASES
-                Table.JOBS, Table.PROGRESS, Table.INBOX -> JOB_STATE
+                Table.JOBS, Table.PROGRESS, Table.INBOX, Table.EARLY_CANCELLATIONS -> JOB_STATE
                 Table.WAVES, Table.DEMAND_PEAKS -> FLEET
                 Table.RUN_TIMES -> OTHER
             }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
@@ -2,7 +2,7 @@
  * Runs the simulation by hand: `WorldMainKt FIRST LAST [WORKLOAD [LEASE_MS [POOL_DECISIONS]]]` prints the violations of a range of
  * seeds, and the decisions as well if the range has a single seed. WORKLOAD is one of [Workload], where EARLY_CANCELS includes the
  * cancellations of [EarlyCancels] and messages that overtake each other, COINCIDENCES for [Coincidences] beside these, with COINCIDENCES_SAME_IDS for workers that restart under their id, FLEET_CHANGES for [FleetChanges], or LATE_ORDERS for the faults of
- * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids, SILENT_FAULTS for those of [SilentFaults], and TIMED_JOBS includes those of [TimedJobFaults]. POOL_DECISIONS true switches on the optional decisions on pools.
+ * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids, SILENT_FAULTS for those of [SilentFaults], UNANSWERED_CANCELS for [UnansweredCancels], and TIMED_JOBS includes those of [TimedJobFaults]. POOL_DECISIONS true switches on the optional decisions on pools.
  */
 package io.corianderrock.jobs.world
 
@@ -24,6 +24,7 @@
 private const val LATE_ORDERS = "LATE_ORDERS"
 private const val LATE_ORDERS_NEW_IDS = "LATE_ORDERS_NEW_IDS"
 private const val SILENT_FAULTS = "SILENT_FAULTS"
+private const val UNANSWERED_CANCELS = "UNANSWERED_CANCELS"
 
 /** The code of a violation with the part of its rule, if it tells one. */
 private val KIND = Regex("^\\d+: (\\w+(?: \\(\\w+\\))?)")
@@ -49,6 +50,8 @@
             lateOrderWorld(seed, keepsIds = workload == LATE_ORDERS, longestLeaseMs, settings, traces)
         } else if (workload == SILENT_FAULTS) {
             silentFaultWorld(seed, longestLeaseMs, settings, traces)
+        } else if (workload == UNANSWERED_CANCELS) {
+            unansweredCancelWorld(seed, settings, traces)
         } else if (workload == Workload.TIMED_JOBS.name) {
             timedJobWorld(seed, settings, traces)
         } else {
