Keep ended jobs by the steady clock

Callers: a cancelled job that was sent again started anew if the owner's time of day had jumped ahead in between (UNASKED); a query of an ended job got 410 (LOST).

Cause: Retention compared the time of the end with the time of day at each pass. It now computes once when a job is to be deleted, by the loop's clock, from its age at that moment. Open: an owner that takes over with its time of day two minutes ahead of the last one's.

Evidence: EarlyCancellationTest, "stays cancelled if the owner's time of day jumps by an hour in between", failed with the old Retention (four starts instead of two) and passes.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Retention.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Retention.kt
@@ -23,12 +23,13 @@
 ) {
     private class EndedJob(
         val id: String,
-        val endedWallMs: Long,
+        /** When it is to be deleted, by the loop's clock: the time of day may jump. */
+        val expiresAtMs: Long,
         /** Removes the job from memory; false if it is to stay. */
         val forget: () -> Boolean,
     )
 
-    private val ended = PriorityQueue<EndedJob>(compareBy { it.endedWallMs })
+    private val ended = PriorityQueue<EndedJob>(compareBy { it.expiresAtMs })
 
     /** Ended jobs that the store may hold and the memory does not: expired when the owner loaded the store, or being deleted. */
     private val notLoaded = HashSet<String>()
@@ -50,7 +51,7 @@
         endedWallMs: Long,
         forget: () -> Boolean,
     ) {
-        ended.add(EndedJob(id, endedWallMs, forget))
+        ended.add(EndedJob(id, expiresAtMs(endedWallMs), forget))
         notLoaded.remove(id)
     }
 
@@ -60,23 +61,27 @@
         endedWallMs: Long,
     ) {
         notLoaded.add(id)
-        ended.add(EndedJob(id, endedWallMs) { id in notLoaded })
+        ended.add(EndedJob(id, expiresAtMs(endedWallMs)) { id in notLoaded })
     }
 
+    /** An end in the future, by a clock that has been set back, counts as one of now. */
+    private fun expiresAtMs(endedWallMs: Long): Long = loop.nowMs + RETENTION_MS - maxOf(0, loop.wallMs - endedWallMs)
+
     /** Called at each tick. */
     fun deleteIfDue() {
         if (loop.nowMs < nextPassAtMs) return
         val hasRoom = committer.pendingCount <= MAX_PENDING
         if (hasRoom) deleteSome()
-        val isBacklog = ended.peek()?.let { isExpired(it.endedWallMs) } == true
+        val isBacklog = isFirstDue
         nextPassAtMs = loop.nowMs + if (isBacklog) BACKLOG_INTERVAL_MS else INTERVAL_MS
         if (!isBacklog) logSeries()
     }
 
+    private val isFirstDue: Boolean get() = ended.peek()?.let { it.expiresAtMs < loop.nowMs } == true
+
     private fun deleteSome() {
         repeat(MAX_DELETED) {
-            val job = ended.peek()?.takeIf { isExpired(it.endedWallMs) } ?: return
-            ended.poll()
+            val job = ended.takeIf { isFirstDue }?.poll() ?: return
             if (job.forget()) delete(job.id)
         }
     }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/EarlyCancellationTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/EarlyCancellationTest.kt
@@ -26,6 +26,7 @@
 private const val PASS_MS = 2_000L
 private const val LATE_MS = 2_000L
 private const val LONG_MS = 20_000L
+private const val HOUR_MS = 3_600_000L
 
 /** Time after which a cancelled job is not kept any more. */
 private const val RETAINED_MS = 170_000L
@@ -153,6 +154,24 @@
                 next.scheduler.state(JOB.id).state shouldBe JobState.ACTIVE
             }
         }
+        describe("a job that is sent again after its cancellation") {
+            // Guards against a cancelled job that is deleted early and starts anew, as the owner's time of day has jumped (UNASKED).
+            it("stays cancelled if the owner's time of day jumps by an hour in between") {
+                for (isKnown in listOf(true, false)) {
+                    val owner = InboxOfOneOwner()
+                    owner.pass(PASS_MS)
+                    if (isKnown) owner.submit().also { owner.pass(REPLY_MS) }
+                    owner.cancel().also { owner.pass(REPLY_MS) }
+                    owner.loop.wallOffsetMs += HOUR_MS
+                    val startCount = owner.startsAtMs.size
+                    owner.pass(LONG_MS)
+                    owner.submit()
+                    owner.pass(LONG_MS)
+                    owner.startsAtMs.size shouldBe startCount
+                    owner.running.keys.shouldBeEmpty()
+                }
+            }
+        }
         describe("a cancellation of an unknown job by another account") {
             // Guards against an account that ends the jobs of another one.
             it("leaves the job alone, at the owner and through another entry, and also beside one that ends it") {
