Split acceptance and cancellation of jobs from the scheduler; names and constants after a reading of the change

The limit on messages of an entry is a class of its own (UnknownCancelQuota), and limits that were written twice refer to one place (WriteQueue, Retention). ExtremeNumbers were AbsurdJobs.

--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/LocalSchedulerClient.kt
@@ -47,7 +47,7 @@
         when (result) {
             CancelResult.STORED -> answer(CallerAnswer.Applied)
             CancelResult.NOT_KNOWN -> answer(CallerAnswer.NotFound)
-            CancelResult.TOO_MANY -> answer(CallerAnswer.NotApplied(TOO_MANY_UNKNOWN, maxOf(MIN_RETRY_MS, scheduler.cancellationRoomInMs)))
+            CancelResult.TOO_MANY -> answer(tooManyUnknown(scheduler))
             CancelResult.UNAVAILABLE -> NOT_HANDLED
             CancelResult.UNKNOWN -> SchedulerReply.Unanswered("the ownership ended while the cancellation was being stored")
         }
@@ -65,11 +65,13 @@
         }
     }
 
+    private fun tooManyUnknown(scheduler: Scheduler): CallerAnswer =
+        CallerAnswer.NotApplied(UnknownCancelQuota.EXCEEDED, maxOf(MIN_RETRY_MS, scheduler.cancellationRoomInMs))
+
     private fun answer(answer: CallerAnswer): SchedulerReply = SchedulerReply.Answer(answer)
 
-    internal companion object {
-        const val TOO_MANY_UNKNOWN = "too many jobs that do not exist were cancelled; retry later"
-        private const val MIN_RETRY_MS = 1_000L
-        private val NOT_HANDLED = SchedulerReply.NotHandled("the scheduler has not loaded the jobs, cannot write or does not know this job")
+    private companion object {
+        const val MIN_RETRY_MS = 1_000L
+        val NOT_HANDLED = SchedulerReply.NotHandled("the scheduler has not loaded the jobs, cannot write or cannot read this job")
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/entry/StoredJobService.kt
@@ -65,9 +65,7 @@
 ) {
     private val sharedReads = SharedReads(loop, tables)
     private val openRequests = OpenRequests(loop)
-
-    /** When this entry has sent messages for jobs that are not stored. The owner deletes them once it has read them, which may be late. */
-    private val unknownCancelledAtMs = ArrayDeque<Long>()
+    private val unknownCancelQuota = UnknownCancelQuota(loop)
 
     /** Called when this entry has told its callers something of job [id] that was not read here. */
     internal fun onTold(id: String) {
@@ -221,8 +219,8 @@
     }
 
     /**
-     * Stores an inbox message that job [id] is to be cancelled. One that is not stored is not found, and the message ends it if its
-     * submission, which may be in an open write of any entry, arrives later. One outside [access] is treated in the same way.
+     * Stores an inbox message that job [id] is to be cancelled. A job that is not stored, or outside [access], is not found; its submission
+     * may be in an open write of any entry, and the message cancels it when it becomes known, if it is within [access].
      */
     public fun cancel(
         id: String,
@@ -234,24 +232,22 @@
             when {
                 job != null && submission == null -> onAnswer(UNREADABLE)
                 submission?.let { access.permits(it.account) } == true -> store(InboxMessage(id, isCancel = true), onAnswer)
-                else -> cancelUnknown(InboxMessage(id, isCancel = true, access), onAnswer)
+                else -> cancelInAdvance(InboxMessage(id, isCancel = true, access), onAnswer)
             }
         }
 
-    private fun cancelUnknown(
+    private fun cancelInAdvance(
         message: InboxMessage,
         onAnswer: (CallerAnswer) -> Unit,
     ) {
-        while (unknownCancelledAtMs.firstOrNull()?.let { loop.nowMs - it > UNKNOWN_CANCELS_MS } == true) unknownCancelledAtMs.removeFirst()
-        if (unknownCancelledAtMs.size >= MAX_UNKNOWN_CANCELS) {
-            onAnswer(CallerAnswer.NotApplied(LocalSchedulerClient.TOO_MANY_UNKNOWN, RETRY_AFTER_MS))
+        if (!unknownCancelQuota.take()) {
+            onAnswer(CallerAnswer.NotApplied(UnknownCancelQuota.EXCEEDED, RETRY_AFTER_MS))
             return
         }
-        unknownCancelledAtMs.addLast(loop.nowMs)
         store(message) { onAnswer(if (it is CallerAnswer.Applied) CallerAnswer.NotFound else it) }
     }
 
-    /** Stores [message], unless a write of it is open. */
+    /** Stores the cancellation [message], unless a write of it is open. */
     private fun store(
         message: InboxMessage,
         onAnswer: (CallerAnswer) -> Unit,
@@ -296,10 +292,6 @@
         /** The job exists, in a form that a later version has stored. */
         val UNREADABLE = CallerAnswer.NotApplied("this version cannot read the stored job; retry at another entry", RETRY_AFTER_MS)
 
-        /** Cancellations of unknown jobs that one entry stores within [UNKNOWN_CANCELS_MS]: bounds the rows that wait for an owner. */
-        const val MAX_UNKNOWN_CANCELS = 500
-        const val UNKNOWN_CANCELS_MS = 150_000L
-
         const val STILL_OPEN = "an earlier write without an answer may still be applied"
 
         /** Within this time a request that cannot be served is refused; a read usually takes 4 ms. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/EarlyCancellations.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/EarlyCancellations.kt
@@ -1,7 +1,7 @@
 /*
- * Cancellations of jobs that the owner does not hold. Their submission may be on its way between entries, in a write that the store carries
- * out late, or sent again by its caller. Each cancellation is stored before it is acknowledged, so that this owner and later ones end the
- * job before its first task is placed, however it becomes known. It is deleted once the rows of a cancelled job would be.
+ * Cancellations that precede the submission of their job, as the owner sees it: that may be on its way between entries, in a write that the
+ * store carries out late, or sent again by its caller. Each cancellation is stored before it is acknowledged, so that this owner and later
+ * ones end the job as soon as it becomes known. It is kept as long as the rows of a cancelled job.
  */
 package io.corianderrock.jobs.runs
 
@@ -14,7 +14,7 @@
 import io.corianderrock.jobs.state.JobSubmission
 import kotlinx.serialization.Serializable
 
-/** The stored cancellations of one job that is not known, the last one at [lastWallMs], by callers with the rights in [accesses]. */
+/** The stored cancellations of one job, the last one at [lastWallMs] by the time of day, by callers with the rights in [accesses]. */
 @Serializable
 internal data class EarlyCancellationRow(
     val lastWallMs: Long,
@@ -30,11 +30,12 @@
     private val committer: Committer,
     private val log: DecisionLog,
 ) {
-    private class Cancelled(
-        val accesses: LinkedHashSet<JobAccess>,
+    /** What is held for one job, until [expiresAtMs] by the loop's clock. */
+    private class Held(
+        val accesses: Set<JobAccess>,
         val lastWallMs: Long,
         val expiresAtMs: Long,
-        /** True while its row is being deleted. It counts until then, so that no later owner finds it beside a job accepted since. */
+        /** True while its row is being deleted. It takes effect until then, as a later owner may still find the row. */
         var isDeleting: Boolean = false,
     )
 
@@ -45,35 +46,35 @@
     )
 
     /** By job, in the order in which they expire. */
-    private val cancelled = LinkedHashMap<String, Cancelled>()
+    private val held = LinkedHashMap<String, Held>()
     private val unsent = ArrayDeque<UnsentRow>()
     private var openCount = 0
     private var nextPassAtMs = Long.MIN_VALUE
 
     /** True if [submission] was cancelled by a caller that may cancel it. */
-    fun covers(submission: JobSubmission): Boolean = cancelled[submission.id]?.accesses?.any { it.permits(submission.account) } == true
+    fun covers(submission: JobSubmission): Boolean = held[submission.id]?.accesses?.any { it.permits(submission.account) } == true
 
     /**
      * Cancels the job [jobId] for callers with [access]; [onStored] is called once that is stored, [onDropped] if the ownership ends
-     * before. Returns false, and does nothing, if too many are held; those whose callers [areAnswered] are held beyond that.
+     * before. Returns false, and does nothing, if there is no room; one that [isAcknowledged] already is held beyond the limits on all.
      */
     fun add(
         jobId: String,
         access: JobAccess,
-        areAnswered: Boolean = false,
+        isAcknowledged: Boolean = false,
         onDropped: () -> Unit = {},
         onStored: () -> Unit,
     ): Boolean {
-        val earlier = cancelled[jobId]
-        val hasRoom = if (areAnswered) hasAccessRoom(earlier, access) else hasRoomFor(jobId, access)
+        val earlier = held[jobId]
+        val hasRoom = if (isAcknowledged) hasAccessRoom(earlier, access) else hasRoomFor(jobId, access)
         if (!hasRoom) {
-            log.write("early_cancellation_refused", "job", jobId, "account", access.account, "held", cancelled.size, "unsent", unsent.size)
+            log.write("early_cancellation_refused", "job", jobId, "account", access.account, "held", held.size, "unsent", unsent.size)
             return false
         }
-        cancelled.remove(jobId)
-        val accesses = LinkedHashSet(earlier?.accesses.orEmpty()).apply { add(access) }
-        cancelled[jobId] = Cancelled(accesses, loop.wallMs, loop.nowMs + Retention.RETENTION_MS)
-        log.write("job_cancelled_early", "job", jobId, "account", access.account, "held", cancelled.size)
+        held.remove(jobId)
+        val accesses = earlier?.accesses.orEmpty() + access
+        held[jobId] = Held(accesses, loop.wallMs, loop.nowMs + Retention.RETENTION_MS)
+        log.write("job_cancelled_early", "job", jobId, "account", access.account, "held", held.size)
         unsent.addLast(UnsentRow(jobId, onDropped, onStored))
         sendSome()
         return true
@@ -111,26 +112,26 @@
         jobId: String,
         access: JobAccess,
     ): Boolean {
-        val earlier = cancelled[jobId]
-        val isCountBelowLimit = earlier != null || cancelled.size < MAX_COUNT
+        val earlier = held[jobId]
+        val isCountBelowLimit = earlier != null || held.size < MAX_COUNT
         return unsent.size < MAX_UNSENT && isCountBelowLimit && hasAccessRoom(earlier, access)
     }
 
     private fun hasAccessRoom(
-        earlier: Cancelled?,
+        earlier: Held?,
         access: JobAccess,
     ): Boolean = earlier == null || access in earlier.accesses || earlier.accesses.size < MAX_ACCESSES
 
-    /** Time in milliseconds until the number held falls below its limit. */
+    /** Time in milliseconds until the number held falls below its limit; 0 if it is. */
     val roomInMs: Long
-        get() = if (cancelled.size < MAX_COUNT) 0 else cancelled.values.firstOrNull()?.let { maxOf(0, it.expiresAtMs - loop.nowMs) } ?: 0
+        get() = if (held.size < MAX_COUNT) 0 else held.values.firstOrNull()?.let { maxOf(0, it.expiresAtMs - loop.nowMs) } ?: 0
 
     /** Restores the cancellations in [rows], which earlier owners have stored. */
     fun load(rows: List<StoredRow>) {
         val readable = rows.mapNotNull { row -> decodeStored(EarlyCancellationRow.serializer(), row.value)?.let { row.key.key to it } }
         for ((jobId, row) in readable.sortedBy { (_, row) -> row.lastWallMs }) {
             val leftMs = (row.lastWallMs.coerceAtMost(loop.wallMs) + Retention.RETENTION_MS - loop.wallMs).coerceAtLeast(0)
-            cancelled[jobId] = Cancelled(LinkedHashSet(row.accesses), row.lastWallMs, loop.nowMs + leftMs)
+            held[jobId] = Held(row.accesses.toSet(), row.lastWallMs, loop.nowMs + leftMs)
         }
     }
 
@@ -141,26 +142,26 @@
     }
 
     private fun deleteIfDue() {
-        if (loop.nowMs < nextPassAtMs || committer.pendingCount > MAX_PENDING) return
+        if (loop.nowMs < nextPassAtMs || committer.pendingCount > Retention.MAX_PENDING) return
         nextPassAtMs = loop.nowMs + PASS_INTERVAL_MS
         val due =
-            cancelled.entries
+            held.entries
                 .asSequence()
                 .takeWhile { it.value.expiresAtMs <= loop.nowMs }
                 .filter { !it.value.isDeleting }
-        due.take(MAX_DELETED).toList().forEach { (jobId, record) -> delete(jobId, record) }
+        due.take(Retention.MAX_DELETED).toList().forEach { (jobId, record) -> delete(jobId, record) }
     }
 
     private fun delete(
         jobId: String,
-        record: Cancelled,
+        record: Held,
     ) {
         record.isDeleting = true
-        committer.put(keyOf(jobId), onStored = { if (cancelled[jobId] === record) cancelled.remove(jobId) }) { valueOf(jobId) }
+        committer.put(keyOf(jobId), onStored = { if (held[jobId] === record) held.remove(jobId) }) { valueOf(jobId) }
     }
 
     private fun valueOf(jobId: String): String? {
-        val record = cancelled[jobId]?.takeUnless { it.isDeleting } ?: return null
+        val record = held[jobId]?.takeUnless { it.isDeleting } ?: return null
         return storedJson.encodeToString(
             EarlyCancellationRow.serializer(),
             EarlyCancellationRow(record.lastWallMs, record.accesses.toList()),
@@ -170,23 +171,17 @@
     private fun keyOf(jobId: String) = RowKey(Table.EARLY_CANCELLATIONS, jobId)
 
     private companion object {
-        /** 64 a second for as long as each is kept. */
+        /** Bounds the owner's memory, and what the next owner reads. */
         const val MAX_COUNT = 10_000
 
-        /** Rows that wait for a transaction or its answer: as many as one transaction holds beside new jobs. */
-        const val MAX_OPEN = 32
+        /** Rows in open transactions: as many as new jobs leave room for. */
+        const val MAX_OPEN = WriteQueue.RESERVED_ENTRIES
 
-        /** Rows that are stored within the 250 ms of a quick answer, at 20 ms a transaction. */
+        /** Rows that wait for a transaction: the last one is stored within 250 ms while the store is sound. */
         const val MAX_UNSENT = 300
 
-        /** Accounts that may cancel one unknown job: their names fit into a row. */
+        /** Accounts that may cancel one job in advance: bounds a row. */
         const val MAX_ACCESSES = 50
-
-        /** Rows deleted in one pass, which fit into one transaction. */
-        const val MAX_DELETED = 45
-
-        /** Writes that may wait before a pass, so that deletions do not delay them. */
-        const val MAX_PENDING = 8
         const val PASS_INTERVAL_MS = 100L
     }
 }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/InboxMessage.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/InboxMessage.kt
@@ -13,14 +13,17 @@
 
 /**
  * Tells the scheduler that the job [jobId] was stored, or is to be cancelled if [isCancel]. [access] restricts a cancellation of a job that
- * was not known, whose account could not be checked; all others were checked before.
+ * was not known to the entry, which could not check its account; all others have been checked.
  */
 internal data class InboxMessage(
     val jobId: String,
     val isCancel: Boolean,
     val access: JobAccess = JobAccess.ALL,
 ) {
-    /** Cancellations with different rights have different keys, as they may concern different submissions of one id. */
+    /**
+     * Cancellations with different rights have different keys, as they may concern different submissions of one id. The name of an account
+     * may be longer than a key.
+     */
     val key: RowKey
         get() =
             RowKey(
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/JobInbox.kt
@@ -17,7 +17,7 @@
     private val loop: EventLoop,
     private val tables: JobTables,
     private val registry: JobRegistry,
-    private val cancellations: EarlyCancellations,
+    private val earlyCancellations: EarlyCancellations,
     private val committer: Committer,
     private val log: DecisionLog,
     private val hadEarlierOwner: Boolean,
@@ -28,7 +28,7 @@
     private var nextReadAtMs = Long.MIN_VALUE / 2
     private var isReading = false
 
-    /** Cancellations of unknown jobs that are being stored apart from the inbox. */
+    /** Messages that are being moved to [earlyCancellations]. */
     private val openCancellations = HashSet<InboxMessage>()
 
     /** True if the last read is recent enough for tasks to be started. */
@@ -56,15 +56,15 @@
         }
         // A later owner that can read the job reads the message as well.
         if (registry.isUnreadable(message.jobId)) return
-        if (message.isCancel) cancelUnknown(message) else findSubmitted(message)
+        if (message.isCancel) moveCancellation(message) else findSubmitted(message)
     }
 
-    /** Its job may still be submitted. If the cancellation cannot be held, the message is read again. */
-    private fun cancelUnknown(message: InboxMessage) {
+    /** Moves [message] to [earlyCancellations]: its job may still be submitted. One for which there is no room is read again. */
+    private fun moveCancellation(message: InboxMessage) {
         if (!openCancellations.add(message)) return
         val onEnd = { openCancellations.remove(message) }
         val isHeld =
-            cancellations.add(message.jobId, message.access, areAnswered = true, onDropped = { onEnd() }) {
+            earlyCancellations.add(message.jobId, message.access, isAcknowledged = true, onDropped = { onEnd() }) {
                 onEnd()
                 delete(message)
             }
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Retention.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Retention.kt
@@ -102,11 +102,11 @@
         /** Callers may query a job for 120 s after it became final; a quarter more allows for slow clocks. */
         const val RETENTION_MS = 150_000L
 
-        /** Jobs deleted in one pass: their rows fit into one transaction. */
-        private const val MAX_DELETED = 45
+        /** Jobs deleted in one pass: their two rows each fit into one transaction. */
+        const val MAX_DELETED = 45
 
         /** Writes that may wait before a pass, so that deletions do not delay them. */
-        private const val MAX_PENDING = 8
+        const val MAX_PENDING = 8
 
         /** Time between two passes. */
         private const val INTERVAL_MS = 5_000L
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/Scheduler.kt
@@ -11,7 +11,6 @@
 import io.corianderrock.jobs.contention.MemoryAdmission
 import io.corianderrock.jobs.contention.RemainingGain
 import io.corianderrock.jobs.entry.AdmissionPolicy
-import io.corianderrock.jobs.entry.Refusal
 import io.corianderrock.jobs.fleet.DemandPeak
 import io.corianderrock.jobs.fleet.FleetController
 import io.corianderrock.jobs.fleet.InstanceOrders
@@ -37,9 +36,7 @@
 import io.corianderrock.jobs.sharing.NoSharing
 import io.corianderrock.jobs.sharing.PaceOrders
 import io.corianderrock.jobs.sharing.SharingController
-import io.corianderrock.jobs.state.JobRun
 import io.corianderrock.jobs.state.JobSubmission
-import io.corianderrock.jobs.storerate.TokenBucket
 import kotlinx.serialization.builtins.ListSerializer
 
 /**
@@ -142,9 +139,10 @@
     private val jobLoader = JobLoader(registry)
     private val storedTables =
         StoredTables(loop, tables, log, includesRunTimes = settings.runTimes == RunTimeSource.LEARNED) { isClosed }
-    private val cancellations = EarlyCancellations(loop, committer, log)
-    private val cancelLookups = TokenBucket(loop, ratePerS = { CANCEL_LOOKUPS_PER_S }, capacity = { CANCEL_LOOKUPS_PER_S })
-    private val inbox = JobInbox(loop, tables, registry, cancellations, committer, log, earlier.existed) { isClosed }
+    private val earlyCancellations = EarlyCancellations(loop, committer, log)
+    private val inbox = JobInbox(loop, tables, registry, earlyCancellations, committer, log, earlier.existed) { isClosed }
+    private val acceptance = JobAcceptance(registry, inbox, admissionPolicies, tables.limits)
+    private val cancellation = JobCancellation(loop, registry, inbox, earlyCancellations) { isClosed }
     private var isLoaded = false
     private var isClosed = false
     private var isPlacementRequested = false
@@ -160,7 +158,7 @@
             accountRules.admission.onAccepted(job)
             demand.onAccepted(job)
             requestPlacement(job.queue.pool)
-            if (cancellations.covers(job.submission)) registry.cancel(job) {}
+            if (earlyCancellations.covers(job.submission)) registry.cancel(job) {}
         }
         fleet.sizer.onPeakStarted = { peaks -> committer.put(DEMAND_PEAKS_KEY) { storedJson.encodeToString(DEMAND_PEAKS, peaks) } }
         if (earlier.existed) storedTables.read(jobLoader, ::restore) else onLoaded()
@@ -183,48 +181,7 @@
     public fun submit(
         submission: JobSubmission,
         onResult: (SubmitResult) -> Unit,
-    ) {
-        if (!isLoaded || isClosed || !canWrite) {
-            onResult(SubmitResult.Unavailable)
-            return
-        }
-        if (registry.isOnlyStored(submission.id)) {
-            onResult(SubmitResult.Accepted)
-            return
-        }
-        val isKnown = registry.find(submission.id) != null
-        val refusal = if (isKnown) null else refusalOf(submission)
-        if (refusal != null) {
-            refuseIfAbsent(submission.id, refusal, onResult)
-            return
-        }
-        val onWithdrawn = { onResult(SubmitResult.Unavailable) }
-        registry.submit(
-            submission,
-            onDropped = { onResult(SubmitResult.Unknown) },
-            onWithdrawn = onWithdrawn,
-            onRefused = { onResult(SubmitResult.Rejected("the store does not accept the job: ${it.reason}", UNSTORABLE_RETRY_MS)) },
-        ) { onResult(SubmitResult.Accepted) }
-    }
-
-    private fun refusalOf(submission: JobSubmission): Refusal? =
-        unstorableReason(submission, tables.limits)?.let { Refusal(it, UNSTORABLE_RETRY_MS) }
-            ?: admissionPolicies.firstNotNullOfOrNull { it.refusalOf(submission) }
-
-    /** Another entry may have stored the job since the inbox was last read, so that a refusal would not be true. */
-    private fun refuseIfAbsent(
-        id: String,
-        refusal: Refusal,
-        onResult: (SubmitResult) -> Unit,
-    ) = inbox.find(id) { found ->
-        onResult(
-            when (found) {
-                is JobInbox.Lookup.Found, is JobInbox.Lookup.Unreadable -> SubmitResult.Accepted
-                is JobInbox.Lookup.Absent -> SubmitResult.Rejected(refusal.reason, refusal.retryAfterMs)
-                is JobInbox.Lookup.Unknown -> SubmitResult.Unavailable
-            },
-        )
-    }
+    ): Unit = if (isServing) acceptance.submit(submission, onResult) else onResult(SubmitResult.Unavailable)
 
     /** False while the store answers no writes. Readable from any thread. */
     public val canWrite: Boolean get() = committer.canWrite
@@ -250,51 +207,13 @@
         id: String,
         access: JobAccess,
         onResult: (CancelResult) -> Unit,
-    ) {
-        when {
-            !isLoaded || isClosed || !canWrite || registry.isUnreadable(id) -> onResult(CancelResult.UNAVAILABLE)
-            permitted(id, access) != null -> cancelHeld(id, access, onResult)
-            !cancellations.hasRoomFor(id, access) -> onResult(CancelResult.TOO_MANY)
-            // Another entry may have stored the job since the inbox was last read. The job ends also if it is not looked up.
-            cancelLookups.take() ->
-                inbox.find(id) { found ->
-                    val isUnavailable = found is JobInbox.Lookup.Unreadable || isClosed
-                    if (isUnavailable) onResult(CancelResult.UNAVAILABLE) else cancelHeld(id, access, onResult)
-                }
-            else -> cancelHeld(id, access, onResult)
-        }
-    }
+    ): Unit = if (isServing) cancellation.cancel(id, access, onResult) else onResult(CancelResult.UNAVAILABLE)
 
-    /**
-     * Cancels the job [id] by what is held in memory. A job outside [access] is treated as one that does not exist, so that neither the
-     * answer nor its time tells of it.
-     */
-    private fun cancelHeld(
-        id: String,
-        access: JobAccess,
-        onResult: (CancelResult) -> Unit,
-    ) {
-        val onDropped = { onResult(CancelResult.UNKNOWN) }
-        val stored = permitted(id, access)?.takeIf { it.isStored }
-        if (stored != null) {
-            registry.cancel(stored, onDropped) { onResult(CancelResult.STORED) }
-            return
-        }
-        val isAdded =
-            cancellations.add(id, access, onDropped = onDropped) {
-                onResult(if (permitted(id, access) != null) CancelResult.STORED else CancelResult.NOT_KNOWN)
-            }
-        if (!isAdded) onResult(CancelResult.TOO_MANY)
-    }
+    /** True while jobs can be accepted and cancelled. */
+    private val isServing: Boolean get() = isLoaded && !isClosed && canWrite
 
-    /** The job [id], stored or being stored, if it is within [access]. */
-    private fun permitted(
-        id: String,
-        access: JobAccess,
-    ): JobRun? = registry.find(id)?.takeIf { access.permits(it.submission.account) }
-
-    /** Time in milliseconds until a cancellation of an unknown job can be taken again. */
-    public val cancellationRoomInMs: Long get() = cancellations.roomInMs
+    /** Time in milliseconds until a cancellation that was refused with [CancelResult.TOO_MANY] can be held; 0 if it waits for the store. */
+    public val cancellationRoomInMs: Long get() = earlyCancellations.roomInMs
 
     /** Number of jobs in the queue [queueName] of which no task has started; null if this scheduler is unavailable. */
     public fun pending(queueName: String): Int? = if (isLoaded && !isClosed) registry.pendingCount(queueName) else null
@@ -314,7 +233,7 @@
     private fun close() {
         isClosed = true
         driver.close()
-        cancellations.close()
+        earlyCancellations.close()
     }
 
     private fun isOwnershipFresh(withinMs: Long): Boolean =
@@ -355,8 +274,8 @@
         instanceOrders.load(rowsByTable.getValue(Table.INSTANCE_ORDERS))
         rowsByTable[Table.RUN_TIMES]?.forEach { runTimeRecords.load(it.value) }
         rowsByTable.getValue(Table.DEMAND_PEAKS).forEach { row -> decodeStored(DEMAND_PEAKS, row.value)?.let(fleet.sizer::load) }
-        cancellations.load(rowsByTable.getValue(Table.EARLY_CANCELLATIONS))
-        registry.live.filter { cancellations.covers(it.submission) }.forEach { registry.cancel(it) {} }
+        earlyCancellations.load(rowsByTable.getValue(Table.EARLY_CANCELLATIONS))
+        registry.live.filter { earlyCancellations.covers(it.submission) }.forEach { registry.cancel(it) {} }
         // Before any task starts: a job may have been cancelled while there was no owner.
         rowsByTable.getValue(Table.INBOX).forEach(inbox::process)
         onLoaded()
@@ -428,7 +347,7 @@
             }
             inbox.readIfDue()
             registry.retention.deleteIfDue()
-            cancellations.tick()
+            earlyCancellations.tick()
             if (tickCount % PLACEMENT_TICK_INTERVAL == 0L) requestPlacement(null)
         }
     }
@@ -443,12 +362,6 @@
         /** Greatest age of the last confirmed write at which orders to instances are sent; the next owner waits as long. */
         const val INSTANCE_ORDER_FRESHNESS_MS = 1_500L
 
-        /** Reads for cancellations of jobs that are not known: few beside the owner's other reads. */
-        const val CANCEL_LOOKUPS_PER_S = 20.0
-
-        /** Retry delay for a job that the store does not accept: sent again as it is, it is refused again. */
-        const val UNSTORABLE_RETRY_MS = 60_000L
-
         /** Margin added to the time between instance orders of two owners: covers an order's timeout and network delays. */
         const val TAKEOVER_MARGIN_MS = 1_100L
 
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerAnswers.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/SchedulerAnswers.kt
@@ -28,7 +28,7 @@
     /** The cancellation is stored. */
     STORED,
 
-    /** There is no such job that its caller may see, and a submission of it that is still on its way starts nothing. */
+    /** There is no such job within the caller's rights; one whose submission is still on its way is cancelled when it becomes known. */
     NOT_KNOWN,
 
     /** Nothing was done: too many cancellations of jobs that are not known are held, see [Scheduler.cancellationRoomInMs]. */
--- a/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WriteQueue.kt
+++ b/jobs/src/main/kotlin/io/corianderrock/jobs/runs/WriteQueue.kt
@@ -82,20 +82,20 @@
         return first to others.take(MAX_ENTRIES - OWNER_ROW_ENTRIES - first.size * ENTRIES_PER_NEW_JOB)
     }
 
-    private companion object {
+    companion object {
         /** Entries of one transaction that the store accepts: rows and conditions. */
-        const val MAX_ENTRIES = 100
+        private const val MAX_ENTRIES = 100
 
         /** Entries that new jobs leave to other rows. */
         const val RESERVED_ENTRIES = 32
 
         /** New jobs leave a quarter of the bytes to other rows. */
-        const val RESERVED_BYTES_DIVISOR = 4
+        private const val RESERVED_BYTES_DIVISOR = 4
 
         /** The row and the condition that it is absent. */
-        const val ENTRIES_PER_NEW_JOB = 2
+        private const val ENTRIES_PER_NEW_JOB = 2
 
         /** The owner row and the condition on it. */
-        const val OWNER_ROW_ENTRIES = 2
+        private const val OWNER_ROW_ENTRIES = 2
     }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/EarlyCancellationTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/EarlyCancellationTest.kt
@@ -42,29 +42,33 @@
 
 private fun storesJob(change: RowChange) = JOB_KEY in change.puts
 
+private fun loadedOwner() = InboxOfOneOwner().also { it.pass(PASS_MS) }
+
+/** The owner that takes over from this one, whose running tasks are lost. */
+private fun InboxOfOneOwner.next() = InboxOfOneOwner(hadEarlierOwner = true, rowsBefore = rowsOfJobs())
+
+private val InboxOfOneOwner.runningJobs: Set<String> get() = running.keys.map { it.jobId }.toSet()
+
 /** Cancels [JOB] at the owner and returns the answers. */
 private fun InboxOfOneOwner.cancel(access: JobAccess = JobAccess.ALL): List<CancelResult> =
     ArrayList<CancelResult>().also { results -> scheduler.cancel(JOB.id, access) { results.add(it) } }
 
+/** Cancels [JOB] at an entry that cannot reach the owner, and returns the answers. */
 private fun InboxOfOneOwner.cancelAtOther(access: JobAccess = JobAccess.ALL): List<CallerAnswer> =
     ArrayList<CallerAnswer>().also { answers -> otherEntry.cancel(JOB.id, access) { answers.add(it) } }
 
 private fun InboxOfOneOwner.submit(): List<SubmitResult> =
     ArrayList<SubmitResult>().also { results -> scheduler.submit(JOB) { results.add(it) } }
 
-/** Cancels [count] jobs at the owner, of which nobody has heard, and returns the answers. */
-private fun InboxOfOneOwner.cancelUnknown(count: Int): List<CancelResult> {
-    val results = ArrayList<CancelResult>()
-    repeat(count) { scheduler.cancel("unknown${unknownCount++}", JobAccess.ALL) { results.add(it) } }
-    return results
-}
+private val unknownIds = generateSequence(0) { it + 1 }.map { "unknown$it" }.iterator()
 
-private var unknownCount = 0
+/** Cancels [count] jobs that were never submitted at the owner, and returns the answers. */
+private fun InboxOfOneOwner.cancelUnknown(count: Int): List<CancelResult> =
+    ArrayList<CancelResult>().also { results -> repeat(count) { scheduler.cancel(unknownIds.next(), JobAccess.ALL) { results.add(it) } } }
 
 /** An owner whose write of [JOB] is carried out [LATE_MS] later. */
 private fun ownerThatStoresLate(): InboxOfOneOwner {
-    val owner = InboxOfOneOwner()
-    owner.pass(PASS_MS)
+    val owner = loadedOwner()
     var lost = 1
     owner.losesCommit = { change -> LATE_MS.takeIf { storesJob(change) && lost-- > 0 } }
     owner.submit()
@@ -76,6 +80,7 @@
 internal class EarlyCancellationTest :
     DescribeSpec({
         describe("a cancellation while the owner is storing the job") {
+            // Guards against an owner that takes a job that it is storing for one that does not exist (UNASKED).
             it("ends the job unstarted if it is sent to the owner") {
                 val owner = ownerThatStoresLate()
                 val results = owner.cancel()
@@ -84,6 +89,7 @@
                 owner.startsAtMs.shouldBeEmpty()
                 owner.scheduler.state(JOB.id).state shouldBe JobState.CANCELLED
             }
+            // Guards against an entry that finds no row and lets the open write go on (UNASKED).
             it("ends it also if another entry answers that there is no such job") {
                 val owner = ownerThatStoresLate()
                 val answers = owner.cancelAtOther()
@@ -93,6 +99,7 @@
                 owner.running.keys.shouldBeEmpty()
                 owner.scheduler.state(JOB.id).state shouldBe JobState.CANCELLED
             }
+            // Guards against a cancellation that is deleted from the inbox before its job is there (UNASKED).
             it("ends it also if the owner is lost and the write is carried out after that") {
                 val owner = ownerThatStoresLate()
                 val answers = owner.cancelAtOther()
@@ -100,16 +107,16 @@
                 answers shouldContainExactly listOf(CallerAnswer.NotFound)
                 owner.storeElsewhere(JOB)
                 owner.pass(REPLY_MS)
-                val next = InboxOfOneOwner(hadEarlierOwner = true, rowsBefore = owner.rowsOfJobs())
+                val next = owner.next()
                 next.pass(LONG_MS)
                 next.startsAtMs.shouldBeEmpty()
             }
         }
         describe("a submission that arrives after the cancellation of a job that nobody knew") {
+            // Guards against a submission that was not read yet when its cancellation was answered (UNASKED).
             it("is accepted and ends unstarted, at the owner and at another entry") {
                 for (isAtOwner in listOf(true, false)) {
-                    val owner = InboxOfOneOwner()
-                    owner.pass(PASS_MS)
+                    val owner = loadedOwner()
                     val cancelled = owner.cancel()
                     owner.pass(REPLY_MS)
                     cancelled shouldContainExactly listOf(CancelResult.NOT_KNOWN)
@@ -119,37 +126,37 @@
                     owner.scheduler.state(JOB.id).state shouldBe JobState.CANCELLED
                 }
             }
+            // Guards against a cancellation that only the owner that answered it knows (UNASKED).
             it("ends unstarted also with a later owner") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 owner.cancel()
                 owner.pass(REPLY_MS)
-                val next = InboxOfOneOwner(hadEarlierOwner = true, rowsBefore = owner.rowsOfJobs())
+                val next = owner.next()
                 next.pass(PASS_MS)
                 next.submit()
                 next.pass(LONG_MS)
                 next.startsAtMs.shouldBeEmpty()
             }
+            // Guards against a later owner that loads the job before the cancellation (UNASKED).
             it("ends unstarted also if it was stored before the later owner knew of either") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 owner.cancel()
                 owner.pass(REPLY_MS)
                 owner.storeElsewhere(JOB)
                 owner.pass(10)
-                val next = InboxOfOneOwner(hadEarlierOwner = true, rowsBefore = owner.rowsOfJobs())
+                val next = owner.next()
                 next.pass(LONG_MS)
                 next.startsAtMs.shouldBeEmpty()
             }
+            // Guards against cancellations that outlive their time, and end jobs that are sent later.
             it("is a new job once the cancellation is not kept any more, also for a later owner") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 owner.cancel()
                 owner.pass(RETAINED_MS)
                 owner.submit()
                 owner.pass(PASS_MS)
                 owner.running.size shouldBe JOB.steps.single().count
-                val next = InboxOfOneOwner(hadEarlierOwner = true, rowsBefore = owner.rowsOfJobs())
+                val next = owner.next()
                 next.pass(LONG_MS)
                 next.scheduler.state(JOB.id).state shouldBe JobState.ACTIVE
             }
@@ -158,8 +165,7 @@
             // Guards against a cancelled job that is deleted early and starts anew, as the owner's time of day has jumped (UNASKED).
             it("stays cancelled if the owner's time of day jumps by an hour in between") {
                 for (isKnown in listOf(true, false)) {
-                    val owner = InboxOfOneOwner()
-                    owner.pass(PASS_MS)
+                    val owner = loadedOwner()
                     if (isKnown) owner.submit().also { owner.pass(REPLY_MS) }
                     owner.cancel().also { owner.pass(REPLY_MS) }
                     owner.loop.wallOffsetMs += HOUR_MS
@@ -176,8 +182,7 @@
             // Guards against an account that ends the jobs of another one.
             it("leaves the job alone, at the owner and through another entry, and also beside one that ends it") {
                 for (isAtOwner in listOf(true, false)) {
-                    val owner = InboxOfOneOwner()
-                    owner.pass(PASS_MS)
+                    val owner = loadedOwner()
                     for (account in listOf("other", "third")) {
                         if (isAtOwner) owner.cancel(JobAccess(account)) else owner.cancelAtOther(JobAccess(account))
                     }
@@ -185,15 +190,13 @@
                     owner.scheduler.submit(JOB.copy(account = "own")) {}
                     owner.scheduler.submit(JOB.copy(id = "thirds", account = "third")) {}
                     owner.pass(PASS_MS)
-                    owner.running.keys
-                        .map { it.jobId }
-                        .toSet() shouldBe setOf(JOB.id, "thirds")
+                    owner.runningJobs shouldBe setOf(JOB.id, "thirds")
                 }
             }
             // Guards against an account that learns of the jobs of another one.
             it("is answered in the same way and time whether the job exists or not") {
-                val unknown = InboxOfOneOwner().also { it.pass(PASS_MS) }
-                val known = InboxOfOneOwner().also { it.pass(PASS_MS) }
+                val unknown = loadedOwner()
+                val known = loadedOwner()
                 known.scheduler.submit(JOB.copy(account = "own")) {}
                 known.pass(REPLY_MS)
                 unknown.pass(REPLY_MS)
@@ -206,13 +209,11 @@
                 results.forEach { it.first shouldContainExactly listOf(CancelResult.NOT_KNOWN) }
                 results.forEach { it.second shouldContainExactly listOf(CallerAnswer.NotFound) }
                 known.pass(LONG_MS)
-                known.running.keys
-                    .map { it.jobId }
-                    .toSet() shouldBe setOf(JOB.id)
+                known.runningJobs shouldBe setOf(JOB.id)
             }
+            // Guards against a message of another account that takes the place of the job's own in the inbox (UNASKED).
             it("does not replace the one of the job's own account") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 for (account in listOf("own", "other")) owner.cancelAtOther(JobAccess(account))
                 owner.pass(PASS_MS)
                 owner.scheduler.submit(JOB.copy(account = "own")) {}
@@ -221,9 +222,9 @@
             }
         }
         describe("cancellations of jobs that nobody knows") {
+            // Guards against slow answers, and rows that nobody deletes.
             it("are answered within 250 ms, and leave no row for good") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 val results = owner.cancelUnknown(300)
                 owner.pass(QUICK_MS)
                 results.count { it == CancelResult.NOT_KNOWN } shouldBe 300
@@ -233,8 +234,7 @@
             }
             // Guards against memory and rows that grow with callers' mistakes.
             it("are refused beyond a bound, until the first are not kept any more") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 val results = List(110) { owner.cancelUnknown(100).also { owner.pass(QUICK_MS) } }.flatten()
                 results.count { it == CancelResult.NOT_KNOWN } shouldBe 10_000
                 results.count { it == CancelResult.TOO_MANY } shouldBe 1_000
@@ -244,8 +244,7 @@
             }
             // Guards against a submission that runs because the owner had no room for its cancellation, which another entry had answered.
             it("are held beyond that bound if another entry has answered them") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 repeat(100) { owner.cancelUnknown(100).also { owner.pass(QUICK_MS) } }
                 owner.cancelAtOther().also { owner.pass(PASS_MS) } shouldContainExactly listOf(CallerAnswer.NotFound)
                 owner.submit()
@@ -254,8 +253,7 @@
             }
             // Guards against cancellations that take the share of submissions, and of the owner's own reads, in the store.
             it("delay no submission and are looked up a few times a second") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 owner.cancelUnknown(300)
                 val readsBefore = owner.readCount
                 val submitted = owner.submit()
@@ -266,25 +264,23 @@
             }
             // Guards against a refusal for want of room that comes from a store that is merely slow.
             it("are refused at once while hundreds wait for the store, and told to return soon") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 val results = owner.cancelUnknown(400)
                 results shouldContain CancelResult.TOO_MANY
                 owner.scheduler.cancellationRoomInMs shouldBe 0
             }
             // Guards against callers whose cancellation waits in memory for a transaction of an owner that is none any more.
             it("are left open if the ownership is lost before they are stored") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 val results = owner.cancelUnknown(100)
                 owner.pass(LOOKUP_MS)
                 owner.scheduler.supersede(OwnerSighting("next", epoch = 3))
                 owner.pass(REPLY_MS)
                 results shouldContainExactly List(100) { CancelResult.UNKNOWN }
             }
+            // Guards against callers without an answer, as the last transaction of a term does not carry all that waits.
             it("are stored or left open if the ownership is released") {
-                val owner = InboxOfOneOwner()
-                owner.pass(PASS_MS)
+                val owner = loadedOwner()
                 val results = owner.cancelUnknown(100)
                 owner.pass(LOOKUP_MS)
                 owner.scheduler.release {}
@@ -292,6 +288,7 @@
                 results.size shouldBe 100
                 owner.countOf(Table.EARLY_CANCELLATIONS) shouldBeGreaterThanOrEqual results.count { it == CancelResult.NOT_KNOWN }
             }
+            // Guards against rows that pile up in the inbox while there is no owner.
             it("are refused by an entry that cannot reach the owner once it has stored many") {
                 val owner = InboxOfOneOwner()
                 val answers = ArrayList<CallerAnswer>()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/AbsurdJobTest.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/ExtremeNumberTest.kt
@@ -3,7 +3,7 @@
  */
 package io.corianderrock.jobs
 
-import io.corianderrock.jobs.world.AbsurdJobs
+import io.corianderrock.jobs.world.ExtremeNumbers
 import io.corianderrock.jobs.world.JobWorld
 import io.corianderrock.jobs.world.Workload
 import io.kotest.core.spec.style.DescribeSpec
@@ -15,9 +15,9 @@
 /** First seed of a test run, set by `-Djobs.first.seed`. */
 private val FIRST_SEED = Integer.getInteger("jobs.first.seed", 1)
 
-internal class AbsurdJobTest :
+internal class ExtremeNumberTest :
     DescribeSpec({
-        describe("simulations whose callers submit absurd numbers violate no invariant, and refuse each job outside the limits") {
+        describe("simulations whose callers submit extreme numbers violate no invariant, and refuse each job outside the limits") {
             // Guards against a job whose task count overflows: it ended each owner (LOST).
             for (seed in FIRST_SEED until FIRST_SEED + SEEDS) {
                 it("seed $seed") { faultsOf(seed).shouldBeEmpty() }
@@ -25,15 +25,16 @@
         }
     })
 
+/** The violations of the history [seed] and its jobs that should have been refused. */
 private fun faultsOf(seed: Int): List<String> {
-    var jobs: AbsurdJobs? = null
+    var callers: ExtremeNumbers? = null
     val world =
         JobWorld(
             seed,
             hasFaults = false,
             workload = Workload.LASTING_CANCELS,
-            scheduleEvents = { world -> jobs = AbsurdJobs(world, seed).also { it.schedule() } },
+            scheduleEvents = { world -> callers = ExtremeNumbers(world, seed).also { it.schedule() } },
             workersPollThemselves = true,
         )
-    return world.run().violations + jobs?.wronglyAccepted.orEmpty().map { "accepted $it" }
+    return world.run().violations + callers?.wronglyAccepted.orEmpty().map { "accepted $it" }
 }
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/AbsurdJobs.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/ExtremeNumbers.kt
@@ -1,6 +1,6 @@
 /*
- * Callers whose jobs have a number that is drawn up to the limit of its type, beside those of sound jobs. One that is outside the limits of
- * a job is to be refused, another one is cancelled, as it may fit on no worker or take years.
+ * Callers whose jobs have numbers drawn up to the limit of their type, beside those of other jobs. A job with a number outside its limits is
+ * to be refused. One within them is cancelled, as it may fit on no worker or take years.
  */
 package io.corianderrock.jobs.world
 
@@ -15,17 +15,17 @@
 import kotlin.random.Random
 
 /** Schedules callers in [world], to be used as its only ones. The random draws are its own, so that jobs stay as they are. */
-internal class AbsurdJobs(
+internal class ExtremeNumbers(
     private val world: JobWorld,
     seed: Int,
 ) {
     private val random = Random(seed * 59L + 13)
 
-    /** Jobs outside the limits that an entry has accepted. */
+    /** Jobs outside the limits that an entry accepted. */
     val wronglyAccepted = ArrayList<JobSubmission>()
 
     fun schedule() {
-        repeat(JOB_COUNT) { number -> world.time.after(random.nextLong(0, LAST_SUBMISSION_MS)) { send(absurdJob(number)) } }
+        repeat(JOB_COUNT) { number -> world.time.after(random.nextLong(0, LAST_SUBMISSION_MS)) { send(extremeJob(number)) } }
     }
 
     private fun send(job: JobSubmission) {
@@ -38,7 +38,7 @@
         entry.ask(JobRequest.Submit(job)) { if (it is CallerAnswer.Applied) wronglyAccepted.add(job) }
     }
 
-    private fun absurdJob(number: Int): JobSubmission {
+    private fun extremeJob(number: Int): JobSubmission {
         val step = Step(1, Demand(500, 500), estimateMs = 500)
         val steps =
             when (random.nextInt(8)) {
@@ -52,7 +52,7 @@
                 else -> List(3) { step.copy(count = Int.MAX_VALUE) }
             }
         val queue = Queue("queue-a", "a", maxAttempts = 3, stretchFactor = 2.0, targetLatencyMs = 600)
-        val job = JobSubmission("absurd$number", queue, "work", steps)
+        val job = JobSubmission("extreme$number", queue, "work", steps)
         return when (random.nextInt(4)) {
             0 -> job.copy(times = whole(), intervalMs = 1_000)
             1 -> job.copy(times = 2, intervalMs = long(), firstDueWallMs = long())
@@ -60,7 +60,7 @@
         }
     }
 
-    /** Most draws are large: numbers of each length are equally likely. */
+    /** Numbers of each length are equally likely. */
     private fun whole(): Int = 2.0.pow(random.nextDouble(0.0, Int.SIZE_BITS - 1.0)).toInt()
 
     private fun long(): Long = 2.0.pow(random.nextDouble(0.0, Long.SIZE_BITS - 1.0)).toLong()
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/UnansweredCancels.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/UnansweredCancels.kt
@@ -27,7 +27,7 @@
 
     private fun onSent(jobId: String) {
         if (random.nextDouble() >= CANCELLED_SHARE || !cancelled.add(jobId)) return
-        val delayMs = if (random.nextBoolean()) random.nextLong(0, 40) else random.nextLong(0, MAX_CANCEL_DELAY_MS)
+        val delayMs = random.nextLong(0, if (random.nextBoolean()) WRITE_MS else MAX_CANCEL_DELAY_MS)
         time.after(delayMs) { world.cancel(jobId, attemptsLeft = CANCEL_ATTEMPTS) }
         if (random.nextInt(3) == 0) time.after(delayMs + random.nextLong(0, MAX_RESEND_DELAY_MS)) { world.resend(jobId) }
     }
@@ -46,6 +46,9 @@
     private companion object {
         const val CANCELLED_SHARE = 0.6
         const val CANCEL_ATTEMPTS = 8
+
+        /** A transaction with the time for which the owner collects jobs. */
+        const val WRITE_MS = 40L
         const val MAX_CANCEL_DELAY_MS = 1_500L
         const val MAX_RESEND_DELAY_MS = 15_000L
         const val LAST_FAULT_MS = 18_000L
--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/WorldMain.kt
@@ -1,8 +1,14 @@
 /*
  * Runs the simulation by hand: `WorldMainKt FIRST LAST [WORKLOAD [LEASE_MS [POOL_DECISIONS]]]` prints the violations of a range of
- * seeds, and the decisions as well if the range has a single seed. WORKLOAD is one of [Workload], where EARLY_CANCELS includes the
- * cancellations of [EarlyCancels] and messages that overtake each other, COINCIDENCES for [Coincidences] beside these, with COINCIDENCES_SAME_IDS for workers that restart under their id, FLEET_CHANGES for [FleetChanges], or LATE_ORDERS for the faults of
- * [LateOrderFaults], with LATE_ORDERS_NEW_IDS for workers that restart under new ids, SILENT_FAULTS for those of [SilentFaults], UNANSWERED_CANCELS for [UnansweredCancels], and TIMED_JOBS includes those of [TimedJobFaults]. POOL_DECISIONS true switches on the optional decisions on pools.
+ * seeds, and the decisions as well if the range has a single seed. POOL_DECISIONS true switches on the optional decisions on pools.
+ *
+ * WORKLOAD is one of [Workload], where EARLY_CANCELS includes the cancellations of [EarlyCancels] and messages that overtake each other, and
+ * TIMED_JOBS the faults of [TimedJobFaults], or one of
+ * - COINCIDENCES: [Coincidences] beside the above; COINCIDENCES_SAME_IDS for workers that restart under their id
+ * - FLEET_CHANGES: [FleetChanges]
+ * - LATE_ORDERS: [LateOrderFaults]; LATE_ORDERS_NEW_IDS for workers that restart under new ids
+ * - SILENT_FAULTS: [SilentFaults]
+ * - UNANSWERED_CANCELS: [UnansweredCancels]
  */
 package io.corianderrock.jobs.world
 
