--- a/jobs/src/test/kotlin/io/corianderrock/jobs/world/ExtremeNumbers.kt
+++ b/jobs/src/test/kotlin/io/corianderrock/jobs/world/ExtremeNumbers.kt
@@ -1,6 +1,6 @@
 /*
- * Callers whose jobs have numbers drawn up to the limit of their type, beside those of other jobs. A job with a number outside its limits is
- * to be refused. One within them is cancelled, as it may fit on no worker or take years.
+ * Callers whose jobs have numbers drawn up to the limit of their type, beside those of other jobs. A job with a number, or a product of
+ * two, outside its limits is to be refused. One within them is cancelled, as it may fit on no worker or take years.
  */
 package io.corianderrock.jobs.world
 
@@ -10,7 +10,6 @@
 import io.corianderrock.jobs.state.JobSubmission
 import io.corianderrock.jobs.state.Queue
 import io.corianderrock.jobs.state.Step
-import io.corianderrock.jobs.state.limitViolation
 import kotlin.math.pow
 import kotlin.random.Random
 
@@ -29,7 +28,7 @@
     }
 
     private fun send(job: JobSubmission) {
-        if (job.limitViolation() == null) {
+        if (job.validationError() == null) {
             world.submit(job)
             world.time.after(random.nextLong(0, MAX_CANCEL_DELAY_MS)) { world.cancel(job.id, attemptsLeft = CANCEL_ATTEMPTS) }
             return
